--- /dev/null
+++ b/core/record/record.go
@@ -0,0 +1,295 @@
+// Package record defines the records of the platform log and their codec.
+//
+// Records are folded in offset order. Each kind has a precondition that its own
+// effect falsifies, so that a record appended twice has one effect.
+package record
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"parsleyrelay.example/core/keyspace"
+	"parsleyrelay.example/core/resource"
+)
+
+// Kind names a type of record.
+type Kind string
+
+// The kinds of record.
+const (
+	KindResourcePut      Kind = "resource_put"
+	KindResourceDelete   Kind = "resource_delete"
+	KindHostJoined       Kind = "host_joined"
+	KindHostLeft         Kind = "host_left"
+	KindWitnessProposed  Kind = "witness_proposed"
+	KindWitnessActivated Kind = "witness_activated"
+	KindWitnessReset     Kind = "witness_reset"
+	KindHomeAssigned     Kind = "home_assigned"
+	KindSlicesPlaced     Kind = "slices_placed"
+	KindSlicesMoved      Kind = "slices_moved"
+	KindSliceSplit       Kind = "slice_split"
+	KindSliceMerged      Kind = "slice_merged"
+	KindCheckpointPart   Kind = "checkpoint_part"
+)
+
+// Body is the content of a record.
+type Body interface {
+	// Kind returns the kind of the record.
+	Kind() Kind
+}
+
+// Record is one entry of the log.
+type Record struct {
+	ID       string // UUID, unique per proposal; a retry of the same proposal keeps it
+	Proposer string // incarnation of the proposing daemon
+	WallMS   int64  // wall clock of the proposer in Unix milliseconds, for display only
+	Body     Body
+}
+
+// Positioned is a record with its offset. Offsets start at 1 and have no gaps.
+type Positioned struct {
+	Offset uint64
+	Record Record
+}
+
+// ResourcePut creates or replaces a resource.
+type ResourcePut struct {
+	Resource        resource.Resource `json:"resource"`
+	ExpectedVersion uint64            `json:"expectedVersion"`
+	ChangeID        string            `json:"changeId"`
+}
+
+// ResourceDelete removes a resource.
+type ResourceDelete struct {
+	Key             resource.Key `json:"key"`
+	ExpectedVersion uint64       `json:"expectedVersion"`
+	ChangeID        string       `json:"changeId"`
+}
+
+// HostJoined announces a started daemon.
+type HostJoined struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	Zone        string `json:"zone"`
+	PeerURL     string `json:"peerUrl"`
+}
+
+// LeaveReason says why a host left.
+type LeaveReason string
+
+// Reasons for leaving.
+const (
+	LeaveDrained LeaveReason = "drained"
+	LeaveLost    LeaveReason = "lost"
+)
+
+// HostLeft removes a daemon from the members.
+type HostLeft struct {
+	Incarnation string      `json:"incarnation"`
+	Reason      LeaveReason `json:"reason"`
+}
+
+// WitnessProposed proposes the next witness set of a scope.
+type WitnessProposed struct {
+	Scope   string   `json:"scope"`
+	Epoch   uint64   `json:"epoch"`
+	Members []string `json:"members"` // incarnations
+}
+
+// WitnessActivated makes a proposed witness set the only one.
+type WitnessActivated struct {
+	Scope string `json:"scope"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// WitnessReset replaces a witness set whose majority is lost for good.
+type WitnessReset struct {
+	Scope   string   `json:"scope"`
+	Epoch   uint64   `json:"epoch"`
+	Members []string `json:"members"`
+	Reason  string   `json:"reason"`
+}
+
+// HomeAssigned makes a daemon the home of a server. The record's offset is the
+// new term.
+type HomeAssigned struct {
+	Server       string `json:"server"`
+	PreviousTerm uint64 `json:"previousTerm"`
+	Home         string `json:"home"` // incarnation
+	Handover     bool   `json:"handover,omitempty"`
+}
+
+// Placement gives a range to a server.
+type Placement struct {
+	Range  keyspace.Range `json:"range"`
+	Server string         `json:"server"`
+}
+
+// SlicesPlaced is the first placement of a service's slices.
+type SlicesPlaced struct {
+	Service string      `json:"service"`
+	Slices  []Placement `json:"slices"`
+}
+
+// Move is one slice of a SlicesMoved record.
+type Move struct {
+	Range      keyspace.Range `json:"range"`
+	Generation uint64         `json:"generation"` // before the move
+	From       string         `json:"from"`
+	To         string         `json:"to"`
+	FromTerm   uint64         `json:"fromTerm"`
+}
+
+// SlicesMoved changes the owners of slices. The record's offset is their new
+// generation.
+type SlicesMoved struct {
+	Service  string `json:"service"`
+	Moves    []Move `json:"moves"`
+	Released bool   `json:"released,omitempty"` // the former owners confirmed the release
+}
+
+// SliceSplit cuts a slice; each cut is the first hash of a new slice. The owner
+// and the generation stay the same.
+type SliceSplit struct {
+	Service    string         `json:"service"`
+	Range      keyspace.Range `json:"range"`
+	Generation uint64         `json:"generation"`
+	Cuts       []uint64       `json:"cuts"`
+}
+
+// SliceMerged joins neighbouring slices of the same server and generation.
+type SliceMerged struct {
+	Service    string         `json:"service"`
+	Range      keyspace.Range `json:"range"`
+	Generation uint64         `json:"generation"`
+}
+
+// CheckpointPart carries one part of the state at offset Base.
+type CheckpointPart struct {
+	Base    uint64 `json:"base"`
+	Part    int    `json:"part"`
+	Parts   int    `json:"parts"`
+	Digest  string `json:"digest"` // xxHash64 of the whole state, hexadecimal
+	Payload []byte `json:"payload"`
+}
+
+// Kind implements Body.
+func (ResourcePut) Kind() Kind { return KindResourcePut }
+
+// Kind implements Body.
+func (ResourceDelete) Kind() Kind { return KindResourceDelete }
+
+// Kind implements Body.
+func (HostJoined) Kind() Kind { return KindHostJoined }
+
+// Kind implements Body.
+func (HostLeft) Kind() Kind { return KindHostLeft }
+
+// Kind implements Body.
+func (WitnessProposed) Kind() Kind { return KindWitnessProposed }
+
+// Kind implements Body.
+func (WitnessActivated) Kind() Kind { return KindWitnessActivated }
+
+// Kind implements Body.
+func (WitnessReset) Kind() Kind { return KindWitnessReset }
+
+// Kind implements Body.
+func (HomeAssigned) Kind() Kind { return KindHomeAssigned }
+
+// Kind implements Body.
+func (SlicesPlaced) Kind() Kind { return KindSlicesPlaced }
+
+// Kind implements Body.
+func (SlicesMoved) Kind() Kind { return KindSlicesMoved }
+
+// Kind implements Body.
+func (SliceSplit) Kind() Kind { return KindSliceSplit }
+
+// Kind implements Body.
+func (SliceMerged) Kind() Kind { return KindSliceMerged }
+
+// Kind implements Body.
+func (CheckpointPart) Kind() Kind { return KindCheckpointPart }
+
+type envelope struct {
+	ID       string          `json:"id"`
+	Kind     Kind            `json:"kind"`
+	Proposer string          `json:"proposer"`
+	WallMS   int64           `json:"wallMs"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// UnknownKindError reports a record that this version cannot read. A daemon that
+// meets one must stop folding, since skipping it could break agreement.
+type UnknownKindError struct {
+	Kind Kind
+}
+
+// Error implements error.
+func (e *UnknownKindError) Error() string {
+	return fmt.Sprintf("log record has unknown kind %q", e.Kind)
+}
+
+// Marshal encodes a record as JSON.
+func Marshal(r Record) ([]byte, error) {
+	body, err := json.Marshal(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(envelope{ID: r.ID, Kind: r.Body.Kind(), Proposer: r.Proposer, WallMS: r.WallMS, Body: body})
+}
+
+// Unmarshal decodes a record. It returns an UnknownKindError for a kind that
+// this version does not know.
+func Unmarshal(data []byte) (Record, error) {
+	var e envelope
+	if err := json.Unmarshal(data, &e); err != nil {
+		return Record{}, err
+	}
+	body, err := decodeBody(e.Kind, e.Body)
+	if err != nil {
+		return Record{}, err
+	}
+	return Record{ID: e.ID, Proposer: e.Proposer, WallMS: e.WallMS, Body: body}, nil
+}
+
+func decodeBody(kind Kind, data []byte) (Body, error) {
+	switch kind {
+	case KindResourcePut:
+		return decode[ResourcePut](data)
+	case KindResourceDelete:
+		return decode[ResourceDelete](data)
+	case KindHostJoined:
+		return decode[HostJoined](data)
+	case KindHostLeft:
+		return decode[HostLeft](data)
+	case KindWitnessProposed:
+		return decode[WitnessProposed](data)
+	case KindWitnessActivated:
+		return decode[WitnessActivated](data)
+	case KindWitnessReset:
+		return decode[WitnessReset](data)
+	case KindHomeAssigned:
+		return decode[HomeAssigned](data)
+	case KindSlicesPlaced:
+		return decode[SlicesPlaced](data)
+	case KindSlicesMoved:
+		return decode[SlicesMoved](data)
+	case KindSliceSplit:
+		return decode[SliceSplit](data)
+	case KindSliceMerged:
+		return decode[SliceMerged](data)
+	case KindCheckpointPart:
+		return decode[CheckpointPart](data)
+	}
+	return nil, &UnknownKindError{Kind: kind}
+}
+
+func decode[T Body](data []byte) (Body, error) {
+	var body T
+	if err := json.Unmarshal(data, &body); err != nil {
+		return nil, err
+	}
+	return body, nil
+}
--- /dev/null
+++ b/core/resource/specs.go
@@ -0,0 +1,237 @@
+package resource
+
+import (
+	"net/url"
+	"strings"
+
+	"parsleyrelay.example/core/finding"
+)
+
+// Scope says whose witnesses guard the ownership of a service's keys.
+type Scope string
+
+// The scopes of a service.
+const (
+	// ScopeZone keeps homes and witnesses of a server in its own availability
+	// zone; a zone that is cut off goes on serving its own keys.
+	ScopeZone Scope = "zone"
+	// ScopeAll takes witnesses from all availability zones; a minority zone
+	// stops and the others take its keys over.
+	ScopeAll Scope = "all"
+)
+
+// Service is a set of backend servers that divide one key space.
+type Service struct {
+	Scope  Scope `json:"scope,omitempty"`  // default ScopeZone
+	Slices int   `json:"slices,omitempty"` // number of slices at first placement, default DefaultSlices
+	// Ranks names the Rank resources that callers may use.
+	Ranks       []string `json:"ranks"`
+	DefaultRank string   `json:"defaultRank"`
+	// MaxBodyBytes bounds request bodies, default DefaultMaxBodyBytes.
+	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
+}
+
+// Defaults of Service fields.
+const (
+	DefaultSlices       = 256
+	MaxSlices           = 65536
+	DefaultMaxBodyBytes = 8 << 20 // bytes
+)
+
+// Kind returns KindService.
+func (*Service) Kind() Kind { return KindService }
+
+// EffectiveScope returns the scope with the default applied.
+func (s *Service) EffectiveScope() Scope {
+	if s.Scope == "" {
+		return ScopeZone
+	}
+	return s.Scope
+}
+
+// EffectiveSlices returns the number of slices with the default applied.
+func (s *Service) EffectiveSlices() int {
+	if s.Slices == 0 {
+		return DefaultSlices
+	}
+	return s.Slices
+}
+
+// EffectiveMaxBodyBytes returns the bound on request bodies in bytes.
+func (s *Service) EffectiveMaxBodyBytes() int64 {
+	if s.MaxBodyBytes == 0 {
+		return DefaultMaxBodyBytes
+	}
+	return s.MaxBodyBytes
+}
+
+// Validate implements Spec.
+func (s *Service) Validate(place string, findings *finding.List) {
+	if s.Scope != "" && s.Scope != ScopeZone && s.Scope != ScopeAll {
+		findings.Add(place+": spec.scope", "%q is neither %q nor %q", s.Scope, ScopeZone, ScopeAll)
+	}
+	if s.Slices < 0 || s.Slices > MaxSlices {
+		findings.Add(place+": spec.slices", "%d is not between 1 and %d", s.Slices, MaxSlices)
+	}
+	if s.MaxBodyBytes < 0 {
+		findings.Add(place+": spec.maxBodyBytes", "%d is negative", s.MaxBodyBytes)
+	}
+	if len(s.Ranks) == 0 {
+		findings.Add(place+": spec.ranks", "at least one rank is required")
+	}
+	if !contains(s.Ranks, s.DefaultRank) {
+		findings.Add(place+": spec.defaultRank", "%q is not listed in spec.ranks", s.DefaultRank)
+	}
+}
+
+// Server is one backend server.
+type Server struct {
+	Service     string `json:"service"`
+	Zone        string `json:"zone"`
+	Address     string `json:"address"`          // base URL, http or https with an IP number
+	Slots       int    `json:"slots"`            // requests that it runs at a time
+	Connections int    `json:"connections"`      // connections that it accepts in all
+	Weight      int    `json:"weight,omitempty"` // relative share of keys, default 100
+	// ChecksGrants says that the server refuses requests outside a live grant.
+	ChecksGrants bool `json:"checksGrants"`
+	// RemembersIDs says that the server itself detects repeated idempotency keys.
+	RemembersIDs bool `json:"remembersIds,omitempty"`
+	// RequireReleaseConfirmation forbids moving slices off the server unless it
+	// confirmed their release or an operator declared it gone.
+	RequireReleaseConfirmation bool `json:"requireReleaseConfirmation,omitempty"`
+	// Drain asks the router to move everything off the server.
+	Drain bool `json:"drain,omitempty"`
+	// Gone declares that no instance of the server runs any more.
+	Gone bool `json:"gone,omitempty"`
+}
+
+// DefaultWeight is the weight of a server that declares none.
+const DefaultWeight = 100
+
+// Kind returns KindServer.
+func (*Server) Kind() Kind { return KindServer }
+
+// EffectiveWeight returns the weight with the default applied.
+func (s *Server) EffectiveWeight() int {
+	if s.Weight == 0 {
+		return DefaultWeight
+	}
+	return s.Weight
+}
+
+// Validate implements Spec.
+func (s *Server) Validate(place string, findings *finding.List) {
+	if s.Service == "" {
+		findings.Add(place+": spec.service", "is required")
+	}
+	if s.Zone == "" {
+		findings.Add(place+": spec.zone", "is required")
+	}
+	u, err := url.Parse(s.Address)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		findings.Add(place+": spec.address", "%q is not an http or https URL", s.Address)
+	}
+	if s.Slots < 1 {
+		findings.Add(place+": spec.slots", "%d is less than 1", s.Slots)
+	}
+	if s.Connections < s.Slots {
+		findings.Add(place+": spec.connections", "%d is less than spec.slots", s.Connections)
+	}
+	if s.Weight < 0 {
+		findings.Add(place+": spec.weight", "%d is negative", s.Weight)
+	}
+}
+
+// Rank is a priority class of requests.
+type Rank struct {
+	// Level orders the ranks; 0 is the most urgent.
+	Level int `json:"level"`
+	// FloorPercent is the share of a server's slots that the rank keeps in a
+	// flood of more urgent ranks, in percent.
+	FloorPercent int `json:"floorPercent,omitempty"`
+	// MaxQueueLength bounds the requests that wait per server, default DefaultMaxQueueLength.
+	MaxQueueLength int `json:"maxQueueLength,omitempty"`
+	// MaxQueueMS bounds the waiting time in milliseconds, default DefaultMaxQueueMS.
+	MaxQueueMS int `json:"maxQueueMs,omitempty"`
+	// DefaultDeadlineMS applies to requests without a deadline, in milliseconds, default DefaultDeadlineMS.
+	DefaultDeadlineMS int `json:"defaultDeadlineMs,omitempty"`
+}
+
+// Defaults of Rank fields.
+const (
+	DefaultMaxQueueLength = 128
+	DefaultMaxQueueMS     = 2000
+	DefaultDeadlineMS     = 5000
+	MaxLevel              = 15
+	MaxFloorPercent       = 50
+)
+
+// Kind returns KindRank.
+func (*Rank) Kind() Kind { return KindRank }
+
+// Validate implements Spec.
+func (r *Rank) Validate(place string, findings *finding.List) {
+	if r.Level < 0 || r.Level > MaxLevel {
+		findings.Add(place+": spec.level", "%d is not between 0 and %d", r.Level, MaxLevel)
+	}
+	if r.FloorPercent < 0 || r.FloorPercent > MaxFloorPercent {
+		findings.Add(place+": spec.floorPercent", "%d is not between 0 and %d", r.FloorPercent, MaxFloorPercent)
+	}
+	if r.MaxQueueLength < 0 {
+		findings.Add(place+": spec.maxQueueLength", "%d is negative", r.MaxQueueLength)
+	}
+	if r.MaxQueueMS < 0 {
+		findings.Add(place+": spec.maxQueueMs", "%d is negative", r.MaxQueueMS)
+	}
+	if r.DefaultDeadlineMS < 0 {
+		findings.Add(place+": spec.defaultDeadlineMs", "%d is negative", r.DefaultDeadlineMS)
+	}
+}
+
+// Route maps a path prefix to a service for callers that cannot set headers.
+type Route struct {
+	PathPrefix string `json:"pathPrefix"` // starts and ends with "/"; the longest match wins
+	Service    string `json:"service"`
+	// KeyHeader names the request header that holds the key; when empty, the
+	// path segment after the prefix is the key.
+	KeyHeader string `json:"keyHeader,omitempty"`
+	Rank      string `json:"rank,omitempty"` // default: the service's default rank
+}
+
+// Kind returns KindRoute.
+func (*Route) Kind() Kind { return KindRoute }
+
+// Validate implements Spec.
+func (r *Route) Validate(place string, findings *finding.List) {
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		findings.Add(place+": spec.pathPrefix", "%q does not start and end with \"/\"", r.PathPrefix)
+	}
+	if strings.HasPrefix(r.PathPrefix, "/v1/") {
+		findings.Add(place+": spec.pathPrefix", "%q is under /v1/, which is reserved", r.PathPrefix)
+	}
+	if r.Service == "" {
+		findings.Add(place+": spec.service", "is required")
+	}
+}
+
+// Zone declares facts about an availability zone.
+type Zone struct {
+	// Lost declares that nothing in the zone runs any more. Other zones then
+	// take its keys over. A wrong declaration can give a key two owners.
+	Lost bool `json:"lost,omitempty"`
+}
+
+// Kind returns KindZone.
+func (*Zone) Kind() Kind { return KindZone }
+
+// Validate implements Spec.
+func (*Zone) Validate(string, *finding.List) {}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,240 @@
+// Package state folds the records of the platform log into the state that all
+// daemons agree on. The fold is a pure function of the log's prefix.
+package state
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/core/resource"
+)
+
+// ScopeAll is the witness scope of services whose Scope is resource.ScopeAll.
+const ScopeAll = "all"
+
+// ZoneScope returns the witness scope of an availability zone.
+func ZoneScope(zone string) string {
+	return "zone:" + zone
+}
+
+// Member is a daemon that joined and has not left.
+type Member struct {
+	Host        string
+	Incarnation string
+	Zone        string
+	PeerURL     string
+	JoinedAt    uint64 // offset
+}
+
+// WitnessSet is the witness set of one scope. While Pending is not empty, both
+// majorities are needed for evidence and for confirmation.
+type WitnessSet struct {
+	Epoch     uint64   // of Current
+	Current   []string // incarnations
+	Pending   []string
+	PendingAt uint64 // offset of the proposal
+}
+
+// Home is the daemon that serves a backend server.
+type Home struct {
+	Incarnation  string
+	Term         uint64 // offset of the record that assigned it
+	PreviousTerm uint64
+	PreviousHome string // incarnation
+	Handover     bool   // the previous home gave it up itself
+}
+
+// Outcome says what a record did.
+type Outcome struct {
+	Applied bool
+	Reason  string // why the record had no effect, for people
+	// Current is the resource as it is, when a put or a delete lost a race; nil
+	// if it does not exist.
+	Current *resource.Resource
+}
+
+// State is the result of folding a prefix of the log. It is not safe for
+// concurrent use; Service tables may be shared, since they are immutable.
+type State struct {
+	applied   uint64
+	resources map[resource.Key]resource.Resource
+	changes   map[resource.Key]string // change id of the last accepted put or delete
+	members   map[string]Member
+	witnesses map[string]WitnessSet
+	homes     map[string]Home
+	tables    map[string]*Table
+	owned     map[string]int // slices per server
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{
+		resources: map[resource.Key]resource.Resource{},
+		changes:   map[resource.Key]string{},
+		members:   map[string]Member{},
+		witnesses: map[string]WitnessSet{},
+		homes:     map[string]Home{},
+		tables:    map[string]*Table{},
+		owned:     map[string]int{},
+	}
+}
+
+// Applied returns the offset of the last folded record, 0 for none.
+func (s *State) Applied() uint64 { return s.applied }
+
+// Resource returns a resource by key.
+func (s *State) Resource(key resource.Key) (resource.Resource, bool) {
+	r, ok := s.resources[key]
+	return r, ok
+}
+
+// Resources returns all resources of a kind in the order of their names.
+func (s *State) Resources(kind resource.Kind) []resource.Resource {
+	var list []resource.Resource
+	for key, r := range s.resources {
+		if key.Kind == kind {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b resource.Resource) int { return compareStrings(a.Name, b.Name) })
+	return list
+}
+
+// Server returns the spec of a server.
+func (s *State) Server(name string) (*resource.Server, bool) {
+	return specOf[*resource.Server](s, resource.KindServer, name)
+}
+
+// Service returns the spec of a service.
+func (s *State) Service(name string) (*resource.Service, bool) {
+	return specOf[*resource.Service](s, resource.KindService, name)
+}
+
+// Rank returns the spec of a rank.
+func (s *State) Rank(name string) (*resource.Rank, bool) {
+	return specOf[*resource.Rank](s, resource.KindRank, name)
+}
+
+func specOf[T resource.Spec](s *State, kind resource.Kind, name string) (T, bool) {
+	r, ok := s.resources[resource.Key{Kind: kind, Name: name}]
+	if !ok {
+		var none T
+		return none, false
+	}
+	spec, ok := r.Spec.(T)
+	return spec, ok
+}
+
+// ZoneLostAt returns the version of the Zone resource that declares the zone lost.
+func (s *State) ZoneLostAt(zone string) (uint64, bool) {
+	r, ok := s.resources[resource.Key{Kind: resource.KindZone, Name: zone}]
+	if !ok {
+		return 0, false
+	}
+	spec, ok := r.Spec.(*resource.Zone)
+	return r.Version, ok && spec.Lost
+}
+
+// ScopeOf returns the witness scope that guards a server.
+func (s *State) ScopeOf(server string) (string, bool) {
+	srv, ok := s.Server(server)
+	if !ok {
+		return "", false
+	}
+	svc, ok := s.Service(srv.Service)
+	if ok && svc.EffectiveScope() == resource.ScopeAll {
+		return ScopeAll, true
+	}
+	return ZoneScope(srv.Zone), true
+}
+
+// Member returns a member by incarnation.
+func (s *State) Member(incarnation string) (Member, bool) {
+	m, ok := s.members[incarnation]
+	return m, ok
+}
+
+// Members returns all members, the earliest joined first.
+func (s *State) Members() []Member {
+	return slices.SortedFunc(maps.Values(s.members), func(a, b Member) int {
+		return compareOffsets(a.JoinedAt, b.JoinedAt)
+	})
+}
+
+// Witnesses returns the witness set of a scope; its epoch is 0 if there is none yet.
+func (s *State) Witnesses(scope string) WitnessSet { return s.witnesses[scope] }
+
+// Home returns the home of a server; its term is 0 if it never had one.
+func (s *State) Home(server string) Home { return s.homes[server] }
+
+// Table returns the slices of a service, nil before the first placement.
+func (s *State) Table(service string) *Table { return s.tables[service] }
+
+// Owned returns how many slices a server owns.
+func (s *State) Owned(server string) int { return s.owned[server] }
+
+// Apply folds one record. It returns an error, and changes nothing, when the
+// offset is not the next one.
+func (s *State) Apply(p record.Positioned) (Outcome, error) {
+	if p.Offset != s.applied+1 {
+		return Outcome{}, fmt.Errorf("record at offset %d does not follow applied offset %d", p.Offset, s.applied)
+	}
+	s.applied = p.Offset
+	return s.apply(p), nil
+}
+
+func (s *State) apply(p record.Positioned) Outcome {
+	switch b := p.Record.Body.(type) {
+	case record.ResourcePut:
+		return s.putResource(p.Offset, b)
+	case record.ResourceDelete:
+		return s.deleteResource(b)
+	case record.HostJoined:
+		return s.joinHost(p.Offset, b)
+	case record.HostLeft:
+		return s.removeHost(b)
+	case record.WitnessProposed:
+		return s.proposeWitnesses(p.Offset, b)
+	case record.WitnessActivated:
+		return s.activateWitnesses(b)
+	case record.WitnessReset:
+		return s.resetWitnesses(b)
+	case record.HomeAssigned:
+		return s.assignHome(p, b)
+	case record.SlicesPlaced:
+		return s.placeSlices(p.Offset, b)
+	case record.SlicesMoved:
+		return s.moveSlices(p.Offset, b)
+	case record.SliceSplit:
+		return s.splitSlice(b)
+	case record.SliceMerged:
+		return s.mergeSlices(b)
+	}
+	return Outcome{Applied: true} // checkpoint parts do not change the state
+}
+
+func refused(format string, args ...any) Outcome {
+	return Outcome{Reason: fmt.Sprintf(format, args...)}
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func compareOffsets(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
