--- /dev/null
+++ b/api/callerapi/callerapi.go
@@ -0,0 +1,89 @@
+// Package callerapi defines the HTTP interface between callers and the router.
+package callerapi
+
+// Request headers.
+const (
+	HeaderService    = "Parsleyrelay-Service"
+	HeaderKey        = "Parsleyrelay-Key"
+	HeaderRank       = "Parsleyrelay-Rank"
+	HeaderDeadlineMS = "Parsleyrelay-Deadline-Ms" // milliseconds from the arrival of the request
+	HeaderRepeatable = "Parsleyrelay-Repeatable"  // "true" or "false"
+	HeaderAttempt    = "Parsleyrelay-Attempt"     // "1": this id was never sent before
+	HeaderID         = "Idempotency-Key"          // UUIDv7
+	HeaderCaller     = "Parsleyrelay-Caller"      // name for fairness between callers; default: the remote IP
+)
+
+// Response headers.
+const (
+	HeaderOutcome   = "Parsleyrelay-Outcome"
+	HeaderReason    = "Parsleyrelay-Reason"
+	HeaderRequestID = "Parsleyrelay-Request-Id"
+)
+
+// Outcome says what happened to a request.
+type Outcome string
+
+// The outcomes.
+const (
+	Done    Outcome = "done"    // the server ran the request and this is its response
+	NotRun  Outcome = "not-run" // the request did not run
+	Unknown Outcome = "unknown" // the request may have run
+)
+
+// Reason is a stable code that explains an outcome.
+type Reason string
+
+// Reasons of bad requests; outcome NotRun.
+const (
+	ReasonUnknownService Reason = "unknown_service"  // 404
+	ReasonMissingKey     Reason = "missing_key"      // 400
+	ReasonUnknownRank    Reason = "unknown_rank"     // 400
+	ReasonBadDeadline    Reason = "bad_deadline"     // 400
+	ReasonPastDeadline   Reason = "past_deadline"    // 504
+	ReasonBadRepeatable  Reason = "bad_repeatable"   // 400
+	ReasonBadID          Reason = "bad_id"           // 400
+	ReasonMissingID      Reason = "missing_id"       // 400
+	ReasonIDFromFuture   Reason = "id_from_future"   // 400
+	ReasonBodyTooLarge   Reason = "body_too_large"   // 413
+	ReasonHeaderTooLarge Reason = "header_too_large" // 431
+	ReasonIDReused       Reason = "id_reused"        // 422, same id with another request
+)
+
+// Reasons of refusals; outcome NotRun.
+const (
+	ReasonNoOwner          Reason = "no_owner"         // 503, key has no serving owner at the moment
+	ReasonZoneUnreachable  Reason = "zone_unreachable" // 503, the home of the key's owner cannot be reached
+	ReasonNoLease          Reason = "no_lease"         // 503, this home's prefix lease has expired
+	ReasonQueueFull        Reason = "queue_full"       // 429
+	ReasonQueueTimeout     Reason = "queue_timeout"    // 503
+	ReasonDeadlineTooShort Reason = "deadline_short"   // 503, cannot be met
+	ReasonConnectFailed    Reason = "connect_failed"   // 503
+	ReasonServerRefused    Reason = "server_refused"   // 503, under the server's fence
+	ReasonDraining         Reason = "draining"         // 503
+	ReasonOverloaded       Reason = "overloaded"       // 503
+	ReasonNotReady         Reason = "not_ready"        // 503, daemon has no complete state
+	ReasonCallerGone       Reason = "caller_gone"      // 499, before it was sent
+)
+
+// Reasons of unknown outcomes.
+const (
+	ReasonAttemptMayHaveRun Reason = "attempt_may_have_run" // 409, an earlier attempt with this id
+	ReasonNoAnswer          Reason = "no_answer"            // 502, sent, connection lost before a whole response
+	ReasonAnswerTimeout     Reason = "answer_timeout"       // 504, sent, deadline passed
+	ReasonPeerLost          Reason = "peer_lost"            // 502, the home was lost after the request was forwarded
+)
+
+// Reasons of done outcomes.
+const (
+	ReasonOK              Reason = "ok"
+	ReasonReplayed        Reason = "replayed"          // response of an earlier request with this id
+	ReasonAnswerNotStored Reason = "answer_not_stored" // 409, an earlier request with this id ran, its response was too large to keep
+)
+
+// Problem is the JSON body of every response that the router makes itself.
+type Problem struct {
+	Outcome   Outcome `json:"outcome"`
+	Reason    Reason  `json:"reason"`
+	Message   string  `json:"message"` // names the place, for example "header Parsleyrelay-Rank"
+	RequestID string  `json:"requestId"`
+}
--- /dev/null
+++ b/cmd/parsleyrelayd/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/core/event/event.go
@@ -0,0 +1,128 @@
+// Package event defines the numbered events that daemons report. The catalogue
+// in docs/events.md lists the same numbers; a test compares the two.
+package event
+
+// Code is the number of an event. Numbers are never reused.
+type Code int
+
+// Event is one occurrence. Fields that do not apply are empty.
+type Event struct {
+	Code       Code   `json:"code"`
+	Name       string `json:"name"`
+	HLC        uint64 `json:"hlc"` // hybrid logical clock: milliseconds << 16 | counter
+	Host       string `json:"host"`
+	Zone       string `json:"zone"`
+	Service    string `json:"service,omitempty"`
+	Server     string `json:"server,omitempty"`
+	Slice      string `json:"slice,omitempty"` // range in hexadecimal
+	Generation uint64 `json:"generation,omitempty"`
+	Term       uint64 `json:"term,omitempty"`
+	SubTerm    uint64 `json:"subTerm,omitempty"`
+	Offset     uint64 `json:"offset,omitempty"`
+	RequestID  string `json:"requestId,omitempty"`
+	KeyHash    string `json:"keyHash,omitempty"`
+	Peer       string `json:"peer,omitempty"` // host or incarnation of another daemon
+	Detail     string `json:"detail,omitempty"`
+}
+
+// Definition describes one code.
+type Definition struct {
+	Code Code
+	Name string // lower case with underscores
+	Help string // one sentence
+}
+
+// The events. Ranges: 1xx process, 2xx log and state, 3xx witnesses and lease,
+// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators.
+const (
+	ProcessStarted     Code = 101
+	ProcessDraining    Code = 102
+	ProcessStopped     Code = 103
+	InsecureMode       Code = 104
+	RingOverflow       Code = 105
+	LogUnreachable     Code = 201
+	LogReachable       Code = 202
+	StateComplete      Code = 203
+	BehindRetention    Code = 204
+	CheckpointWritten  Code = 205
+	RecordIgnored      Code = 206
+	LeaseGained        Code = 301
+	LeaseLost          Code = 302
+	WitnessesProposed  Code = 303
+	WitnessesActivated Code = 304
+	WitnessesReset     Code = 305
+	HostSuspected      Code = 306
+	HostHeardAgain     Code = 307
+	HostLeft           Code = 308
+	HomeProposed       Code = 401
+	HomeGained         Code = 402
+	HomeLost           Code = 403
+	ProvisionalHome    Code = 404
+	GrantRefused       Code = 405
+	ServerUnresponsive Code = 406
+	ServerResponsive   Code = 407
+	ServerNewInstance  Code = 408
+	HandoverStarted    Code = 409
+	SlicePlaced        Code = 501
+	MoveStarted        Code = 502
+	SliceReleased      Code = 503
+	SliceMoved         Code = 504
+	SliceServing       Code = 505
+	MoveAborted        Code = 506
+	SliceSplit         Code = 507
+	SliceMerged        Code = 508
+	RequestRefused     Code = 601
+	RequestUnknown     Code = 602
+	RequestRetried     Code = 603
+	RequestReplayed    Code = 604
+	ChangeAccepted     Code = 701
+	ChangeRefused      Code = 702
+	ZoneDeclaredLost   Code = 703
+)
+
+// Definitions lists all events in the order of their codes.
+var Definitions = []Definition{
+	{ProcessStarted, "process_started", "The daemon started; its settings were accepted."},
+	{ProcessDraining, "process_draining", "The daemon got a stop signal and hands its homes over."},
+	{ProcessStopped, "process_stopped", "The daemon ends."},
+	{InsecureMode, "insecure_mode", "A listener runs without TLS."},
+	{RingOverflow, "ring_overflow", "A bounded ring between two goroutines was full."},
+	{LogUnreachable, "log_unreachable", "The platform log cannot be read; serving goes on."},
+	{LogReachable, "log_reachable", "The platform log can be read again."},
+	{StateComplete, "state_complete", "The state is whole; the daemon takes part."},
+	{BehindRetention, "behind_retention", "Records were dropped by retention before this daemon read them; it takes part in nothing until it has a checkpoint."},
+	{CheckpointWritten, "checkpoint_written", "A checkpoint of the state was published."},
+	{RecordIgnored, "record_ignored", "A record had no effect because its precondition did not hold."},
+	{LeaseGained, "lease_gained", "The daemon holds its prefix lease."},
+	{LeaseLost, "lease_lost", "The prefix lease expired; the daemon dispatches and grants nothing."},
+	{WitnessesProposed, "witnesses_proposed", "A new witness set was proposed."},
+	{WitnessesActivated, "witnesses_activated", "A proposed witness set became the only one."},
+	{WitnessesReset, "witnesses_reset", "A witness set whose majority was lost was replaced on the word of the host list."},
+	{HostSuspected, "host_suspected", "A daemon was not heard for the suspicion time."},
+	{HostHeardAgain, "host_heard_again", "A suspected daemon was heard again."},
+	{HostLeft, "host_left", "A daemon left the members."},
+	{HomeProposed, "home_proposed", "This daemon proposed a home for a server."},
+	{HomeGained, "home_gained", "A daemon became the home of a server."},
+	{HomeLost, "home_lost", "This daemon is not the home of a server any more."},
+	{ProvisionalHome, "provisional_home", "This daemon serves a server provisionally while the log is unreachable."},
+	{GrantRefused, "grant_refused", "A server refused a grant because it accepted a higher term."},
+	{ServerUnresponsive, "server_unresponsive", "A server did not answer for the suspicion time."},
+	{ServerResponsive, "server_responsive", "An unresponsive server answered again."},
+	{ServerNewInstance, "server_new_instance", "A server was restarted; it gets grants when those of its predecessor have expired."},
+	{HandoverStarted, "handover_started", "A draining daemon hands a home to a peer."},
+	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
+	{MoveStarted, "move_started", "A planned move of a slice began."},
+	{SliceReleased, "slice_released", "A server released a slice."},
+	{SliceMoved, "slice_moved", "A slice has a new owner."},
+	{SliceServing, "slice_serving", "The home began to dispatch requests of a slice."},
+	{MoveAborted, "move_aborted", "A planned move was given up."},
+	{SliceSplit, "slice_split", "A slice was split."},
+	{SliceMerged, "slice_merged", "Slices were merged."},
+	{RequestRefused, "request_refused", "A request was refused and did not run."},
+	{RequestUnknown, "request_unknown", "The outcome of a request is unknown."},
+	{RequestRetried, "request_retried", "A request was tried again."},
+	{RequestReplayed, "request_replayed", "A repeated request got the response of its twin."},
+	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
+	{ChangeRefused, "change_refused", "A change of a resource was refused."},
+	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
+}
--- /dev/null
+++ b/core/ownership/view.go
@@ -0,0 +1,121 @@
+package ownership
+
+import (
+	"time"
+
+	"parsleyrelay.example/core/resource"
+	"parsleyrelay.example/core/state"
+)
+
+// View is an immutable picture of the machine for the request path.
+type View struct {
+	Applied      uint64
+	Complete     bool          // the state is whole
+	Draining     bool          // the daemon is shutting down
+	LogReachable bool          // the last read of the log succeeded
+	LeaseUntil   time.Duration // end of the prefix lease of the daemon's own zone scope
+	Resources    map[resource.Key]resource.Resource
+	Members      map[string]state.Member // by incarnation
+	Tables       map[string]*state.Table // by service
+	Servers      map[string]ServerView   // by name
+	Self         string                  // incarnation of this daemon
+}
+
+// ServerView is a server as the daemon sees it.
+type ServerView struct {
+	Spec *resource.Server
+	Home state.Home
+	// The following are set only when this daemon is the home.
+	Local    bool
+	State    ServerState
+	Term     uint64
+	SubTerm  uint64
+	Instance string
+	// Until is the end of the last grant (or, for a server that does not check
+	// grants, of the prefix lease). No request may be sent after it.
+	Until time.Duration
+	// Serving tells which slices may be dispatched; nil when none may.
+	Serving *ServingSet
+}
+
+// ServerState is the state of a server as its home observes it.
+type ServerState string
+
+// The states of a server.
+const (
+	ServerServing      ServerState = "serving"
+	ServerWaiting      ServerState = "waiting" // for a lease, a wait or a first grant
+	ServerUnresponsive ServerState = "unresponsive"
+	ServerDraining     ServerState = "draining"
+)
+
+// ServingSet is an immutable set of slices that the server holds under a live
+// grant and that are not being moved.
+type ServingSet struct {
+	slices map[HeldSlice]Activation
+}
+
+// Activation says since when a home may dispatch requests of a slice.
+type Activation struct {
+	Since time.Duration
+	// IDsFrom names the former owner whose idempotency window this home must
+	// have received for the window to be whole; empty when Fresh.
+	IDsFrom string
+	// Fresh is set when the slice had no owner before, so that no earlier
+	// attempt can exist.
+	Fresh bool
+}
+
+// NewServingSet returns a set of the given slices. The map must not change afterwards.
+func NewServingSet(slices map[HeldSlice]Activation) *ServingSet {
+	return &ServingSet{slices: slices}
+}
+
+// Lookup returns the activation of a slice.
+func (s *ServingSet) Lookup(slice HeldSlice) (Activation, bool) {
+	if s == nil {
+		return Activation{}, false
+	}
+	a, ok := s.slices[slice]
+	return a, ok
+}
+
+// Len returns the number of slices.
+func (s *ServingSet) Len() int {
+	if s == nil {
+		return 0
+	}
+	return len(s.slices)
+}
+
+// Route is the answer to a lookup.
+type Route struct {
+	Slice  *state.Slice
+	Server string
+	// View of the server; its Local field says whether this daemon is the home.
+	View ServerView
+	// HomeURL is the peer URL of the home, empty when it is unknown or local.
+	HomeURL string
+	// Serving says that the local home may dispatch the slice now, until View.Until.
+	Serving    bool
+	Activation Activation
+}
+
+// Lookup finds the owner of a key hash. It does not allocate. ok is false when
+// the service has no slices.
+func (v *View) Lookup(service string, hash uint64, now time.Duration) (route Route, ok bool) {
+	slice := v.Tables[service].Lookup(hash)
+	if slice == nil {
+		return Route{}, false
+	}
+	server := v.Servers[slice.Server]
+	route = Route{Slice: slice, Server: slice.Server, View: server}
+	if !server.Local {
+		route.HomeURL = v.Members[server.Home.Incarnation].PeerURL
+		return route, true
+	}
+	activation, serving := server.Serving.Lookup(HeldSlice{Range: slice.Range, Generation: slice.Generation})
+	route.Activation = activation
+	route.Serving = serving && now < server.Until
+	return route, true
+}
