--- a/api/callerapi/callerapi.go
+++ b/api/callerapi/callerapi.go
@@ -45,6 +45,7 @@
 	ReasonMissingID      Reason = "missing_id"       // 400
 	ReasonIDFromFuture   Reason = "id_from_future"   // 400
 	ReasonBodyTooLarge   Reason = "body_too_large"   // 413
+	ReasonLengthRequired Reason = "length_required"  // 411, a long body without Content-Length
 	ReasonHeaderTooLarge Reason = "header_too_large" // 431
 	ReasonIDReused       Reason = "id_reused"        // 422, same id with another request
 )
--- /dev/null
+++ b/relay/frontend/answer.go
@@ -0,0 +1,109 @@
+package frontend
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"parsleyrelay.example/api/callerapi"
+)
+
+// Answer is a response on its way to the caller.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	Body    io.ReadCloser // nil for none
+	Length  int64         // -1 when unknown
+	Outcome callerapi.Outcome
+	Reason  callerapi.Reason
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// CopyHeader copies end-to-end headers from src to dst.
+func CopyHeader(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = values
+	}
+	for _, name := range src.Values("Connection") {
+		dst.Del(name)
+	}
+	for _, name := range hopHeaders {
+		dst.Del(name)
+	}
+}
+
+// writeAnswer streams an answer to the caller. When the body ends early it
+// aborts the connection, so that a cut answer never looks complete.
+func writeAnswer(w http.ResponseWriter, a *Answer, requestID string) {
+	CopyHeader(w.Header(), a.Header)
+	w.Header().Set(callerapi.HeaderOutcome, string(a.Outcome))
+	w.Header().Set(callerapi.HeaderReason, string(a.Reason))
+	w.Header().Set(callerapi.HeaderRequestID, requestID)
+	if a.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	if a.Body == nil {
+		return
+	}
+	defer a.Body.Close()
+	if err := copyBody(w, a.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyBody flushes after each read, so that a slowly streamed answer arrives as
+// it is made.
+func copyBody(w http.ResponseWriter, body io.Reader) error {
+	control := http.NewResponseController(w)
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+			if err == nil {
+				if ferr := control.Flush(); ferr != nil && !errors.Is(ferr, http.ErrNotSupported) {
+					return ferr
+				}
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// writeError writes a response that the router makes itself.
+func writeError(w http.ResponseWriter, e *RequestError, requestID string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(callerapi.HeaderOutcome, string(e.Outcome))
+	h.Set(callerapi.HeaderReason, string(e.Reason))
+	h.Set(callerapi.HeaderRequestID, requestID)
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(retryAfterSeconds(e.RetryAfter)))
+	}
+	w.WriteHeader(e.Status)
+	_ = json.NewEncoder(w).Encode(callerapi.Problem{
+		Outcome: e.Outcome, Reason: e.Reason, Message: e.Message, RequestID: requestID,
+	})
+}
+
+// retryAfterSeconds rounds up, since Retry-After has no fractions.
+func retryAfterSeconds(d time.Duration) int {
+	return int(math.Ceil(d.Seconds()))
+}
--- /dev/null
+++ b/relay/frontend/body.go
@@ -0,0 +1,73 @@
+package frontend
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"parsleyrelay.example/api/callerapi"
+)
+
+// ReplayBytes is the size up to which a request body is kept in memory, so that
+// the request can be sent again when it is known not to have run.
+const ReplayBytes = 64 << 10
+
+// Body is a request body. A short one can be opened again and again; a long one
+// is streamed and can be opened once.
+type Body struct {
+	prefix []byte
+	rest   io.Reader // nil when prefix is the whole body
+	length int64     // bytes
+	opened bool
+	whole  bool
+}
+
+// newBody reads up to ReplayBytes of the body. limit bounds its whole length in bytes.
+func newBody(r *http.Request, limit int64) (*Body, *RequestError) {
+	tooLarge := func() *RequestError {
+		return badRequest(http.StatusRequestEntityTooLarge, callerapi.ReasonBodyTooLarge, "the body exceeds %d bytes (spec.maxBodyBytes of the service)", limit)
+	}
+	if r.ContentLength > limit {
+		return nil, tooLarge()
+	}
+	b := &Body{length: r.ContentLength}
+	prefix, err := io.ReadAll(io.LimitReader(r.Body, min(ReplayBytes, limit)+1))
+	if err != nil {
+		return nil, badRequest(http.StatusBadRequest, callerapi.ReasonCallerGone, "the body could not be read: %v", err)
+	}
+	if int64(len(prefix)) > limit {
+		return nil, tooLarge()
+	}
+	b.prefix = prefix
+	if len(prefix) <= ReplayBytes {
+		b.whole = true
+		b.length = int64(len(prefix))
+		return b, nil
+	}
+	if r.ContentLength < 0 {
+		return nil, badRequest(http.StatusLengthRequired, callerapi.ReasonLengthRequired, "a body over %d bytes needs the header Content-Length, so that an oversized one never reaches a server", ReplayBytes)
+	}
+	b.rest = r.Body
+	return b, nil
+}
+
+// Replayable reports whether Open can be called (again).
+func (b *Body) Replayable() bool {
+	return b.whole || !b.opened
+}
+
+// Whole returns the body when it is kept in memory.
+func (b *Body) Whole() ([]byte, bool) {
+	return b.prefix, b.whole
+}
+
+// Open returns a reader of the whole body and its length in bytes.
+// The reader hides its type, so that net/http cannot rewind it and silently send the
+// request again.
+func (b *Body) Open() (io.ReadCloser, int64) {
+	b.opened = true
+	if b.whole {
+		return io.NopCloser(struct{ io.Reader }{bytes.NewReader(b.prefix)}), b.length
+	}
+	return io.NopCloser(io.MultiReader(bytes.NewReader(b.prefix), b.rest)), b.length
+}
--- /dev/null
+++ b/relay/frontend/forward.go
@@ -0,0 +1,109 @@
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"parsleyrelay.example/api/callerapi"
+)
+
+// Sender sends an HTTP request and tells how far it got.
+type Sender interface {
+	// Send returns the response, or an error with sent false when it is certain
+	// that no byte of the request reached the network.
+	Send(r *http.Request) (resp *http.Response, sent bool, err error)
+}
+
+// PeerForwarder forwards requests to the peer listener of other daemons.
+type PeerForwarder struct {
+	sender Sender
+	now    func() time.Duration
+}
+
+// NewPeerForwarder returns a forwarder that sends with sender.
+func NewPeerForwarder(sender Sender, now func() time.Duration) *PeerForwarder {
+	return &PeerForwarder{sender: sender, now: now}
+}
+
+// Forward implements Forwarder.
+func (f *PeerForwarder) Forward(ctx context.Context, req *Request, peerURL string) (*Answer, *RequestError) {
+	r, err := f.encode(ctx, req, peerURL)
+	if err != nil {
+		return nil, Refuse(callerapi.ReasonZoneUnreachable, time.Second, "peer URL %q: %v", peerURL, err)
+	}
+	resp, sent, err := f.sender.Send(r)
+	if err != nil {
+		return nil, forwardFailure(ctx, req, peerURL, sent, err)
+	}
+	answer := &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
+		Outcome: callerapi.Outcome(resp.Header.Get(callerapi.HeaderOutcome)),
+		Reason:  callerapi.Reason(resp.Header.Get(callerapi.HeaderReason)),
+	}
+	if answer.Outcome == callerapi.Done {
+		return answer, nil
+	}
+	_ = resp.Body.Close()
+	return nil, peerError(resp, answer)
+}
+
+func (f *PeerForwarder) encode(ctx context.Context, req *Request, peerURL string) (*http.Request, error) {
+	body, length := req.Body.Open()
+	r, err := http.NewRequestWithContext(ctx, req.Method, peerURL+ForwardPrefix+req.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	r.ContentLength = length
+	CopyHeader(r.Header, req.Header)
+	h := r.Header
+	h.Set(callerapi.HeaderService, req.Service)
+	h.Set(callerapi.HeaderKey, url.QueryEscape(req.Key))
+	h.Set(callerapi.HeaderRank, req.RankName)
+	h.Set(callerapi.HeaderDeadlineMS, strconv.FormatInt(max(1, (req.Deadline-f.now()).Milliseconds()), 10))
+	h.Set(callerapi.HeaderRepeatable, strconv.FormatBool(req.Repeatable))
+	h.Set(callerapi.HeaderCaller, req.Caller)
+	h.Set(callerapi.HeaderRequestID, req.ID)
+	return r, nil
+}
+
+// decodeForwarded undoes what encode did to key and path.
+func decodeForwarded(r *http.Request) *RequestError {
+	key, err := url.QueryUnescape(r.Header.Get(callerapi.HeaderKey))
+	if err != nil {
+		return badRequest(http.StatusBadRequest, callerapi.ReasonMissingKey, "header %s of a forwarded request: %v", callerapi.HeaderKey, err)
+	}
+	r.Header.Set(callerapi.HeaderKey, key)
+	r.URL.Path = trimForwardPrefix(r.URL.Path)
+	if r.URL.RawPath != "" {
+		r.URL.RawPath = trimForwardPrefix(r.URL.RawPath)
+	}
+	return nil
+}
+
+func forwardFailure(ctx context.Context, req *Request, peerURL string, sent bool, err error) *RequestError {
+	if !sent {
+		return Refuse(callerapi.ReasonZoneUnreachable, time.Second, "the home at %s cannot be reached: %v", peerURL, err)
+	}
+	if ctx.Err() != nil {
+		return UnknownOutcome(http.StatusGatewayTimeout, callerapi.ReasonAnswerTimeout, "the home at %s did not answer in time", peerURL)
+	}
+	return UnknownOutcome(http.StatusBadGateway, callerapi.ReasonPeerLost, "the home at %s was lost: %v", peerURL, err)
+}
+
+// peerError passes the home's refusal on. An answer without an outcome proves nothing.
+func peerError(resp *http.Response, a *Answer) *RequestError {
+	e := &RequestError{Status: resp.StatusCode, Outcome: a.Outcome, Reason: a.Reason, Message: "refused by the home of the key's server"}
+	if e.Outcome != callerapi.NotRun {
+		e.Outcome = callerapi.Unknown
+	}
+	if e.Reason == "" {
+		e.Status, e.Reason = http.StatusBadGateway, callerapi.ReasonPeerLost
+	}
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		e.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return e
+}
--- /dev/null
+++ b/relay/frontend/handler.go
@@ -0,0 +1,250 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"parsleyrelay.example/api/callerapi"
+	"parsleyrelay.example/core/ownership"
+)
+
+// Views gives the current view of the ownership machine.
+type Views interface {
+	// Current returns the view and a channel that is closed when it is replaced.
+	Current() (*ownership.View, <-chan struct{})
+}
+
+// Home runs requests on the servers whose home this daemon is.
+type Home interface {
+	// Execute queues the request and sends it to the server of the route. A
+	// RequestError says what is known when there is no answer.
+	Execute(ctx context.Context, req *Request, route ownership.Route) (*Answer, *RequestError)
+}
+
+// Forwarder sends requests to the home of a server on another host.
+type Forwarder interface {
+	Forward(ctx context.Context, req *Request, peerURL string) (*Answer, *RequestError)
+}
+
+// Retrier decides whether a request that ended with err is tried again, and
+// after which delay. It is safe for concurrent use.
+type Retrier interface {
+	Sent()
+	Retry(req *Request, attempt int, err *RequestError, now time.Duration) (delay time.Duration, ok bool)
+}
+
+// Observer is told how requests ended.
+type Observer interface {
+	RequestEnded(req *Request, outcome callerapi.Outcome, reason callerapi.Reason, took time.Duration)
+	RequestRetried(req *Request, reason callerapi.Reason)
+}
+
+// Config holds what a Handler needs.
+type Config struct {
+	Views       Views
+	Home        Home
+	Forwarder   Forwarder
+	Retrier     Retrier
+	Observer    Observer
+	Now         func() time.Duration // process time
+	MaxRequests int64                // requests at a time over both listeners
+	Draining    func() bool
+}
+
+// Handler serves the caller listener and the forwarding path of the peer listener.
+type Handler struct {
+	cfg    Config
+	active atomic.Int64
+}
+
+// NewHandler returns a handler.
+func NewHandler(cfg Config) *Handler {
+	return &Handler{cfg: cfg}
+}
+
+// Active returns the number of requests in progress.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// HealthPath is where the platform's balancer asks for the health of the host.
+const HealthPath = "/healthz"
+
+// ForwardPrefix is the path prefix of forwarded requests on the peer listener.
+const ForwardPrefix = "/forward"
+
+// CallerRoutes returns the handler of the caller listener.
+func (h *Handler) CallerRoutes() http.Handler {
+	r := chi.NewRouter()
+	r.Get(HealthPath, h.health)
+	r.HandleFunc("/*", func(w http.ResponseWriter, r *http.Request) { h.serve(w, r, false) })
+	return r
+}
+
+// PeerRoutes returns the handler for ForwardPrefix of the peer listener.
+func (h *Handler) PeerRoutes() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := decodeForwarded(r); err != nil {
+			writeError(w, err, r.Header.Get(callerapi.HeaderRequestID))
+			return
+		}
+		h.serve(w, r, true)
+	})
+}
+
+// health fails as soon as the daemon drains, so that the balancer stops sending
+// new connections before the listener closes.
+func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
+	view, _ := h.cfg.Views.Current()
+	if h.cfg.Draining() || view == nil || !view.Complete {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
+	arrived := h.cfg.Now()
+	if h.active.Add(1) > h.cfg.MaxRequests {
+		h.active.Add(-1)
+		err := Refuse(callerapi.ReasonOverloaded, time.Second, "the host serves %d requests, its limit", h.cfg.MaxRequests)
+		writeError(w, err, requestID(r))
+		return
+	}
+	defer h.active.Add(-1)
+	view, _ := h.cfg.Views.Current()
+	if view == nil || !view.Complete {
+		writeError(w, Refuse(callerapi.ReasonNotReady, time.Second, "the host has no complete state yet"), requestID(r))
+		return
+	}
+	req, err := parse(r, view, arrived)
+	if err != nil {
+		writeError(w, err, requestID(r))
+		return
+	}
+	req.Forwarded = forwarded
+	ctx, cancel := context.WithTimeout(r.Context(), req.Deadline-arrived)
+	defer cancel()
+	answer, err := h.run(ctx, req)
+	if err != nil {
+		h.cfg.Observer.RequestEnded(req, err.Outcome, err.Reason, h.cfg.Now()-arrived)
+		writeError(w, err, req.ID)
+		return
+	}
+	h.cfg.Observer.RequestEnded(req, answer.Outcome, answer.Reason, h.cfg.Now()-arrived)
+	writeAnswer(w, answer, req.ID)
+}
+
+// run tries a request until it has an answer, its outcome is final, or the
+// deadline passes. Only the entry host that the caller reached retries, so that
+// retries never multiply over hops.
+func (h *Handler) run(ctx context.Context, req *Request) (*Answer, *RequestError) {
+	h.cfg.Retrier.Sent()
+	for attempt := 1; ; attempt++ {
+		answer, err := h.tryOnce(ctx, req)
+		if err == nil || req.Forwarded || !mayTryAgain(req, err) {
+			return answer, err
+		}
+		delay, ok := h.cfg.Retrier.Retry(req, attempt, err, h.cfg.Now())
+		if !ok {
+			return nil, err
+		}
+		select {
+		case <-time.After(delay):
+			h.cfg.Observer.RequestRetried(req, err.Reason)
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+// mayTryAgain allows another attempt after a failure of the route or of the
+// server. A request that may have run is sent again only when it is repeatable.
+func mayTryAgain(req *Request, err *RequestError) bool {
+	if !req.Body.Replayable() {
+		return false
+	}
+	switch err.Outcome {
+	case callerapi.Unknown:
+		return req.Repeatable && err.Reason != callerapi.ReasonAnswerTimeout
+	case callerapi.NotRun:
+		switch err.Reason {
+		case callerapi.ReasonNoOwner, callerapi.ReasonNoLease, callerapi.ReasonZoneUnreachable,
+			callerapi.ReasonConnectFailed, callerapi.ReasonServerRefused, callerapi.ReasonDraining,
+			callerapi.ReasonNotReady:
+			return true
+		}
+	}
+	return false
+}
+
+// tryOnce waits until the key has a serving owner and runs the request there.
+func (h *Handler) tryOnce(ctx context.Context, req *Request) (*Answer, *RequestError) {
+	for {
+		view, changed := h.cfg.Views.Current()
+		route, ok := view.Lookup(req.Service, req.Hash, h.cfg.Now())
+		switch {
+		case ok && route.Serving:
+			answer, err := h.cfg.Home.Execute(ctx, req, route)
+			if err == nil || err != errRerouted {
+				return answer, err
+			}
+		case ok && !route.View.Local && req.Forwarded:
+			return nil, Refuse(callerapi.ReasonNoOwner, time.Second, "this host is not the home of Server/%s", route.Server)
+		case ok && !route.View.Local && route.HomeURL != "":
+			return h.cfg.Forwarder.Forward(ctx, req, route.HomeURL)
+		}
+		if err := waitForChange(ctx, changed); err != nil {
+			return nil, refusal(ctx, req, route, ok)
+		}
+	}
+}
+
+// errRerouted tells that a request left the queue of a server without having
+// been sent, because its slice is moving.
+var errRerouted = Refuse(callerapi.ReasonNoOwner, time.Second, "the key is moving to another server")
+
+// Rerouted returns the error by which a Home gives a request back to routing.
+func Rerouted() *RequestError { return errRerouted }
+
+// recheckInterval bounds the wait for a new view, since a lease can also end by
+// time alone.
+const recheckInterval = 50 * time.Millisecond
+
+func waitForChange(ctx context.Context, changed <-chan struct{}) error {
+	timer := time.NewTimer(recheckInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-changed:
+	case <-timer.C:
+	}
+	return nil
+}
+
+// refusal explains why a key had no serving owner until the deadline.
+func refusal(ctx context.Context, req *Request, route ownership.Route, found bool) *RequestError {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return badRequest(499, callerapi.ReasonCallerGone, "the caller closed the connection")
+	}
+	switch {
+	case !found:
+		return Refuse(callerapi.ReasonNoOwner, time.Second, "Service/%s has no slices yet", req.Service)
+	case route.View.Local:
+		return Refuse(callerapi.ReasonNoLease, time.Second, "Server/%s is %s", route.Server, route.View.State)
+	}
+	return Refuse(callerapi.ReasonNoOwner, time.Second, "Server/%s has no home", route.Server)
+}
+
+func trimForwardPrefix(path string) string {
+	path = strings.TrimPrefix(path, ForwardPrefix)
+	if path == "" {
+		return "/"
+	}
+	return path
+}
