--- /dev/null
+++ b/core/admission/schedule.go
@@ -0,0 +1,210 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"parsleyrelay.example/core/keyspace"
+)
+
+const (
+	// nominalServiceTime stands in until the first response; it only scales
+	// the floor credit, which Finish corrects to the real time.
+	nominalServiceTime = time.Millisecond
+	// maxCredit bounds what a rank may save up under its floor, in requests, so
+	// that a rank that was idle cannot displace urgent work in a burst.
+	maxCredit = 2
+	// maxDebt bounds how far one long request can push a rank under its floor.
+	maxDebt = 16
+	// usageHalfLife is the memory of the slot time used per rank. It must be
+	// short against the 2 s in which service has to recover after a flood.
+	usageHalfLife = 250 * time.Millisecond
+)
+
+// dispatch starts waiting requests while the limit allows it.
+func (q *Queue) dispatch(now time.Duration) {
+	for now >= q.pausedUntil && len(q.running) < q.limit(now) {
+		r := q.pick()
+		if r == nil {
+			return
+		}
+		it := r.pop()
+		if it.Deadline <= now || now-it.arrived > r.cfg.MaxQueueTime {
+			q.refuse(now, it, expiryReason(now, it))
+			continue
+		}
+		if it.Deadline-now < q.serviceTime(r) {
+			q.refuse(now, it, ReasonDeadlineShort)
+			continue
+		}
+		delete(q.queued, it.ID)
+		it.dispatched = now
+		q.running[it.ID] = it
+		q.charge(now, it)
+		q.out = append(q.out, Decision{Action: Dispatch, ID: it.ID})
+	}
+}
+
+// pick returns the rank to serve next: one below its floor, else the most
+// urgent. It returns nil when nothing waits.
+func (q *Queue) pick() *rankQueue {
+	for _, r := range q.ranks {
+		if r.length > 0 && r.credit > 0 {
+			return r
+		}
+	}
+	for _, r := range q.ranks {
+		if r.length > 0 {
+			return r
+		}
+	}
+	return nil
+}
+
+// charge books the expected slot time of a request that starts: its rank pays
+// and every rank with a floor earns its share.
+func (q *Queue) charge(now time.Duration, it *item) {
+	it.charged = max(q.serviceTime(it.rank), nominalServiceTime)
+	it.rank.usage.add(now, float64(it.charged))
+	q.book(it.rank, it.charged)
+}
+
+// settle corrects charge to the slot time that the request really used. Without
+// it a rank with long requests would get more than its floor.
+func (q *Queue) settle(it *item, held time.Duration) {
+	q.book(it.rank, held-it.charged)
+}
+
+func (q *Queue) book(user *rankQueue, used time.Duration) {
+	for _, r := range q.ranks {
+		if r.floor == 0 {
+			continue
+		}
+		r.credit += time.Duration(r.floor * float64(used))
+		if r == user {
+			r.credit -= used
+		}
+		unit := max(q.serviceTime(r), nominalServiceTime)
+		r.credit = min(max(r.credit, -maxDebt*unit), maxCredit*unit)
+	}
+}
+
+// limit returns how many requests may run at now: at least 1, at most the slots.
+func (q *Queue) limit(now time.Duration) int {
+	limit := q.limiter.limit
+	if age := now - q.coldAt; age < q.rampUp {
+		ceiling := 1 + float64(q.slots-1)*float64(age)/float64(q.rampUp)
+		limit = math.Min(limit, ceiling)
+	}
+	return min(max(int(limit+0.5), 1), q.slots)
+}
+
+// serviceTime returns the mean time at the server, 0 before the first response.
+func (q *Queue) serviceTime(r *rankQueue) time.Duration {
+	if r.service.count > 0 {
+		return r.service.mean()
+	}
+	return q.service.mean()
+}
+
+// expectedWait estimates the time until a request of rank r that arrives now
+// would be dispatched. The work ahead of it is that of its own and more urgent
+// queues; it drains with the share of the slots that more urgent arrivals
+// leave, which is at least the rank's floor.
+func (q *Queue) expectedWait(now time.Duration, r *rankQueue) time.Duration {
+	limit := float64(q.limit(now))
+	var ahead, urgentUse, floors float64
+	urgent := true
+	for _, other := range q.ranks {
+		work := float64(other.length) * float64(q.serviceTime(other))
+		switch {
+		case other == r:
+			urgent = false
+		case urgent:
+			ahead += work
+			urgentUse += other.usage.rate(now)
+		case other.length > 0:
+			floors += other.floor
+		}
+	}
+	own := float64(r.length) * float64(q.serviceTime(r))
+	share := math.Max(1-urgentUse/limit-floors, 0.01)
+	wait := (ahead + own) / (limit * share)
+	if r.floor > 0 {
+		wait = math.Min(wait, own/(limit*r.floor))
+	}
+	if len(q.running) >= q.limit(now) {
+		wait += float64(q.service.mean()) / limit
+	}
+	return max(time.Duration(wait), q.pausedUntil-now)
+}
+
+// Quiesce stops dispatch for a key-hash range and returns a Reroute decision
+// for each of its queued requests. Requests of the range that are submitted
+// later are rerouted as well, until Resume.
+func (q *Queue) Quiesce(r keyspace.Range) []Decision {
+	q.quiesced = append(q.quiesced, r)
+	for id, it := range q.queued {
+		if r.Contains(it.Hash) {
+			it.rank.remove(it)
+			delete(q.queued, id)
+			q.out = append(q.out, Decision{Action: Reroute, ID: id})
+		}
+	}
+	return q.take()
+}
+
+// Resume ends the quiescing of exactly the given range, for example after an
+// aborted move.
+func (q *Queue) Resume(r keyspace.Range) {
+	for i, other := range q.quiesced {
+		if other == r {
+			q.quiesced = append(q.quiesced[:i], q.quiesced[i+1:]...)
+			return
+		}
+	}
+}
+
+// InFlight returns how many requests of the range are running.
+func (q *Queue) InFlight(r keyspace.Range) int {
+	n := 0
+	for _, it := range q.running {
+		if r.Contains(it.Hash) {
+			n++
+		}
+	}
+	return n
+}
+
+func (q *Queue) isQuiesced(hash uint64) bool {
+	for _, r := range q.quiesced {
+		if r.Contains(hash) {
+			return true
+		}
+	}
+	return false
+}
+
+// Stats is a snapshot for metrics and status.
+type Stats struct {
+	Limit       int
+	Running     int
+	Queued      map[string]int // by rank
+	ServiceTime time.Duration  // mean
+	PausedUntil time.Duration
+}
+
+// Stats returns a snapshot.
+func (q *Queue) Stats(now time.Duration) Stats {
+	s := Stats{
+		Limit:       q.limit(now),
+		Running:     len(q.running),
+		Queued:      make(map[string]int, len(q.ranks)),
+		ServiceTime: q.service.mean(),
+		PausedUntil: q.pausedUntil,
+	}
+	for _, r := range q.ranks {
+		s.Queued[r.cfg.Name] = r.length
+	}
+	return s
+}
