Add retry policy

Cause: retries have to stay within the deadline, 20% of recent traffic and the rule that a request that is not repeatable is written to a server at most once. Change: budget from decayed counts, full-jitter backoff, Retry-After. A request that is not repeatable is not retried after a rejection either, since it was written. Conclusion: cenkalti/backoff/v5 does not fit, since it takes no random source.

--- /dev/null
+++ b/core/retry/retry.go
@@ -0,0 +1,135 @@
+// Package retry decides which requests may be sent again, within which budget
+// and after which delay, and what callers are told in Retry-After. It does no
+// I/O; time and randomness are passed in.
+package retry
+
+import (
+	"math"
+	"time"
+)
+
+// Proof is what is known about an attempt that brought no complete response.
+type Proof int
+
+// The proofs, in order of decreasing certainty that nothing ran.
+const (
+	NotWritten Proof = iota + 1 // nothing was written to a connection to the server
+	Rejected                    // the server rejected the request under its fence
+	MayHaveRun                  // anything else
+)
+
+// Attempt describes a failed attempt and the time that is left.
+type Attempt struct {
+	Number     int // of this attempt, from 1
+	Proof      Proof
+	Repeatable bool
+	// BodyKept says that the body is still available from its start. A streamed
+	// body that was partly consumed cannot be sent again.
+	BodyKept  bool
+	Remaining time.Duration // until the deadline
+	// ServiceTime is the expected time at the server; 0 when not known.
+	ServiceTime time.Duration
+}
+
+// Refusal says why there is no retry. Empty means that there is one.
+type Refusal string
+
+// The refusals.
+const (
+	RefusedRepeat   Refusal = "not_repeatable"
+	RefusedBody     Refusal = "body_consumed"
+	RefusedAttempts Refusal = "attempts"
+	RefusedDeadline Refusal = "deadline"
+	RefusedBudget   Refusal = "budget"
+)
+
+// Constants of the policy.
+const (
+	MaxAttempts = 4
+	// BudgetShare is the greatest share of recent requests that may be added as
+	// retries. It bounds the load that retries add during an outage to 20%.
+	BudgetShare = 0.2
+	// BudgetReserve allows retries when there is little traffic, in retries per
+	// BudgetHalfLife.
+	BudgetReserve  = 2
+	BudgetHalfLife = 5 * time.Second
+	FirstDelay     = 5 * time.Millisecond // upper bound of the first delay
+	MaxDelay       = 500 * time.Millisecond
+	MaxRetryAfter  = 30 * time.Second
+)
+
+// Policy holds the retry budget of one service.
+type Policy struct {
+	requests decayed
+	retries  decayed
+}
+
+// Request notes a first attempt, which earns budget.
+func (p *Policy) Request(now time.Duration) {
+	p.requests.add(now, 1)
+}
+
+// Retry decides about another attempt and returns the delay before it. random
+// is uniform in [0, 1). A granted retry is charged to the budget.
+func (p *Policy) Retry(now time.Duration, a Attempt, random float64) (time.Duration, Refusal) {
+	switch {
+	case !mayRepeat(a):
+		return 0, RefusedRepeat
+	case !a.BodyKept:
+		return 0, RefusedBody
+	case a.Number >= MaxAttempts:
+		return 0, RefusedAttempts
+	}
+	delay := Backoff(a.Number, random)
+	if delay+a.ServiceTime >= a.Remaining {
+		return 0, RefusedDeadline
+	}
+	if p.retries.at(now)+1 > BudgetShare*p.requests.at(now)+BudgetReserve {
+		return 0, RefusedBudget
+	}
+	p.retries.add(now, 1)
+	return delay, ""
+}
+
+// mayRepeat applies the rule that a request that is not repeatable is written to
+// a server at most once, so that a rejection by a server does not count either.
+func mayRepeat(a Attempt) bool {
+	return a.Repeatable || a.Proof == NotWritten
+}
+
+// Backoff returns the delay after the given attempt (from 1): uniform between 0
+// and a bound that doubles per attempt. Full jitter separates requests that
+// failed together. github.com/cenkalti/backoff/v5 is not used: its NextBackOff
+// draws from the global random source (exponential.go, line 88 of v5.0.3), so
+// that randomness cannot be passed in.
+func Backoff(attempt int, random float64) time.Duration {
+	bound := MaxDelay
+	if shift := max(attempt, 1) - 1; shift < 16 {
+		bound = min(FirstDelay<<shift, MaxDelay)
+	}
+	return time.Duration(random * float64(bound))
+}
+
+// RetryAfter returns the whole seconds for a Retry-After header, at least 1.
+// wait is the expected time until the request would be accepted; the result is
+// spread over [wait, 2 wait], so that rejected callers do not return together.
+func RetryAfter(wait time.Duration, random float64) int {
+	spread := time.Duration((1 + random) * float64(max(wait, 0)))
+	spread = min(spread, MaxRetryAfter)
+	return max(int(math.Ceil(spread.Seconds())), 1)
+}
+
+// decayed is a count that loses half of its value per BudgetHalfLife.
+type decayed struct {
+	value float64
+	since time.Duration
+}
+
+func (d *decayed) at(now time.Duration) float64 {
+	return d.value * math.Exp2(-float64(now-d.since)/float64(BudgetHalfLife))
+}
+
+func (d *decayed) add(now time.Duration, v float64) {
+	d.value = d.at(now) + v
+	d.since = now
+}
