--- a/relay/frontend/body.go
+++ b/relay/frontend/body.go
@@ -71,3 +71,6 @@
 	}
 	return io.NopCloser(io.MultiReader(bytes.NewReader(b.prefix), b.rest)), b.length
 }
+
+// Length returns the length of the body in bytes.
+func (b *Body) Length() int64 { return b.length }
--- /dev/null
+++ b/relay/home/once.go
@@ -0,0 +1,217 @@
+package home
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"parsleyrelay.example/api/callerapi"
+	"parsleyrelay.example/core/dedup"
+	"parsleyrelay.example/core/keyspace"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/relay/frontend"
+)
+
+// windowState is the idempotency window of one server.
+type windowState struct {
+	mu      *sync.Mutex
+	window  *dedup.Window
+	serving *ownership.ServingSet            // last followed
+	active  map[ownership.HeldSlice]struct{} // activated and still owned
+	running map[uuid.UUID]chan struct{}      // closed when the attempt ends
+	exports uint64                           // sequence of exports
+}
+
+func newWindowState() windowState {
+	return windowState{
+		mu: &sync.Mutex{}, window: dedup.New(dedup.Config{}),
+		active:  map[ownership.HeldSlice]struct{}{},
+		running: map[uuid.UUID]chan struct{}{},
+	}
+}
+
+// follow activates slices that began to be served and forgets those that the
+// server does not own any more.
+func (w *windowState) follow(now dedup.Time, view *ownership.View, server ownership.ServerView, name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if server.Serving == w.serving {
+		return
+	}
+	w.serving = server.Serving
+	table := view.Tables[server.Spec.Service]
+	for slice := range w.active {
+		if owner := table.Lookup(slice.Range.First); owner == nil || owner.Server != name {
+			w.window.Deactivate(slice.Range)
+			delete(w.active, slice)
+		}
+	}
+	server.Serving.All(func(slice ownership.HeldSlice, a ownership.Activation) {
+		if _, ok := w.active[slice]; ok {
+			return
+		}
+		w.window.Activate(now, slice.Range, a.Source, a.Origin)
+		w.active[slice] = struct{}{}
+	})
+}
+
+// executeOnce runs a request that must not run twice.
+func (q *queue) executeOnce(ctx context.Context, req *frontend.Request, route ownership.Route) (*frontend.Answer, *frontend.RequestError) {
+	id, err := parseID(req)
+	if err != nil {
+		return nil, err
+	}
+	begin := dedup.Request{
+		ID: id, Hash: req.Hash, Digest: digest(req), FirstAttempt: req.First,
+		Deadline: req.Deadline - req.Arrived, ServerRemembers: route.View.Spec.RemembersIDs,
+	}
+	for {
+		verdict, response, twin := q.begin(begin)
+		switch verdict {
+		case dedup.Run:
+			return q.runOnce(ctx, req, id)
+		case dedup.Wait:
+			select {
+			case <-twin:
+			case <-q.ended:
+				return nil, mayHaveRun("the home of the key moved while an attempt with this id was running")
+			case <-ctx.Done():
+				return nil, mayHaveRun("an attempt with this id is still running")
+			}
+		case dedup.Replay:
+			return replayed(response), nil
+		case dedup.NotActive:
+			return nil, frontend.Rerouted()
+		default:
+			return nil, verdictError(verdict, q.server)
+		}
+	}
+}
+
+func (q *queue) begin(req dedup.Request) (dedup.Verdict, *dedup.Response, <-chan struct{}) {
+	w := &q.window
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	verdict, response := w.window.Begin(dedup.Time{Mono: q.cfg.Now(), Wall: q.cfg.Wall()}, req)
+	if verdict == dedup.Run {
+		w.running[req.ID] = make(chan struct{})
+	}
+	return verdict, response, w.running[req.ID]
+}
+
+func (q *queue) runOnce(ctx context.Context, req *frontend.Request, id uuid.UUID) (*frontend.Answer, *frontend.RequestError) {
+	answer, err := q.execute(ctx, req)
+	switch {
+	case err != nil && err.Outcome == callerapi.NotRun:
+		q.endOnce(id, dedup.NotRun, nil)
+	case err != nil:
+		q.endOnce(id, dedup.Unknown, nil)
+	default:
+		q.keepAnswer(id, answer)
+	}
+	return answer, err
+}
+
+// keepAnswer stores a short answer for repeats. A streamed one is not stored;
+// its attempt ends with the stream.
+func (q *queue) keepAnswer(id uuid.UUID, answer *frontend.Answer) {
+	if s, ok := answer.Body.(*streamedBody); ok {
+		ended := s.ended
+		s.ended = func(whole bool) {
+			ended(whole)
+			// The server has begun to answer, so the request ran, whole or not.
+			q.endOnce(id, dedup.Done, nil)
+		}
+		return
+	}
+	body, _ := io.ReadAll(answer.Body)
+	answer.Body = io.NopCloser(bytes.NewReader(body))
+	header := http.Header{}
+	frontend.CopyHeader(header, answer.Header)
+	q.endOnce(id, dedup.Done, &dedup.Response{Status: answer.Status, Header: header, Body: body})
+}
+
+func (q *queue) endOnce(id uuid.UUID, ending dedup.Ending, response *dedup.Response) {
+	w := &q.window
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.window.Finish(id, ending, response)
+	if twin, ok := w.running[id]; ok {
+		close(twin)
+		delete(w.running, id)
+	}
+}
+
+// exportLimits keep a transfer well below the size bound of a control call.
+var exportLimits = dedup.ExportLimits{EntriesPerPart: 500, ResponseBytes: 1 << 20}
+
+func (q *queue) export(r keyspace.Range, origin dedup.Origin) ([]dedup.Part, bool) {
+	w := &q.window
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.exports++
+	return w.window.Export(dedup.Time{Mono: q.cfg.Now(), Wall: q.cfg.Wall()}, w.exports, r, origin, exportLimits)
+}
+
+func (q *queue) importPart(part dedup.Part) bool {
+	w := &q.window
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.window.Import(dedup.Time{Mono: q.cfg.Now(), Wall: q.cfg.Wall()}, part)
+}
+
+// digest identifies a request, so that an id that is used for another request is noticed.
+func digest(req *frontend.Request) [sha256.Size]byte {
+	h := sha256.New()
+	for _, part := range []string{req.Service, req.Key, req.Method, req.Path, req.Header.Get("Content-Type")} {
+		_ = binary.Write(h, binary.BigEndian, uint64(len(part)))
+		_, _ = io.WriteString(h, part)
+	}
+	body, whole := req.Body.Whole()
+	_ = binary.Write(h, binary.BigEndian, whole)
+	_ = binary.Write(h, binary.BigEndian, req.Body.Length())
+	_, _ = h.Write(body)
+	var sum [sha256.Size]byte
+	copy(sum[:], h.Sum(nil))
+	return sum
+}
+
+func replayed(r *dedup.Response) *frontend.Answer {
+	return &frontend.Answer{
+		Status: r.Status, Header: r.Header, Length: int64(len(r.Body)),
+		Body:    io.NopCloser(bytes.NewReader(r.Body)),
+		Outcome: callerapi.Done, Reason: callerapi.ReasonReplayed,
+	}
+}
+
+func mayHaveRun(message string) *frontend.RequestError {
+	return frontend.UnknownOutcome(http.StatusConflict, callerapi.ReasonAttemptMayHaveRun, "%s", message)
+}
+
+func verdictError(v dedup.Verdict, server string) *frontend.RequestError {
+	e := &frontend.RequestError{Status: http.StatusBadRequest, Outcome: callerapi.NotRun}
+	switch v {
+	case dedup.NotStored:
+		e.Status, e.Outcome, e.Reason = http.StatusConflict, callerapi.Done, callerapi.ReasonAnswerNotStored
+		e.Message = "a request with this id ran; its response was not kept"
+	case dedup.Conflict:
+		e.Status, e.Reason = http.StatusUnprocessableEntity, callerapi.ReasonIDReused
+		e.Message = "header " + callerapi.HeaderID + ": the id was used for another request"
+	case dedup.BadID:
+		e.Reason, e.Message = callerapi.ReasonBadID, "header "+callerapi.HeaderID+": not a UUIDv7"
+	case dedup.FromFuture:
+		e.Reason, e.Message = callerapi.ReasonIDFromFuture, "header "+callerapi.HeaderID+": the time of the id lies ahead of this host's clock"
+	case dedup.Full:
+		return frontend.Refuse(callerapi.ReasonOverloaded, time.Second, "the idempotency window of Server/%s is full", server)
+	default:
+		return mayHaveRun("an earlier attempt with this id may have run")
+	}
+	return e
+}
