Add weighted rendezvous placement of homes, witnesses and slices

core/ownership needs an order of hosts per server, witness sets per scope and owners for slices that all daemons compute alike.

Daemons are hashed by host name and peer URL, so a restarted one keeps its place. Slice counts follow quotas by highest averages; rendezvous order decides within them, so a server that joins or leaves moves its share and no more. The set of scope all is the largest odd one in which no zone is a majority.

--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"parsleyrelay.example/core/keyspace"
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/core/state"
+)
+
+func hosts(zones ...string) []state.Member {
+	list := make([]state.Member, len(zones))
+	for i, z := range zones {
+		id := fmt.Sprintf("h%02d", i)
+		list[i] = state.Member{Host: id, Incarnation: "inc-" + id, Zone: z, PeerURL: "http://" + id, JoinedAt: uint64(i + 1)}
+	}
+	return list
+}
+
+// Guards against an order that reshuffles the other hosts when one leaves, or
+// gives a restarted host another place.
+func TestOrderIsStable(t *testing.T) {
+	all := hosts("a", "a", "a", "a", "a", "a")
+	before := Order("server-1", all)
+	var without []state.Member
+	for _, m := range before {
+		if m.Incarnation != before[2].Incarnation {
+			without = append(without, m)
+		}
+	}
+	require.Equal(t, without, Order("server-1", without))
+	restarted := append([]state.Member{}, without...)
+	again := before[2]
+	again.Incarnation, again.JoinedAt = "new", 99
+	rank, ok := Rank("server-1", "new", append(restarted, again))
+	require.True(t, ok)
+	require.Equal(t, 2, rank)
+	require.Equal(t, 3*time.Second, Delay(3, time.Second))
+}
+
+// Guards against witness sets whose size or zones break the rules of the design,
+// and against a predecessor incarnation that counts beside its successor.
+func TestWitnesses(t *testing.T) {
+	cases := map[string]struct {
+		scope string
+		hosts []state.Member
+		want  int
+	}{
+		"no host":          {"zone:a", hosts("b"), 0},
+		"one host":         {"zone:a", hosts("a", "b"), 1},
+		"two and a third":  {"zone:a", hosts("a", "a", "b"), 3},
+		"two alone":        {"zone:a", hosts("a", "a"), 1},
+		"four":             {"zone:a", hosts("a", "a", "a", "a", "b"), 3},
+		"five":             {"zone:a", hosts("a", "a", "a", "a", "a"), 5},
+		"eight":            {"zone:a", hosts("a", "a", "a", "a", "a", "a", "a", "a"), 5},
+		"all, even zones":  {"all", hosts("a", "a", "a", "b", "b", "b", "c", "c", "c", "c"), 9},
+		"all, one zone":    {"all", hosts("a", "a", "a", "a"), 3},
+		"all, large zone":  {"all", hosts("a", "a", "a", "a", "a", "a", "a", "b", "c"), 3},
+		"all, eight hosts": {"all", hosts("a", "a", "a", "b", "b", "b", "c", "c"), 7},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Len(t, Witnesses(c.scope, c.hosts), c.want)
+		})
+	}
+	list := hosts("a", "a", "a")
+	old := list[0]
+	old.Incarnation, old.JoinedAt = "old", 0
+	require.NotContains(t, Witnesses("zone:a", append(list, old)), "old")
+}
+
+// Guards against homes outside the zone of a zone scope.
+func TestHomes(t *testing.T) {
+	list := hosts("a", "b", "a", "b", "c")
+	require.Len(t, Homes("s", "a", "zone:a", list), 2)
+	all := Homes("s", "a", state.ScopeAll, list)
+	require.Len(t, all, 5)
+	require.Equal(t, "a", all[1].Zone)
+}
+
+func drawServers(t *rapid.T) []Server {
+	n := rapid.IntRange(1, 20).Draw(t, "servers")
+	list := make([]Server, n)
+	for i := range list {
+		list[i] = Server{Name: fmt.Sprintf("s%d", i), Zone: string(rune('a' + i%3)), Weight: rapid.IntRange(1, 4).Draw(t, "weight") * 50}
+	}
+	return list
+}
+
+func counts(placed []record.Placement) map[string]int {
+	c := map[string]int{}
+	for _, p := range placed {
+		c[p.Server]++
+	}
+	return c
+}
+
+func requireShares(t require.TestingT, placed []record.Placement, servers []Server) {
+	total := 0
+	for _, s := range servers {
+		total += s.Weight
+	}
+	got := counts(placed)
+	for _, s := range servers {
+		share := float64(len(placed)) * float64(s.Weight) / float64(total)
+		require.InDelta(t, share, float64(got[s.Name]), 2, s.Name)
+	}
+}
+
+// Guards against uneven first placement and against a change of servers that
+// moves more than the fair share of the server that came or went plus 5%.
+func TestPlaceAndRebalance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := drawServers(t)
+		n := rapid.IntRange(64, 1024).Draw(t, "slices")
+		placed := Place("svc", keyspace.Divide(n), servers)
+		require.Len(t, placed, n)
+		requireShares(t, placed, servers)
+
+		added := append(servers[:len(servers):len(servers)], Server{Name: "new", Weight: 100, Owned: 9})
+		moves := Rebalance("svc", placed, added)
+		after := withMoves(placed, moves)
+		requireShares(t, after, added)
+		total := 0
+		for _, s := range added {
+			total += s.Weight
+		}
+		share := float64(n) * 100 / float64(total)
+		require.LessOrEqual(t, float64(len(moves)), share*1.05+1)
+
+		back := Rebalance("svc", after, servers)
+		require.LessOrEqual(t, len(back), counts(after)["new"])
+		requireShares(t, withMoves(after, back), servers)
+	})
+}
+
+func withMoves(placed, moves []record.Placement) []record.Placement {
+	to := map[uint64]string{}
+	for _, m := range moves {
+		to[m.Range.First] = m.Server
+	}
+	after := append([]record.Placement{}, placed...)
+	for i := range after {
+		if s, ok := to[after[i].Range.First]; ok {
+			after[i].Server = s
+		}
+	}
+	return after
+}
+
+// Guards against slices that leave their zone while it still has a server, and
+// against placement on a server without weight.
+func TestEvacuatePrefersZone(t *testing.T) {
+	servers := []Server{
+		{Name: "a1", Zone: "a", Weight: 100, Owned: 10}, {Name: "a2", Zone: "a", Weight: 200, Owned: 4},
+		{Name: "a3", Zone: "a"}, {Name: "b1", Zone: "b", Weight: 100},
+	}
+	got := counts(Evacuate("svc", "a", keyspace.Divide(16), servers))
+	require.Equal(t, map[string]int{"a2": 16}, got)
+	require.Equal(t, map[string]int{"b1": 16}, counts(Evacuate("svc", "b", keyspace.Divide(16), servers)))
+	require.Nil(t, Place("svc", keyspace.Divide(4), []Server{{Name: "none"}}))
+	require.Len(t, Evacuate("svc", "z", keyspace.Divide(math.MaxInt8), servers), math.MaxInt8)
+}
