--- /dev/null
+++ b/standin/platform/platform_test.go
@@ -0,0 +1,127 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"parsleyrelay.example/api/platformapi"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func call(h http.Handler, method, target, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(method, target, strings.NewReader(body)))
+	return w
+}
+
+func read(t *testing.T, h http.Handler, query string) platformapi.ReadResponse {
+	t.Helper()
+	w := call(h, http.MethodGet, platformapi.RecordsPath+"?"+query, "")
+	require.Equal(t, http.StatusOK, w.Code)
+	var response platformapi.ReadResponse
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &response))
+	return response
+}
+
+// Guards against a long poll that returns before a record exists or misses an append.
+func TestLongPollReturnsAtAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(nil)
+		go func() {
+			time.Sleep(3 * time.Second)
+			p.Append([]byte("a"))
+		}()
+		start := time.Now()
+		require.Len(t, read(t, p, "from=1&max=10&wait_ms=10000").Entries, 1)
+		require.Equal(t, 3*time.Second, time.Since(start))
+		require.Empty(t, read(t, p, "from=2&max=10&wait_ms=1000").Entries)
+		require.Equal(t, 4*time.Second, time.Since(start))
+	})
+}
+
+// Guards against a lost response that also loses the record, which would hide
+// the case that a proposer must resolve by the record's id.
+func TestLostResponseKeepsRecord(t *testing.T) {
+	p := New(nil)
+	p.SetFaults(Faults{LoseResponses: 1})
+	require.Panics(t, func() { call(p, http.MethodPost, platformapi.RecordsPath, "a") })
+	require.EqualValues(t, 1, p.Head())
+	require.Equal(t, http.StatusOK, call(p, http.MethodPost, platformapi.RecordsPath, "b").Code)
+	require.EqualValues(t, 2, p.Head())
+}
+
+// Guards against wrong bounds of retention, short reads and reads short of the head.
+func TestReadBounds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(func() time.Time { return now })
+	for range 10 {
+		p.Append([]byte("x"))
+		now = now.Add(time.Second)
+	}
+	p.SetFaults(Faults{MaxRead: 2, HeadLag: 3})
+	require.Len(t, read(t, p, "from=1&max=10&wait_ms=0").Entries, 2)
+	require.Len(t, read(t, p, "from=7&max=10&wait_ms=0").Entries, 1)
+	p.DropBelow(3)
+	response := read(t, p, "from=1&max=1&wait_ms=0")
+	require.EqualValues(t, 3, response.Oldest)
+	require.EqualValues(t, 3, response.Entries[0].Offset)
+	p.SetRetention(5 * time.Second)
+	require.EqualValues(t, 6, read(t, p, "from=1&max=1&wait_ms=0").Oldest)
+	p.DropOlderThan(0)
+	require.EqualValues(t, 11, read(t, p, "from=1&max=1&wait_ms=0").Oldest)
+	require.EqualValues(t, 11, p.Append([]byte("y")))
+}
+
+// Guards against an outage of one gate that leaks into another, and against a
+// waiting read that survives the start of an outage.
+func TestOutageOfOneGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(nil)
+		north, south := p.GateFor("north"), p.GateFor("south")
+		waiting := make(chan int)
+		go func() {
+			waiting <- call(north, http.MethodGet, platformapi.RecordsPath+"?from=1&max=1&wait_ms=20000", "").Code
+		}()
+		synctest.Wait()
+		north.SetFaults(Faults{Outage: OutageRefuse})
+		require.Equal(t, http.StatusServiceUnavailable, <-waiting)
+		require.Equal(t, http.StatusServiceUnavailable, call(north, http.MethodPost, platformapi.RecordsPath, "a").Code)
+		require.Equal(t, http.StatusOK, call(south, http.MethodPost, platformapi.RecordsPath, "a").Code)
+		require.EqualValues(t, 1, p.Head())
+
+		south.SetFaults(Faults{Outage: OutageHang})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, platformapi.RecordsPath, strings.NewReader("b"))
+		require.Panics(t, func() { south.ServeHTTP(httptest.NewRecorder(), r) })
+		require.EqualValues(t, 1, p.Head())
+	})
+}
+
+// Guards against a host list that shows changes before its lag has passed.
+func TestHostListLagsAndLies(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(func() time.Time { return now })
+	p.SetHosts(platformapi.Host{Name: "a", State: platformapi.HostLive}, platformapi.Host{Name: "b", State: platformapi.HostLive})
+	p.SetHostLag(5 * time.Second)
+	require.Empty(t, p.Hosts().Hosts)
+	now = now.Add(5 * time.Second)
+	p.SetHosts(platformapi.Host{Name: "a", State: platformapi.HostLeaving})
+	require.Len(t, p.Hosts().Hosts, 2)
+	p.OverrideHost("b", HostOverride{Missing: true})
+	p.OverrideHost("c", HostOverride{State: platformapi.HostLive})
+	require.ElementsMatch(t, []platformapi.Host{{Name: "a", State: platformapi.HostLive}, {Name: "c", State: platformapi.HostLive}}, p.Hosts().Hosts)
+	p.ClearOverrides()
+	now = now.Add(5 * time.Second)
+	require.Equal(t, []platformapi.Host{{Name: "a", State: platformapi.HostLeaving}}, p.Hosts().Hosts)
+}
