Add the platform log client, watermill publisher, subscriber and reader

Cause: the daemon reads and appends to the platform's log and polls its host list. Change: relay/platform with bounded requests, RefusedError and UnknownError of appends, a subscriber that keeps order and reports every read to an observer, the reader on watermill's router, the host poller and the adapter of watermill's logger to go-kit/log. Undecodable records are delivered with their error; the control loop decides.

--- /dev/null
+++ b/relay/platform/errors.go
@@ -0,0 +1,52 @@
+package platform
+
+import "fmt"
+
+// RefusedError reports an append that certainly had no effect: no connection was
+// obtained, or the service answered with a 4xx status.
+type RefusedError struct{ Err error }
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "append refused: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Err }
+
+// UnknownError reports an append that may have taken effect. The record's id
+// settles it once the log has been read further.
+type UnknownError struct{ Err error }
+
+// Error implements error.
+func (e *UnknownError) Error() string { return "unknown whether appended: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// StatusError reports an HTTP status other than 200.
+type StatusError struct {
+	Status int
+	Text   string // start of the body
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("platform answered with status %d: %s", e.Status, e.Text)
+}
+
+// ProtocolError reports a response that breaks the platform's interface.
+type ProtocolError struct{ Problem string }
+
+// Error implements error.
+func (e *ProtocolError) Error() string { return "bad response of the platform: " + e.Problem }
+
+// TopicError reports a topic other than Topic.
+type TopicError struct{ Topic string }
+
+// Error implements error.
+func (e *TopicError) Error() string { return fmt.Sprintf("unknown topic %q", e.Topic) }
+
+// ClosedError reports the use of a closed publisher or subscriber.
+type ClosedError struct{}
+
+// Error implements error.
+func (*ClosedError) Error() string { return "platform log client is closed" }
--- /dev/null
+++ b/relay/platform/platform_test.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"parsleyrelay.example/api/platformapi"
+	"parsleyrelay.example/core/record"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// client returns a client of a server that runs handler.
+func client(t *testing.T, handler http.HandlerFunc) *Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	c := NewClient(Options{BaseURL: server.URL, RequestTimeout: 300 * time.Millisecond, Wait: 50 * time.Millisecond})
+	t.Cleanup(func() { c.Close(); server.Close() })
+	return c
+}
+
+// Guards against calling an append refused that may be in the log: the proposer
+// would propose it again as something new.
+func TestAppendErrors(t *testing.T) {
+	var refused *RefusedError
+	var unknown *UnknownError
+	for name, test := range map[string]struct {
+		handler http.HandlerFunc
+		target  any
+	}{
+		"status 503": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, &unknown},
+		"status 400": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(400) }, &refused},
+		"cut":        {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, &unknown},
+		"no JSON":    {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{") }, &unknown},
+		"no offset":  {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{}") }, &unknown},
+		"no response": {func(_ http.ResponseWriter, r *http.Request) {
+			time.Sleep(500 * time.Millisecond)
+		}, &unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := client(t, test.handler).Append(t.Context(), []byte("x"))
+			require.ErrorAs(t, err, test.target)
+		})
+	}
+	_, err := NewClient(Options{BaseURL: "http://127.0.0.1:1"}).Append(t.Context(), []byte("x"))
+	require.ErrorAs(t, err, &refused)
+}
+
+type observer struct {
+	oldest      atomic.Uint64
+	unreachable atomic.Int64
+}
+
+func (o *observer) LogReachable(oldest uint64) { o.oldest.Store(oldest) }
+func (o *observer) LogUnreachable(error)       { o.unreachable.Add(1) }
+
+// Guards against records lost, doubled or reordered when reads fail, are short
+// or carry a gap, and against a reader that does not report the outage.
+func TestReaderKeepsOrderThroughFaults(t *testing.T) {
+	const oldest, head = 3, 60
+	data, err := record.Marshal(record.Record{ID: "a", Body: record.HostLeft{Incarnation: "i", Reason: record.LeaveLost}})
+	require.NoError(t, err)
+	var reads atomic.Int64
+	c := client(t, func(w http.ResponseWriter, r *http.Request) {
+		var from uint64
+		_, _ = fmt.Sscan(r.URL.Query().Get("from"), &from)
+		response := platformapi.ReadResponse{Oldest: oldest}
+		first := max(from, oldest)
+		switch reads.Add(1) % 4 {
+		case 1:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case 2:
+			first++ // a gap
+		}
+		for offset := first; offset < min(first+7, head+1); offset++ {
+			entry := platformapi.Entry{Offset: offset, Data: data}
+			if offset == 10 {
+				entry.Data = []byte(`{"kind":"later"}`)
+			}
+			response.Entries = append(response.Entries, entry)
+		}
+		writeJSON(t, w, response)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	out, seen, ended := make(chan Item, 2), &observer{}, make(chan error)
+	go func() { ended <- (&Reader{Client: c, From: 1, Observer: seen, Out: out}).Run(ctx) }()
+	for offset := uint64(oldest); offset <= head; offset++ {
+		item := <-out
+		require.Equal(t, offset, item.Offset)
+		var unknown *record.UnknownKindError
+		require.Equal(t, offset == 10, item.Err != nil)
+		if item.Err != nil {
+			require.ErrorAs(t, item.Err, &unknown)
+		}
+	}
+	require.EqualValues(t, oldest, seen.oldest.Load())
+	require.Positive(t, seen.unreachable.Load())
+	cancel()
+	require.NoError(t, <-ended)
+}
+
+// Guards against a publisher that hides the offset or accepts another topic.
+func TestPublisher(t *testing.T) {
+	p := NewPublisher(client(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"offset":7}`) }))
+	m := message.NewMessage("id", []byte("x"))
+	require.NoError(t, p.Publish(Topic, m))
+	require.Equal(t, "7", m.Metadata.Get(MetadataOffset))
+	require.Error(t, p.Publish("other", m))
+	require.NoError(t, p.Close())
+	var refused *RefusedError
+	require.ErrorAs(t, p.Publish(Topic, m), &refused)
+}
+
+func writeJSON(t *testing.T, w http.ResponseWriter, body any) {
+	t.Helper()
+	require.NoError(t, json.NewEncoder(w).Encode(body))
+}
--- /dev/null
+++ b/relay/platform/pubsub.go
@@ -0,0 +1,197 @@
+package platform
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/cenkalti/backoff/v5"
+
+	"parsleyrelay.example/api/platformapi"
+)
+
+// Topic is the only topic: the platform's log.
+const Topic = "log"
+
+// MetadataOffset is the metadata key of a message's offset, in decimal.
+const MetadataOffset = "offset"
+
+// Delays between failed reads. The longest stays below the time in which a
+// configuration change must take effect.
+const (
+	firstRetryDelay   = 50 * time.Millisecond
+	longestRetryDelay = 500 * time.Millisecond
+)
+
+// LogObserver is told the result of every read of the log, before its records
+// are delivered. Its methods are called from one goroutine and must not block
+// for long.
+type LogObserver interface {
+	// LogReachable reports a read that succeeded and the oldest retained offset.
+	LogReachable(oldest uint64)
+	// LogUnreachable reports a read that failed.
+	LogUnreachable(err error)
+}
+
+// Publisher appends messages to the log. It implements message.Publisher.
+type Publisher struct {
+	client *Client
+	once   sync.Once
+	closed chan struct{}
+}
+
+// NewPublisher returns a publisher over client.
+func NewPublisher(client *Client) *Publisher {
+	return &Publisher{client: client, closed: make(chan struct{})}
+}
+
+// Publish appends the payloads one after the other and puts the offset of each
+// into its metadata. It stops at the first error, which is a RefusedError or an
+// UnknownError, and never tries again by itself.
+func (p *Publisher) Publish(topic string, messages ...*message.Message) error {
+	if topic != Topic {
+		return &RefusedError{Err: &TopicError{Topic: topic}}
+	}
+	for _, m := range messages {
+		select {
+		case <-p.closed:
+			return &RefusedError{Err: &ClosedError{}}
+		default:
+		}
+		offset, err := p.client.Append(m.Context(), m.Payload)
+		if err != nil {
+			return err
+		}
+		m.Metadata.Set(MetadataOffset, strconv.FormatUint(offset, 10))
+	}
+	return nil
+}
+
+// Close makes later calls of Publish fail.
+func (p *Publisher) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return nil
+}
+
+// Subscriber delivers the records of the log in offset order, one at a time: the
+// next message follows the acknowledgement of the one before. It implements
+// message.Subscriber.
+type Subscriber struct {
+	client   *Client
+	from     uint64
+	observer LogObserver
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// NewSubscriber returns a subscriber whose subscriptions start at offset from.
+func NewSubscriber(client *Client, from uint64, observer LogObserver) *Subscriber {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Subscriber{client: client, from: from, observer: observer, ctx: ctx, cancel: cancel}
+}
+
+// Subscribe starts a subscription. The channel is closed when ctx ends or the
+// subscriber is closed.
+func (s *Subscriber) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
+	if topic != Topic {
+		return nil, &TopicError{Topic: topic}
+	}
+	if s.ctx.Err() != nil {
+		return nil, &ClosedError{}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(s.ctx, cancel)
+	out := make(chan *message.Message)
+	s.wg.Go(func() {
+		defer close(out)
+		defer cancel()
+		defer stop()
+		s.run(ctx, out)
+	})
+	return out, nil
+}
+
+// Close ends all subscriptions and waits for them.
+func (s *Subscriber) Close() error {
+	s.cancel()
+	s.wg.Wait()
+	return nil
+}
+
+func (s *Subscriber) run(ctx context.Context, out chan<- *message.Message) {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = firstRetryDelay, longestRetryDelay
+	next := s.from
+	for ctx.Err() == nil {
+		response, err := s.client.Read(ctx, next)
+		if err == nil {
+			err = checkOrder(response, next)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.observer.LogUnreachable(err)
+			pause(ctx, delays.NextBackOff())
+			continue
+		}
+		delays.Reset()
+		s.observer.LogReachable(response.Oldest)
+		for _, entry := range response.Entries {
+			if !deliver(ctx, out, entry) {
+				return
+			}
+			next = entry.Offset + 1
+		}
+	}
+}
+
+// checkOrder accepts only records without gaps. The first may follow next with a
+// gap only where retention dropped the records between.
+func checkOrder(response platformapi.ReadResponse, next uint64) error {
+	expected := max(next, response.Oldest)
+	for _, entry := range response.Entries {
+		if entry.Offset != expected {
+			return &ProtocolError{Problem: "record at offset " + strconv.FormatUint(entry.Offset, 10) +
+				" where " + strconv.FormatUint(expected, 10) + " was expected"}
+		}
+		expected++
+	}
+	return nil
+}
+
+// deliver sends an entry until it is acknowledged. It returns false when ctx ended.
+func deliver(ctx context.Context, out chan<- *message.Message, entry platformapi.Entry) bool {
+	offset := strconv.FormatUint(entry.Offset, 10)
+	for {
+		m := message.NewMessageWithContext(ctx, offset, entry.Data)
+		m.Metadata.Set(MetadataOffset, offset)
+		select {
+		case out <- m:
+		case <-ctx.Done():
+			return false
+		}
+		select {
+		case <-m.Acked():
+			return true
+		case <-m.Nacked():
+			// A handler that fails at once must not make this a busy loop.
+			pause(ctx, firstRetryDelay)
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/relay/platform/reader.go
@@ -0,0 +1,153 @@
+package platform
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"parsleyrelay.example/api/platformapi"
+	"parsleyrelay.example/core/record"
+)
+
+// Item is a record of the log as it was read.
+type Item struct {
+	Offset uint64
+	Data   []byte        // as stored, for relaying it to peers
+	Record record.Record // zero when Err is set
+	// Err reports a record that cannot be decoded, for example a
+	// record.UnknownKindError. It is delivered, since only the control loop can
+	// stop folding.
+	Err error
+}
+
+// Reader moves the records of the log to a channel through watermill's router.
+type Reader struct {
+	Client   *Client
+	From     uint64 // first offset
+	Observer LogObserver
+	// Out is the ring to the control loop. A full ring blocks the reader; nothing
+	// is dropped.
+	Out    chan<- Item
+	Logger log.Logger
+}
+
+// Run reads until ctx ends.
+func (r *Reader) Run(ctx context.Context) error {
+	router, err := message.NewRouter(message.RouterConfig{CloseTimeout: time.Second}, NewLogger(r.Logger))
+	if err != nil {
+		return err
+	}
+	subscriber := NewSubscriber(r.Client, r.From, r.Observer)
+	// The router gives the handler's context to Subscribe, but the message's
+	// context is what ends a handler that waits for room in the ring.
+	router.AddConsumerHandler("records", Topic, subscriber, func(m *message.Message) error {
+		item, err := decodeItem(m)
+		if err != nil {
+			return err
+		}
+		select {
+		case r.Out <- item:
+			return nil
+		case <-m.Context().Done():
+			return m.Context().Err()
+		}
+	})
+	return router.Run(ctx)
+}
+
+func decodeItem(m *message.Message) (Item, error) {
+	offset, err := strconv.ParseUint(m.Metadata.Get(MetadataOffset), 10, 64)
+	if err != nil {
+		return Item{}, err
+	}
+	item := Item{Offset: offset, Data: m.Payload}
+	item.Record, item.Err = record.Unmarshal(m.Payload)
+	return item, nil
+}
+
+// HostObserver receives the results of the host list poller, from one goroutine.
+type HostObserver interface {
+	HostsRead(list platformapi.HostList)
+	HostsUnreachable(err error)
+}
+
+// HostPoller reads the host list at an interval.
+type HostPoller struct {
+	Client   *Client
+	Interval time.Duration
+	Observer HostObserver
+}
+
+// Run polls until ctx ends. A slow response delays the next poll.
+func (p *HostPoller) Run(ctx context.Context) {
+	ticker := time.NewTicker(p.Interval)
+	defer ticker.Stop()
+	for {
+		list, err := p.Client.Hosts(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			p.Observer.HostsUnreachable(err)
+		default:
+			p.Observer.HostsRead(list)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Logger passes watermill's log lines to go-kit/log. Trace lines are dropped:
+// there are several per record.
+type Logger struct{ inner log.Logger }
+
+// NewLogger adapts a go-kit logger; nil discards everything.
+func NewLogger(inner log.Logger) *Logger {
+	if inner == nil {
+		inner = log.NewNopLogger()
+	}
+	return &Logger{inner: log.With(inner, "library", "watermill")}
+}
+
+// Error implements watermill.LoggerAdapter.
+func (l *Logger) Error(msg string, err error, fields watermill.LogFields) {
+	l.write(level.Error(l.inner), fields, "msg", msg, "err", err)
+}
+
+// Info implements watermill.LoggerAdapter.
+func (l *Logger) Info(msg string, fields watermill.LogFields) {
+	l.write(level.Info(l.inner), fields, "msg", msg)
+}
+
+// Debug implements watermill.LoggerAdapter.
+func (l *Logger) Debug(msg string, fields watermill.LogFields) {
+	l.write(level.Debug(l.inner), fields, "msg", msg)
+}
+
+// Trace implements watermill.LoggerAdapter.
+func (l *Logger) Trace(string, watermill.LogFields) {}
+
+// With implements watermill.LoggerAdapter.
+func (l *Logger) With(fields watermill.LogFields) watermill.LoggerAdapter {
+	return &Logger{inner: log.With(l.inner, pairs(fields)...)}
+}
+
+func (l *Logger) write(to log.Logger, fields watermill.LogFields, keyvals ...any) {
+	_ = to.Log(append(keyvals, pairs(fields)...)...)
+}
+
+func pairs(fields watermill.LogFields) []any {
+	list := make([]any, 0, 2*len(fields))
+	for key, value := range fields {
+		list = append(list, key, value)
+	}
+	return list
+}
