--- /dev/null
+++ b/standin/server/journal.go
@@ -0,0 +1,146 @@
+package server
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Work is one request that an instance accepted.
+type Work struct {
+	Service    string
+	Server     string
+	Instance   string
+	Key        string
+	KeyHash    uint64
+	Generation uint64
+	ID         string // Idempotency-Key, may be empty
+	RequestID  string
+	Rank       string
+	Started    time.Duration // since the journal was made
+	Ended      time.Duration // 0 while it runs
+	Committed  bool          // it took effect; aborted work did not
+}
+
+// Journal records the accepted work of any number of servers, so that a checker
+// can find two owners of a key and doubled runs. It is safe for concurrent use.
+type Journal struct {
+	start time.Time
+
+	mu         sync.Mutex
+	work       []Work
+	executions map[string]int // by Idempotency-Key
+}
+
+// NewJournal returns an empty journal.
+func NewJournal() *Journal {
+	return &Journal{start: time.Now(), executions: map[string]int{}}
+}
+
+func (j *Journal) begin(w Work) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	w.Started = time.Since(j.start)
+	j.work = append(j.work, w)
+	if w.ID != "" {
+		j.executions[w.ID]++
+	}
+	return len(j.work) - 1
+}
+
+func (j *Journal) end(index int, committed bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.work[index].Ended = time.Since(j.start)
+	j.work[index].Committed = committed
+}
+
+// Work returns a copy of all work in the order of acceptance.
+func (j *Journal) Work() []Work {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.work)
+}
+
+// Executions returns how often the work of an Idempotency-Key was started.
+func (j *Journal) Executions(id string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.executions[id]
+}
+
+// Violation is a broken rule with the work that shows it.
+type Violation struct {
+	Rule   string
+	First  Work
+	Second Work
+}
+
+// String returns the violation on one line.
+func (v Violation) String() string {
+	return fmt.Sprintf("%s: %+v and %+v", v.Rule, v.First, v.Second)
+}
+
+// The rules that Check applies.
+const (
+	RuleDoubleRun    = "an Idempotency-Key ran twice"
+	RuleTwoOwners    = "the work of two instances on a key overlaps"
+	RuleOlderOwner   = "an older generation took effect after a newer one"
+	generationUnused = 0 // of servers that do not check grants
+)
+
+// Check returns the violations. Only work that took effect counts for the rules
+// about owners: a frozen server aborts its work, without effect, when it goes on.
+// repeatable reports an id that may run more than once; nil means none may.
+func (j *Journal) Check(repeatable func(id string) bool) []Violation {
+	var found []Violation
+	byID := map[string]Work{}
+	byKey := map[string][]Work{}
+	for _, w := range j.Work() {
+		if w.Committed {
+			key := w.Service + "\x00" + w.Key
+			byKey[key] = append(byKey[key], w)
+		}
+		if w.ID == "" || (repeatable != nil && repeatable(w.ID)) {
+			continue
+		}
+		if first, twice := byID[w.ID]; twice {
+			found = append(found, Violation{RuleDoubleRun, first, w})
+			continue
+		}
+		byID[w.ID] = w
+	}
+	for _, work := range byKey {
+		found = append(found, checkKey(work)...)
+	}
+	return found
+}
+
+// checkKey compares the committed work of one key, in the order of its start. Per
+// instance, the work that ended last is enough to find an overlap.
+func checkKey(work []Work) []Violation {
+	var found []Violation
+	last := map[string]Work{}
+	var newest Work // with the highest generation
+	for _, w := range work {
+		for instance, other := range last {
+			if instance != w.Instance && w.Started < other.Ended {
+				found = append(found, Violation{RuleTwoOwners, other, w})
+			}
+		}
+		if w.Ended > last[w.Instance].Ended {
+			last[w.Instance] = w
+		}
+		if w.Generation == generationUnused {
+			continue
+		}
+		if w.Generation < newest.Generation && w.Started > newest.Ended {
+			found = append(found, Violation{RuleOlderOwner, newest, w})
+		}
+		if w.Generation > newest.Generation {
+			newest = w
+		}
+	}
+	return found
+}
