Add server client wiring and the daemon's duties

Cause: the whole path needs the daemon's adapters joined to the machine. Change: relay/daemon (options, duties, control and request client per backend server); forwarding goes through the same exchange type; a daemon is ready once it has folded the record of its own start. Conclusion: readiness by the own start record avoids answering 404 for an existing service while the log is still being read.

--- a/core/ownership/view.go
+++ b/core/ownership/view.go
@@ -80,6 +80,16 @@
 	return a, ok
 }
 
+// All calls yield for each slice.
+func (s *ServingSet) All(yield func(HeldSlice, Activation)) {
+	if s == nil {
+		return
+	}
+	for slice, a := range s.slices {
+		yield(slice, a)
+	}
+}
+
 // Len returns the number of slices.
 func (s *ServingSet) Len() int {
 	if s == nil {
--- /dev/null
+++ b/relay/daemon/daemon.go
@@ -0,0 +1,178 @@
+// Package daemon wires the parts of parsleyrelayd together: platform log and
+// host list, ownership machine, homes and listeners.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+
+	"parsleyrelay.example/core/event"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/relay/control"
+	"parsleyrelay.example/relay/frontend"
+	"parsleyrelay.example/relay/home"
+	"parsleyrelay.example/relay/platform"
+)
+
+// Options describe one daemon. The listeners are open already, so that their
+// addresses are known.
+type Options struct {
+	Host          string
+	Zone          string
+	PeerURL       string // advertised to other daemons
+	Listeners     Listeners
+	Platform      platform.Options
+	Logger        log.Logger
+	Retention     time.Duration // of the platform log
+	MaxRequests   int64
+	MaxHeader     int // bytes
+	DrainTimeout  time.Duration
+	OperatorToken string
+	AnonymousRead bool
+	PeerClient    *http.Client // control calls and forwarding to other daemons
+	// PolicyOff is the baseline of measurements: one FIFO queue per server.
+	PolicyOff bool
+}
+
+// Listeners are the daemon's sockets.
+type Listeners struct {
+	Caller   net.Listener
+	Peer     net.Listener
+	Operator net.Listener
+	Metrics  net.Listener // nil for none
+}
+
+// Daemon is one running daemon.
+type Daemon struct {
+	opts        Options
+	incarnation string
+	started     time.Time
+
+	client   *platform.Client
+	loop     *control.Loop
+	homes    *home.Manager
+	frontend *frontend.Handler
+	sink     *sink
+	draining atomic.Bool
+
+	servers []*http.Server
+	duties  sync.WaitGroup
+}
+
+// New returns a daemon that does not run yet.
+func New(opts Options) (*Daemon, error) {
+	d := &Daemon{opts: opts, incarnation: uuid.NewString(), started: time.Now()}
+	if err := d.assemble(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// now is the process time. time.Since uses the monotonic clock.
+func (d *Daemon) now() time.Duration { return time.Since(d.started) }
+
+// Run serves until ctx ends, then drains: the health check fails, homes are
+// handed over, requests in flight finish. It returns after at most the drain
+// timeout.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	d.duties.Go(func() { d.loop.Run(work) })
+	d.duties.Go(func() { d.readLog(work) })
+	d.duties.Go(func() { d.pollHosts(work) })
+	d.duties.Go(func() { d.reportLoad(work) })
+	failed := d.listen()
+	d.sink.Emit(event.Event{Code: event.ProcessStarted, Detail: "incarnation " + d.incarnation})
+
+	var err error
+	select {
+	case <-ctx.Done():
+		d.drain(work)
+	case err = <-failed:
+	}
+	d.close()
+	stop()
+	d.homes.Stop()
+	d.duties.Wait()
+	d.client.Close()
+	d.sink.Emit(event.Event{Code: event.ProcessStopped})
+	return err
+}
+
+// balancerNotice is how long the health check fails before the daemon gives
+// its homes up, so that the balancer stops sending new connections first.
+const balancerNotice = 500 * time.Millisecond
+
+func (d *Daemon) drain(work context.Context) {
+	d.draining.Store(true)
+	d.sink.Emit(event.Event{Code: event.ProcessDraining})
+	ctx, cancel := context.WithTimeout(work, d.opts.DrainTimeout)
+	defer cancel()
+	pause(ctx, balancerNotice)
+	d.loop.Submit(ctx, ownership.DrainRequested{})
+	select {
+	case <-d.loop.Drained():
+	case <-ctx.Done():
+	}
+	// Callers with open connections may still send requests, which are forwarded
+	// to the new homes, until Shutdown closes the connections.
+	for _, server := range d.servers {
+		_ = server.Shutdown(ctx)
+	}
+}
+
+func (d *Daemon) close() {
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+}
+
+// Timeouts of connections. Bodies have no timeout of their own; the request's
+// deadline bounds them.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+func (d *Daemon) listen() <-chan error {
+	failed := make(chan error, 4)
+	serve := func(l net.Listener, h http.Handler) {
+		if l == nil {
+			return
+		}
+		server := &http.Server{
+			Handler: h, MaxHeaderBytes: d.opts.MaxHeader,
+			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		}
+		d.servers = append(d.servers, server)
+		d.duties.Go(func() {
+			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	serve(d.opts.Listeners.Caller, d.frontend.CallerRoutes())
+	serve(d.opts.Listeners.Operator, d.operatorRoutes())
+	serve(d.opts.Listeners.Metrics, d.metricsRoutes())
+	// The peer listener is last, so that a draining daemon answers its peers
+	// while the callers' requests finish.
+	serve(d.opts.Listeners.Peer, d.peerRoutes())
+	return failed
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/relay/daemon/duties.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"parsleyrelay.example/api/platformapi"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/relay/platform"
+)
+
+// readRing bounds the records between the log reader and the control loop. When
+// it is full the reader waits, and the applied offset lags.
+const readRing = 1024
+
+// batchLimit bounds the records in one step of the machine, so that ticks and
+// answers of witnesses are not held up by a long backlog.
+const batchLimit = 256
+
+// hostListInterval is how often the platform's host list is read.
+const hostListInterval = time.Second
+
+// loadInterval is how often measured load goes to the machine.
+const loadInterval = time.Second
+
+// logObserver passes the state of the log to the machine.
+type logObserver struct {
+	d   *Daemon
+	ctx context.Context
+}
+
+func (o logObserver) LogReachable(oldest uint64) {
+	o.d.loop.Submit(o.ctx, ownership.RecordsRead{Oldest: oldest})
+}
+
+func (o logObserver) LogUnreachable(error) {
+	o.d.loop.Submit(o.ctx, ownership.LogUnreachable{})
+}
+
+func (d *Daemon) readLog(ctx context.Context) {
+	ring := make(chan platform.Item, readRing)
+	reader := &platform.Reader{
+		Client: d.client, From: 1, Observer: logObserver{d, ctx}, Out: ring, Logger: d.opts.Logger,
+	}
+	d.duties.Go(func() { d.passRecords(ctx, ring) })
+	if err := reader.Run(ctx); err != nil && ctx.Err() == nil {
+		d.sink.failure("log reader", err)
+	}
+}
+
+// passRecords moves records in batches to the machine. It stops for good at a
+// record that this version cannot decode, since skipping it could break
+// agreement between daemons.
+func (d *Daemon) passRecords(ctx context.Context, ring <-chan platform.Item) {
+	for {
+		var batch []record.Positioned
+		select {
+		case <-ctx.Done():
+			return
+		case item := <-ring:
+			for more := true; more && len(batch) < batchLimit; {
+				if item.Err != nil {
+					d.sink.failure("log record", item.Err)
+					d.loop.Submit(ctx, ownership.RecordsRead{Records: batch})
+					return
+				}
+				batch = append(batch, record.Positioned{Offset: item.Offset, Record: item.Record})
+				select {
+				case item = <-ring:
+				default:
+					more = false
+				}
+			}
+		}
+		d.loop.Submit(ctx, ownership.RecordsRead{Records: batch})
+	}
+}
+
+// HostsRead implements platform.HostObserver.
+func (o logObserver) HostsRead(list platformapi.HostList) {
+	var in ownership.HostListRead
+	for _, h := range list.Hosts {
+		if h.State == platformapi.HostLeaving {
+			in.Leaving = append(in.Leaving, h.Name)
+			continue
+		}
+		in.Live = append(in.Live, h.Name)
+	}
+	o.d.loop.Submit(o.ctx, in)
+}
+
+// HostsUnreachable implements platform.HostObserver. The list only hints, so
+// its absence changes nothing.
+func (logObserver) HostsUnreachable(error) {}
+
+func (d *Daemon) pollHosts(ctx context.Context) {
+	poller := &platform.HostPoller{Client: d.client, Interval: hostListInterval, Observer: logObserver{d, ctx}}
+	poller.Run(ctx)
+}
+
+func (d *Daemon) reportLoad(ctx context.Context) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			view, _ := d.loop.Views().Current()
+			d.loop.Submit(ctx, d.homes.Loads(view))
+		}
+	}
+}
+
+// logAppender appends records through the watermill publisher.
+type logAppender struct {
+	publisher message.Publisher
+	count     func(bytes int)
+}
+
+// Append implements control.Log.
+func (a logAppender) Append(ctx context.Context, r record.Record) (uint64, error) {
+	data, err := record.Marshal(r)
+	if err != nil {
+		return 0, err
+	}
+	m := message.NewMessage(r.ID, data)
+	m.SetContext(ctx)
+	if err := a.publisher.Publish(platform.Topic, m); err != nil {
+		return 0, err
+	}
+	a.count(len(data))
+	return platform.OffsetOf(m)
+}
--- /dev/null
+++ b/relay/daemon/servers.go
@@ -0,0 +1,211 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+
+	"parsleyrelay.example/api/serverapi"
+	"parsleyrelay.example/core/keyspace"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/relay/backend"
+	"parsleyrelay.example/relay/frontend"
+	"parsleyrelay.example/relay/home"
+)
+
+// connectionShare is the part of a server's connections that its home uses. The
+// rest is left for a former home whose connections still close.
+const connectionShare = 0.4
+
+// servers holds a client per backend server. It implements control.Servers and
+// home.Backend.
+type servers struct {
+	host string
+
+	mu      sync.Mutex
+	clients map[string]*client
+}
+
+type client struct {
+	address     string
+	connections int
+	*backend.Server
+}
+
+func newServers(host string) *servers {
+	return &servers{host: host, clients: map[string]*client{}}
+}
+
+// client returns the client of a server and replaces it when the address or the
+// connection bound has changed. connections is 0 for control calls, which do
+// not know it.
+func (s *servers) client(name, address string, connections int) (*backend.Server, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.clients[name]
+	if c != nil && c.address == address && (connections == 0 || c.connections == connections) {
+		return c.Server, nil
+	}
+	server, err := backend.New(backend.Options{
+		BaseURL: address, MaxConnections: max(1, int(connectionShare*float64(connections))),
+	})
+	if err != nil {
+		return nil, err
+	}
+	if c != nil {
+		c.Close()
+	}
+	s.clients[name] = &client{address: address, connections: connections, Server: server}
+	return server, nil
+}
+
+// follow drops the clients of servers that are not served here any more.
+func (s *servers) follow(view *ownership.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, c := range s.clients {
+		if server, ok := view.Servers[name]; !ok || !server.Local {
+			c.Close()
+			delete(s.clients, name)
+		}
+	}
+}
+
+func (s *servers) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.clients {
+		c.Close()
+	}
+}
+
+// Grant implements control.Servers.
+func (s *servers) Grant(ctx context.Context, g ownership.SendGrant) (ownership.GrantAnswered, error) {
+	c, err := s.client(g.Server, g.Address, 0)
+	if err != nil {
+		return ownership.GrantAnswered{}, err
+	}
+	r, err := c.Grant(ctx, serverapi.Grant{
+		Service: g.Service, Server: g.Server, EntryHost: s.host, Term: g.Term, SubTerm: g.SubTerm,
+		Token: g.Token, TTLMS: g.TTL.Milliseconds(), SetVersion: g.SetVersion,
+		HasSlices: g.HasSlices, Slices: encodeSlices(g.Slices),
+	})
+	if err != nil {
+		return ownership.GrantAnswered{}, err
+	}
+	held, err := decodeSlices(r.Held)
+	if err != nil {
+		return ownership.GrantAnswered{}, err
+	}
+	released, err := decodeSlices(r.Released)
+	if err != nil {
+		return ownership.GrantAnswered{}, err
+	}
+	return ownership.GrantAnswered{
+		Accepted: r.Accepted, Instance: r.Instance, Token: r.Token, Term: r.Term, SubTerm: r.SubTerm,
+		PreviousTerm: r.PreviousTerm, SetVersion: r.SetVersion, Held: held, Released: released,
+		Draining: r.Draining,
+	}, nil
+}
+
+// Release implements control.Servers.
+func (s *servers) Release(ctx context.Context, r ownership.SendRelease) (ownership.ReleaseAnswered, error) {
+	c, err := s.client(r.Server, r.Address, 0)
+	if err != nil {
+		return ownership.ReleaseAnswered{}, err
+	}
+	answer, err := c.Release(ctx, serverapi.Release{
+		Server: r.Server, Term: r.Term, SubTerm: r.SubTerm,
+		Slices: encodeSlices([]ownership.HeldSlice{r.Slice}), DeadlineMS: r.Within.Milliseconds(),
+	})
+	return ownership.ReleaseAnswered{Instance: answer.Instance, Done: answer.Done}, err
+}
+
+// Probe implements control.Servers.
+func (s *servers) Probe(ctx context.Context, p ownership.Probe) (ownership.GrantAnswered, error) {
+	c, err := s.client(p.Server, p.Address, 0)
+	if err != nil {
+		return ownership.GrantAnswered{}, err
+	}
+	health, err := c.Probe(ctx)
+	return ownership.GrantAnswered{Accepted: true, Draining: health.Status == "draining"}, err
+}
+
+// Do implements home.Backend.
+func (s *servers) Do(ctx context.Context, call home.Call) (*frontend.Answer, *home.Failure) {
+	c, err := s.client(call.Server, call.Spec.Address, call.Spec.Connections)
+	if err != nil {
+		return nil, &home.Failure{Kind: home.NotSent, Err: err}
+	}
+	body, length := call.Request.Body.Open()
+	response, err := c.Do(ctx, &backend.Request{
+		Method: call.Request.Method, Path: call.Request.Path, Header: fenced(call),
+		Body: body, ContentLength: length,
+	})
+	if err != nil {
+		return nil, failureOf(err)
+	}
+	return answerOf(response), nil
+}
+
+func answerOf(r *backend.Response) *frontend.Answer {
+	return &frontend.Answer{Status: r.Status, Header: r.Header, Body: r.Body, Length: r.ContentLength}
+}
+
+func fenced(call home.Call) http.Header {
+	h := http.Header{}
+	frontend.CopyHeader(h, call.Request.Header)
+	h.Set(serverapi.HeaderKey, url.PathEscape(call.Request.Key))
+	h.Set(serverapi.HeaderKeyHash, fmt.Sprintf("%016x", call.Request.Hash))
+	h.Set(serverapi.HeaderTerm, strconv.FormatUint(call.Term, 10))
+	h.Set(serverapi.HeaderSubTerm, strconv.FormatUint(call.SubTerm, 10))
+	h.Set(serverapi.HeaderGeneration, strconv.FormatUint(call.Generation, 10))
+	h.Set(serverapi.HeaderRank, call.Request.RankName)
+	h.Set(serverapi.HeaderRequestID, call.Request.ID)
+	return h
+}
+
+func failureOf(err error) *home.Failure {
+	var notSent *backend.NotSentError
+	var refused *backend.RefusedError
+	switch {
+	case errors.As(err, &notSent):
+		return &home.Failure{Kind: home.NotSent, Err: err}
+	case errors.As(err, &refused) && refused.Refusal == serverapi.RefusedOverload:
+		return &home.Failure{Kind: home.RefusedOverload, Err: err}
+	case errors.As(err, &refused):
+		return &home.Failure{Kind: home.Refused, Err: err}
+	}
+	return &home.Failure{Kind: home.MayHaveRun, Err: err}
+}
+
+func encodeSlices(list []ownership.HeldSlice) []serverapi.Slice {
+	out := make([]serverapi.Slice, len(list))
+	for i, s := range list {
+		out[i] = serverapi.Slice{
+			First: fmt.Sprintf("%016x", s.Range.First), Last: fmt.Sprintf("%016x", s.Range.Last),
+			Generation: s.Generation,
+		}
+	}
+	return out
+}
+
+func decodeSlices(list []serverapi.Slice) ([]ownership.HeldSlice, error) {
+	out := make([]ownership.HeldSlice, len(list))
+	for i, s := range list {
+		first, err := strconv.ParseUint(s.First, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("slice %d: first: %w", i, err)
+		}
+		last, err := strconv.ParseUint(s.Last, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("slice %d: last: %w", i, err)
+		}
+		out[i] = ownership.HeldSlice{Range: keyspace.Range{First: first, Last: last}, Generation: s.Generation}
+	}
+	return out, nil
+}
--- a/relay/frontend/forward.go
+++ b/relay/frontend/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -10,11 +11,20 @@
 	"parsleyrelay.example/api/callerapi"
 )
 
-// Sender sends an HTTP request and tells how far it got.
+// Exchange is an HTTP request to a peer.
+type Exchange struct {
+	Method string
+	Path   string // escaped, with the query
+	Header http.Header
+	Body   io.Reader
+	Length int64 // bytes
+}
+
+// Sender sends an exchange to the peer listener of another daemon.
 type Sender interface {
 	// Send returns the response, or an error with sent false when it is certain
-	// that no byte of the request reached the network.
-	Send(r *http.Request) (resp *http.Response, sent bool, err error)
+	// that no byte of the request was written to a connection.
+	Send(ctx context.Context, peerURL string, x Exchange) (answer *Answer, sent bool, err error)
 }
 
 // PeerForwarder forwards requests to the peer listener of other daemons.
@@ -30,35 +40,23 @@
 
 // Forward implements Forwarder.
 func (f *PeerForwarder) Forward(ctx context.Context, req *Request, peerURL string) (*Answer, *RequestError) {
-	r, err := f.encode(ctx, req, peerURL)
-	if err != nil {
-		return nil, Refuse(callerapi.ReasonZoneUnreachable, time.Second, "peer URL %q: %v", peerURL, err)
-	}
-	resp, sent, err := f.sender.Send(r)
+	answer, sent, err := f.sender.Send(ctx, peerURL, f.encode(req))
 	if err != nil {
-		return nil, forwardFailure(ctx, req, peerURL, sent, err)
-	}
-	answer := &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
-		Outcome: callerapi.Outcome(resp.Header.Get(callerapi.HeaderOutcome)),
-		Reason:  callerapi.Reason(resp.Header.Get(callerapi.HeaderReason)),
+		return nil, forwardFailure(ctx, peerURL, sent, err)
 	}
+	answer.Outcome = callerapi.Outcome(answer.Header.Get(callerapi.HeaderOutcome))
+	answer.Reason = callerapi.Reason(answer.Header.Get(callerapi.HeaderReason))
 	if answer.Outcome == callerapi.Done {
 		return answer, nil
 	}
-	_ = resp.Body.Close()
-	return nil, peerError(resp, answer)
+	_ = answer.Body.Close()
+	return nil, peerError(answer)
 }
 
-func (f *PeerForwarder) encode(ctx context.Context, req *Request, peerURL string) (*http.Request, error) {
+func (f *PeerForwarder) encode(req *Request) Exchange {
 	body, length := req.Body.Open()
-	r, err := http.NewRequestWithContext(ctx, req.Method, peerURL+ForwardPrefix+req.Path, body)
-	if err != nil {
-		return nil, err
-	}
-	r.ContentLength = length
-	CopyHeader(r.Header, req.Header)
-	h := r.Header
+	h := http.Header{}
+	CopyHeader(h, req.Header)
 	h.Set(callerapi.HeaderService, req.Service)
 	h.Set(callerapi.HeaderKey, url.QueryEscape(req.Key))
 	h.Set(callerapi.HeaderRank, req.RankName)
@@ -66,7 +64,7 @@
 	h.Set(callerapi.HeaderRepeatable, strconv.FormatBool(req.Repeatable))
 	h.Set(callerapi.HeaderCaller, req.Caller)
 	h.Set(callerapi.HeaderRequestID, req.ID)
-	return r, nil
+	return Exchange{Method: req.Method, Path: ForwardPrefix + req.Path, Header: h, Body: body, Length: length}
 }
 
 // decodeForwarded undoes what encode did to key and path.
@@ -83,7 +81,7 @@
 	return nil
 }
 
-func forwardFailure(ctx context.Context, req *Request, peerURL string, sent bool, err error) *RequestError {
+func forwardFailure(ctx context.Context, peerURL string, sent bool, err error) *RequestError {
 	if !sent {
 		return Refuse(callerapi.ReasonZoneUnreachable, time.Second, "the home at %s cannot be reached: %v", peerURL, err)
 	}
@@ -94,15 +92,15 @@
 }
 
 // peerError passes the home's refusal on. An answer without an outcome proves nothing.
-func peerError(resp *http.Response, a *Answer) *RequestError {
-	e := &RequestError{Status: resp.StatusCode, Outcome: a.Outcome, Reason: a.Reason, Message: "refused by the home of the key's server"}
+func peerError(a *Answer) *RequestError {
+	e := &RequestError{Status: a.Status, Outcome: a.Outcome, Reason: a.Reason, Message: "refused by the home of the key's server"}
 	if e.Outcome != callerapi.NotRun {
 		e.Outcome = callerapi.Unknown
 	}
 	if e.Reason == "" {
 		e.Status, e.Reason = http.StatusBadGateway, callerapi.ReasonPeerLost
 	}
-	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+	if seconds, err := strconv.Atoi(a.Header.Get("Retry-After")); err == nil {
 		e.RetryAfter = time.Duration(seconds) * time.Second
 	}
 	return e
--- a/relay/frontend/handler.go
+++ b/relay/frontend/handler.go
@@ -54,7 +54,10 @@
 	Observer    Observer
 	Now         func() time.Duration // process time
 	MaxRequests int64                // requests at a time over both listeners
-	Draining    func() bool
+	// Ready is false until the daemon has read the log up to its own start, so
+	// that an existing service is never reported as unknown.
+	Ready    func() bool
+	Draining func() bool
 }
 
 // Handler serves the caller listener and the forwarding path of the peer listener.
@@ -99,8 +102,7 @@
 // health fails as soon as the daemon drains, so that the balancer stops sending
 // new connections before the listener closes.
 func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
-	view, _ := h.cfg.Views.Current()
-	if h.cfg.Draining() || view == nil || !view.Complete {
+	if h.cfg.Draining() || !h.cfg.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -117,7 +119,7 @@
 	}
 	defer h.active.Add(-1)
 	view, _ := h.cfg.Views.Current()
-	if view == nil || !view.Complete {
+	if !h.cfg.Ready() {
 		writeError(w, Refuse(callerapi.ReasonNotReady, time.Second, "the host has no complete state yet"), requestID(r))
 		return
 	}
--- a/relay/home/dispatch.go
+++ b/relay/home/dispatch.go
@@ -72,14 +72,14 @@
 
 // receive reads a response. A short one is taken whole; a longer one is
 // streamed and holds its slot until it ends.
-func (q *queue) receive(ctx context.Context, req *frontend.Request, t *ticket, resp *http.Response, slice ownership.HeldSlice, sent time.Duration) (*frontend.Answer, *frontend.RequestError) {
+func (q *queue) receive(ctx context.Context, req *frontend.Request, t *ticket, resp *frontend.Answer, slice ownership.HeldSlice, sent time.Duration) (*frontend.Answer, *frontend.RequestError) {
 	head, err := io.ReadAll(io.LimitReader(resp.Body, BufferBytes+1))
 	if err != nil {
 		_ = resp.Body.Close()
 		return nil, q.unknown(ctx, t, err)
 	}
 	answer := &frontend.Answer{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Status: resp.Status, Header: resp.Header, Length: resp.Length,
 		Outcome: callerapi.Done, Reason: callerapi.ReasonOK,
 	}
 	end := func(outcome admission.Outcome) {
@@ -89,7 +89,7 @@
 	}
 	if len(head) <= BufferBytes {
 		_ = resp.Body.Close()
-		end(resultOf(resp.StatusCode))
+		end(resultOf(resp.Status))
 		answer.Body = io.NopCloser(bytes.NewReader(head))
 		if req.Method != http.MethodHead {
 			answer.Length = int64(len(head))
@@ -100,7 +100,7 @@
 		Reader: io.MultiReader(bytes.NewReader(head), resp.Body), source: resp.Body,
 		ended: func(whole bool) {
 			if whole {
-				end(resultOf(resp.StatusCode))
+				end(resultOf(resp.Status))
 				return
 			}
 			end(admission.Error)
--- a/relay/home/home.go
+++ b/relay/home/home.go
@@ -50,7 +50,7 @@
 // Backend sends calls to servers.
 type Backend interface {
 	// Do returns a response whose body ends with an error when it was cut.
-	Do(ctx context.Context, call Call) (*http.Response, *Failure)
+	Do(ctx context.Context, call Call) (*frontend.Answer, *Failure)
 }
 
 // Config holds what a Manager needs.
--- a/relay/home/once.go
+++ b/relay/home/once.go
@@ -57,11 +57,20 @@
 		if _, ok := w.active[slice]; ok {
 			return
 		}
-		w.window.Activate(now, slice.Range, a.Source, a.Origin)
+		source, origin := sourceOf(a)
+		w.window.Activate(now, slice.Range, source, origin)
 		w.active[slice] = struct{}{}
 	})
 }
 
+// sourceOf tells the window what is known of earlier attempts in a slice.
+func sourceOf(a ownership.Activation) (dedup.Source, dedup.Origin) {
+	if a.Fresh {
+		return dedup.SourceFresh, dedup.Origin{}
+	}
+	return dedup.SourceNone, dedup.Origin{}
+}
+
 // executeOnce runs a request that must not run twice.
 func (q *queue) executeOnce(ctx context.Context, req *frontend.Request, route ownership.Route) (*frontend.Answer, *frontend.RequestError) {
 	id, err := parseID(req)
