Add moves, drain, provisional homes, checkpoints and load moves to the machine

The stubs of the first version are replaced: planned moves with quiesce, transfer of ids, release and record; abort by a move from A to A; forced moves off unresponsive, gone and lost-zone servers; handover of homes on drain; provisional homes with a sub-term that names its proposer; turn-taking for checkpoints, whose codec is still a stand-in; and a Planner interface for load moves.

--- /dev/null
+++ b/core/ownership/checkpoints.go
@@ -0,0 +1,97 @@
+package ownership
+
+import (
+	"errors"
+	"time"
+
+	"parsleyrelay.example/core/event"
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/core/state"
+)
+
+// checkpointRecords is the number of records after which a checkpoint is due
+// whatever its age; folding them takes about 0.1 s.
+const checkpointRecords = 50000
+
+// checkpointRetry is how long a daemon waits for the parts that it appended
+// before it publishes again.
+const checkpointRetry = 30 * time.Second
+
+// checkpointKeeper knows the newest complete checkpoint in the log.
+type checkpointKeeper struct {
+	base    uint64        // of the newest complete checkpoint, 0 for none
+	at      time.Duration // when it was completed, or when this daemon started
+	folded  int           // records folded after base
+	due     time.Duration // since when a new one has been due, 0 if it is not
+	oldest  uint64
+	wroteAt time.Duration
+	parts   map[partKey]map[int]bool
+}
+
+func (k *checkpointKeeper) noteOldest(oldest uint64) { k.oldest = max(k.oldest, oldest) }
+
+// noteCheckpointPart tracks checkpoints that pass by in the log.
+func (m *Machine) noteCheckpointPart(p record.Positioned) {
+	part, ok := p.Record.Body.(record.CheckpointPart)
+	if !ok {
+		return
+	}
+	k := &m.keeper
+	if k.parts == nil {
+		k.parts = map[partKey]map[int]bool{}
+	}
+	key := partKey{base: part.Base, parts: part.Parts, digest: part.Digest}
+	if k.parts[key] == nil {
+		k.parts[key] = map[int]bool{}
+	}
+	k.parts[key][part.Part] = true
+	if len(k.parts[key]) < part.Parts || part.Base <= k.base {
+		return
+	}
+	k.folded = int(p.Offset - part.Base)
+	k.base, k.at, k.due = part.Base, m.now, 0
+	for other := range k.parts {
+		if other.base <= part.Base {
+			delete(k.parts, other)
+		}
+	}
+}
+
+// checkpoint publishes the state when the newest checkpoint is too old. Members
+// take turns, so that normally one publishes.
+func (m *Machine) checkpoint() {
+	k := &m.keeper
+	age := m.now - k.at
+	old := m.cfg.Retention > 0 && age > m.cfg.Retention/4 && k.folded > 0
+	// Retention has dropped records that the newest checkpoint does not replace.
+	uncovered := k.oldest > k.base+1
+	if !m.logReachable || m.draining || !(old || uncovered || k.folded > checkpointRecords) {
+		k.due = 0
+		return
+	}
+	if k.due == 0 {
+		k.due = m.now
+	}
+	// Writing takes longer than an ordinary proposal, so the turns are longer.
+	if !m.myTurn("checkpoint", m.st.Members(), (m.now-k.due)/20) || m.now-k.wroteAt < checkpointRetry && k.wroteAt > 0 {
+		return
+	}
+	k.wroteAt = m.now
+	parts, digest := encodeState(m.st)
+	for i, payload := range parts {
+		m.emit(Append{Record: m.newRecord(record.CheckpointPart{
+			Base: m.st.Applied(), Part: i, Parts: len(parts), Digest: digest, Payload: payload,
+		})})
+	}
+	if len(parts) > 0 {
+		m.report(event.Event{Code: event.CheckpointWritten, Offset: m.st.Applied()})
+	}
+}
+
+// errNoCodec is returned until the checkpoint codec of core/state is merged.
+var errNoCodec = errors.New("checkpoint codec is not available")
+
+// encodeState and restoreState stand in for state.EncodeCheckpoint and state.Restore.
+func encodeState(*state.State) (parts [][]byte, digest string) { return nil, "" }
+
+func restoreState([][]byte, string) (*state.State, error) { return nil, errNoCodec }
--- a/core/ownership/fold.go
+++ b/core/ownership/fold.go
@@ -40,12 +40,13 @@
 	if err != nil {
 		return // the caller passes records in order; a gap never reaches this point
 	}
-	m.settleProposal(p.Record.ID)
+	key := m.settleProposal(p.Record.ID)
 	if out.Applied {
 		m.folded(p)
 	} else {
 		m.report(event.Event{Code: event.RecordIgnored, Offset: p.Offset, Detail: out.Reason})
 	}
+	m.batchFolded(key)
 	m.keeper.folded++
 	m.viewDirty.all = true
 	m.emit(RecordFolded{Positioned: p, Applied: out.Applied, Reason: out.Reason})
@@ -182,9 +183,12 @@
 		}
 		delete(m.owned[move.From], move.Range.First)
 		m.addOwned(move.To, move.Range.First)
-		m.dropSlice(move)
+		served := m.dropSlice(move)
 		if h := m.local[move.To]; h != nil {
-			m.adopt(h, slice)
+			s := m.adopt(h, slice)
+			if move.From == move.To {
+				s.activation = served // the window of ids is still here
+			}
 		}
 		m.report(event.Event{
 			Code: event.SliceMoved, Service: b.Service, Server: move.To, Slice: move.Range.String(),
--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -42,6 +42,7 @@
 			}
 		}
 	}
+	m.reassignReleased(h)
 	m.noteResponsiveness(h)
 	m.moveOff(h)
 	m.contact(h)
@@ -151,6 +152,9 @@
 	if !h.spec.ChecksGrants {
 		return
 	}
+	if in.Term == h.assigned.Term {
+		m.subTerms[h.name] = max(m.subTerms[h.name], in.SubTerm)
+	}
 	if in.Term > h.assigned.Term || (in.Term == h.assigned.Term && in.SubTerm > h.subTerm) {
 		m.stopHome(h)
 		m.report(event.Event{Code: event.GrantRefused, Server: h.name, Term: in.Term, SubTerm: in.SubTerm})
@@ -183,7 +187,7 @@
 
 // stopHome gives the rights under the present term up for good.
 func (m *Machine) stopHome(h *home) {
-	h.stopped = true
+	h.stopped, h.stoppedAt = true, m.now
 	h.until = 0
 	h.servingDirty = true
 	m.dirty[h.name] = struct{}{}
@@ -214,9 +218,9 @@
 	for _, held := range in.Released {
 		h.released[held] = true
 	}
-	for _, s := range h.slices {
-		if s.effective && m.releasedBefore(h, s.held) {
-			s.released, h.setDirty, h.servingDirty = true, true, true
+	if len(h.released) > 0 {
+		for _, s := range h.slices {
+			m.checkReleased(h, s)
 		}
 	}
 	if !h.open {
@@ -250,6 +254,7 @@
 		return // the server did not accept this term
 	}
 	if h.provisional {
+		h.setDirty = true
 		if in.PreviousTerm == h.assigned.Term && len(h.held) > 0 {
 			m.open(h)
 		}
@@ -260,6 +265,20 @@
 	}
 }
 
+// reassignReleased asks for a new generation of slices that the server released
+// under an earlier home.
+func (m *Machine) reassignReleased(h *home) {
+	if len(h.released) == 0 || !h.open || h.stopped || h.provisional || !m.logReachable {
+		return
+	}
+	h.reassign = nil
+	for _, first := range sortedKeys(h.slices) {
+		if s := h.slices[first]; s.released && h.moves[s.held] == nil && m.batchOf[s.held] == "" && m.releasedBefore(h, s.held) {
+			h.reassign = append(h.reassign, s.held)
+		}
+	}
+}
+
 // noteResponsiveness marks a server that has not responded for SuspicionTime.
 func (m *Machine) noteResponsiveness(h *home) {
 	if h.unresponsive || m.now-h.answeredAt <= SuspicionTime {
--- a/core/ownership/homes.go
+++ b/core/ownership/homes.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"parsleyrelay.example/core/event"
-	"parsleyrelay.example/core/keyspace"
 	"parsleyrelay.example/core/record"
 	"parsleyrelay.example/core/resource"
 	"parsleyrelay.example/core/state"
@@ -24,11 +23,17 @@
 	open bool
 	// stopped is set when the home gave its rights up for good under this term:
 	// it proposed a handover, or the server accepted a higher term.
-	stopped bool
+	stopped   bool
+	stoppedAt time.Duration
 
 	slices  map[uint64]*ownedSlice // by first hash
 	waiting int                    // slices that are not effective yet
 	moves   map[HeldSlice]*move
+	// reassign lists slices that the server released under an earlier home and
+	// that need a new generation.
+	reassign  []HeldSlice
+	moveAfter time.Duration // no planned moves before
+	handover  *handover
 
 	// Exchange with the server; see grants.go.
 	seq        uint64
@@ -39,7 +44,6 @@
 	tokenFrom  time.Duration // sending time of the exchange that brought token
 	held       map[HeldSlice]bool
 	released   map[HeldSlice]bool // reported by the server; not granted again
-	grantsEnd  time.Duration      // all grants sent so far have expired by then
 	holdUntil  time.Duration      // no grants before; set when the instance changes
 	setVersion uint64
 	setDirty   bool
@@ -76,21 +80,17 @@
 	}
 	if mine {
 		delete(m.homeless, server)
-		m.openHome(server, spec, assigned, 0, h)
+		m.openHome(server, spec, assigned, 0)
 	}
 }
 
-func (m *Machine) openHome(server string, spec *resource.Server, assigned state.Home, subTerm uint64, former *home) *home {
+func (m *Machine) openHome(server string, spec *resource.Server, assigned state.Home, subTerm uint64) {
 	scope, _ := m.st.ScopeOf(server)
 	h := &home{
 		name: server, spec: spec, scope: scope, assigned: assigned, subTerm: subTerm, provisional: subTerm > 0,
 		slices: map[uint64]*ownedSlice{}, moves: map[HeldSlice]*move{}, answeredAt: m.now, setDirty: true,
 		held: map[HeldSlice]bool{}, released: map[HeldSlice]bool{}, servingDirty: true,
 	}
-	if former != nil {
-		// Grants of the own earlier term may still run.
-		h.grantsEnd = former.grantsEnd
-	}
 	m.local[server] = h
 	m.dirty[server] = struct{}{}
 	m.reconcile(h)
@@ -99,7 +99,6 @@
 		code = event.ProvisionalHome
 	}
 	m.report(event.Event{Code: code, Service: spec.Service, Server: server, Term: assigned.Term, SubTerm: subTerm})
-	return h
 }
 
 func (m *Machine) closeHome(h *home) {
@@ -136,8 +135,9 @@
 	a := h.assigned
 	switch {
 	case a.PreviousTerm == 0: // no earlier home
-	case a.Handover && (!h.spec.ChecksGrants || a.PreviousHome == m.cfg.Incarnation):
-		// The former home stopped before it proposed the record.
+	case a.Handover && !h.spec.ChecksGrants:
+		// The former home stopped before it proposed the record. A checking
+		// server may still hold its grants; there the shortcut decides.
 	case m.waitDone(h.scope, a.Term):
 	default:
 		return
@@ -162,9 +162,11 @@
 		}
 		assigned := m.st.Home(name)
 		if m.liveHome(assigned) && !m.displaced(name) {
-			delete(m.homeless, name)
 			m.endProvisional(name)
-			continue
+			if h := m.local[name]; h == nil || !h.provisional || !m.logReachable {
+				delete(m.homeless, name)
+				continue
+			}
 		}
 		since, known := m.homeless[name]
 		if !known {
@@ -244,13 +246,14 @@
 }
 
 // adopt adds a slice that the state gives to a local server.
-func (m *Machine) adopt(h *home, slice *state.Slice) {
+func (m *Machine) adopt(h *home, slice *state.Slice) *ownedSlice {
 	held := HeldSlice{Range: slice.Range, Generation: slice.Generation}
 	s := &ownedSlice{held: held}
 	h.slices[slice.Range.First] = s
 	h.waiting++
 	m.dirty[h.name] = struct{}{}
 	m.checkEffective(h, s, slice)
+	return s
 }
 
 // checkEffective decides per slice whether the former owner has ended.
@@ -261,8 +264,15 @@
 	s.effective = true
 	h.waiting--
 	h.setDirty, h.servingDirty = true, true
-	if h.released[s.held] {
-		s.released = !m.rules.skip(RuleNoRegrant)
+	m.checkReleased(h, s)
+}
+
+// checkReleased withholds a slice that the server released under an earlier
+// home. The slice needs a new generation, since a record of that release may
+// still be under way.
+func (m *Machine) checkReleased(h *home, s *ownedSlice) {
+	if s.effective && !s.released && m.releasedBefore(h, s.held) {
+		s.released, h.setDirty, h.servingDirty = true, true, true
 	}
 }
 
@@ -270,7 +280,7 @@
 	switch {
 	case slice.Former == "", slice.Former == slice.Server, slice.Released:
 		return true
-	case h.held[held], h.released[held]:
+	case h.held[held], m.releasedBefore(h, held):
 		return true // this instance held it, so the wait had completed before
 	case m.waitDone(slice.FormerScope, slice.Generation):
 		return true
@@ -296,15 +306,19 @@
 	m.dirty[h.name] = struct{}{}
 }
 
-// dropSlice removes a moved slice from its former owner's home.
-func (m *Machine) dropSlice(b record.Move) {
+// dropSlice removes a moved slice from its former owner's home and returns how
+// it was served there.
+func (m *Machine) dropSlice(b record.Move) Activation {
 	h := m.local[b.From]
 	if h == nil {
-		return
+		return Activation{}
 	}
-	if s := h.slices[b.Range.First]; s != nil && s.held == (HeldSlice{Range: b.Range, Generation: b.Generation}) {
-		m.removeSlice(h, b.Range.First)
+	s := h.slices[b.Range.First]
+	if s == nil || s.held != (HeldSlice{Range: b.Range, Generation: b.Generation}) {
+		return Activation{}
 	}
+	m.removeSlice(h, b.Range.First)
+	return s.activation
 }
 
 // reshape replaces the slices of a range after a split or a merge by pieces
@@ -321,9 +335,11 @@
 	for _, piece := range pieces {
 		s := &ownedSlice{held: HeldSlice{Range: piece.Range, Generation: piece.Generation}, effective: true}
 		for _, old := range before {
-			if overlaps(old.held.Range, piece.Range) {
+			if old.held.Range.Overlaps(piece.Range) {
 				s.effective = s.effective && old.effective
 				s.released = s.released || old.released
+				s.served = s.served || old.served
+				s.version = max(s.version, old.version)
 				if old.activation.Since >= s.activation.Since {
 					s.activation = old.activation
 				}
@@ -339,5 +355,3 @@
 	}
 	h.setDirty, h.servingDirty = true, true
 }
-
-func overlaps(a, b keyspace.Range) bool { return a.Overlaps(b) }
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -95,8 +95,16 @@
 	leaving  map[string]bool // hosts that the host list shows as leaving
 	live     map[string]bool
 	zoneLost map[string]time.Duration // when the declaration was folded
-	forced   map[string]time.Duration // last forced move by server, by a daemon of another zone
 	keeper   checkpointKeeper
+	planning planning
+
+	batches     map[string]*batch
+	batchOf     map[HeldSlice]string // key of the batch that moves a slice
+	batchCount  uint64
+	subTerms    map[string]uint64 // highest sub-term seen by server
+	appendDelay time.Duration     // of the last own record, from proposal to fold
+	drained     bool
+	leftAt      time.Duration
 
 	view      *View
 	viewDirty viewChange
@@ -115,7 +123,8 @@
 		homeless: map[string]time.Duration{}, local: map[string]*home{},
 		dirty: map[string]struct{}{}, loads: map[string]loadInfo{},
 		leaving: map[string]bool{}, live: map[string]bool{},
-		zoneLost: map[string]time.Duration{}, forced: map[string]time.Duration{},
+		zoneLost: map[string]time.Duration{}, batches: map[string]*batch{},
+		batchOf: map[HeldSlice]string{}, subTerms: map[string]uint64{},
 	}
 	m.scope(m.zoneScope())
 	m.viewDirty.everything()
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -111,13 +111,17 @@
 // suspected reports whether a daemon has been silent for SuspicionTime. It is
 // only a reason to propose; no right rests on it.
 func (m *Machine) suspected(incarnation string) bool {
-	return incarnation != m.cfg.Incarnation && m.now-m.heard[incarnation] > SuspicionTime
+	member, ok := m.known[incarnation]
+	return ok && m.watched(member) && m.now-m.heard[incarnation] > SuspicionTime
 }
 
 // watched reports whether the polls of a member reach this daemon's witnesses.
 func (m *Machine) watched(member state.Member) bool {
+	if member.Incarnation == m.cfg.Incarnation {
+		return false
+	}
 	_, all := m.scopes[state.ScopeAll]
-	return member.Incarnation != m.cfg.Incarnation && (member.Zone == m.cfg.Zone || all)
+	return member.Zone == m.cfg.Zone || all || m.witnesses[member.Incarnation] != nil
 }
 
 // watchPeers reports suspicions and removes members that stay silent.
@@ -125,10 +129,14 @@
 	_, leased := m.leased(m.zoneScope())
 	for _, member := range m.st.Members() {
 		incarnation := member.Incarnation
+		since, known := m.suspects[incarnation]
 		if !m.watched(member) {
+			// A former witness from another zone; it may be chosen again later.
+			if known && m.now-since > 3*lostAfter {
+				delete(m.suspects, incarnation)
+			}
 			continue
 		}
-		since, known := m.suspects[incarnation]
 		switch suspected := m.suspected(incarnation); {
 		case suspected && !known:
 			m.suspects[incarnation] = m.now
--- a/core/ownership/proposals.go
+++ b/core/ownership/proposals.go
@@ -17,6 +17,7 @@
 
 type proposal struct {
 	record  record.Record
+	firstAt time.Duration
 	sentAt  time.Duration
 	askedAt time.Duration
 }
@@ -26,7 +27,7 @@
 func (m *Machine) propose(key string, body record.Body) {
 	p := m.proposals[key]
 	if p == nil {
-		p = &proposal{record: m.newRecord(body)}
+		p = &proposal{record: m.newRecord(body), firstAt: m.now}
 		m.proposals[key] = p
 		m.proposalKeys[p.record.ID] = key
 	} else if m.now-p.sentAt < appendRetry {
@@ -44,12 +45,15 @@
 // proposing reports whether a proposal is under way.
 func (m *Machine) proposing(key string) bool { return m.proposals[key] != nil }
 
-// settleProposal forgets a proposal whose record was folded.
-func (m *Machine) settleProposal(id string) {
-	if key, ok := m.proposalKeys[id]; ok {
+// settleProposal forgets a proposal whose record was folded and returns its key.
+func (m *Machine) settleProposal(id string) string {
+	key, ok := m.proposalKeys[id]
+	if ok {
+		m.appendDelay = m.now - m.proposals[key].firstAt
 		delete(m.proposals, key)
 		delete(m.proposalKeys, id)
 	}
+	return key
 }
 
 func (m *Machine) forgetProposals() {
