--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -9,6 +9,12 @@
 // retryInterval separates attempts to reach a server that did not respond.
 const retryInterval = 100 * time.Millisecond
 
+// firstContactTime replaces SuspicionTime for a server that has never responded
+// to this home: after the loss of a home and its server together, the two
+// suspicions add up and must leave time for the wait within the 4 s bound. It
+// lets one call time out.
+const firstContactTime = callTimeout + retryInterval
+
 // exchange is a SendGrant or Probe without a response so far.
 type exchange struct {
 	seq       uint64
@@ -281,7 +287,11 @@
 
 // noteResponsiveness marks a server that has not responded for SuspicionTime.
 func (m *Machine) noteResponsiveness(h *home) {
-	if h.unresponsive || m.now-h.answeredAt <= SuspicionTime {
+	patience := SuspicionTime
+	if h.answers == 0 {
+		patience = firstContactTime
+	}
+	if h.unresponsive || m.now-h.answeredAt <= patience {
 		return
 	}
 	if _, leased := m.leased(h.scope); !leased {
--- a/core/ownership/harness_test.go
+++ b/core/ownership/harness_test.go
@@ -81,6 +81,7 @@
 	now     time.Duration
 	log     []record.Positioned
 	logDown bool
+	trace   bool // log all events
 	nodes   map[string]*node
 	order   []string
 	servers map[string]*fakeServer
@@ -147,6 +148,9 @@
 	for len(queue) > 0 {
 		in, queue = queue[0], queue[1:]
 		for _, e := range n.m.Step(w.now, in) {
+			if ev, ok := e.(Emit); ok && w.trace {
+				w.t.Logf("%s %s %+v", w.now, name, ev.Event)
+			}
 			w.effects = append(w.effects, e)
 			if w.drop != nil && w.drop(name, e) {
 				continue
@@ -255,7 +259,7 @@
 	count := 0
 	for _, r := range keyspace.Divide(n) {
 		for _, node := range w.nodes {
-			if route, ok := node.m.View().Lookup("svc", r.First, w.now); ok && route.Serving && !node.paused {
+			if route, ok := node.m.View().Lookup("svc", r.First, w.now); ok && route.Serving && !node.paused && !w.servers[route.Server].down {
 				count++
 				break
 			}
--- a/core/ownership/homes.go
+++ b/core/ownership/homes.go
@@ -146,7 +146,7 @@
 }
 
 func (m *Machine) open(h *home) {
-	h.open = true
+	h.open, h.servingDirty = true, true
 	m.viewDirty.server(h.name)
 }
 
