Harden the fold against duplicates and malformed records

A property test (rapid) folds random records with stale fields and copies of earlier ones. What left is now remembered for 2^20 offsets, which also bounds changes and homes of deleted resources, kept for ever before; - a body of unknown type or nil counted as applied; - witness sets could name an incarnation twice, or one that is no member; - a first home_assigned could claim to be a handover; - a service with slices could change its witness scope; - a forced move ignored requireReleaseConfirmation; - an entry of slices_moved could follow another of the same record; - two routes could have the same prefix, and routes could name missing ranks; - the reason of a refused delete depended on map order. WitnessSet.Since is new. A copy of slice_split can still apply after a merge restored its slice; owner and generation stay the same, which the test checks.

--- a/core/record/record.go
+++ b/core/record/record.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"parsleyrelay.example/core/keyspace"
@@ -231,8 +232,11 @@
 	return fmt.Sprintf("log record has unknown kind %q", e.Kind)
 }
 
-// Marshal encodes a record as JSON.
+// Marshal encodes a record as JSON. A record without a body is an error.
 func Marshal(r Record) ([]byte, error) {
+	if r.Body == nil {
+		return nil, errors.New("log record has no body")
+	}
 	body, err := json.Marshal(r.Body)
 	if err != nil {
 		return nil, err
@@ -241,7 +245,8 @@
 }
 
 // Unmarshal decodes a record. It returns an UnknownKindError for a kind that
-// this version does not know.
+// this version does not know. After any other error a daemon must stop folding
+// too: a body that this version cannot decode may be valid in a later one.
 func Unmarshal(data []byte) (Record, error) {
 	var e envelope
 	if err := json.Unmarshal(data, &e); err != nil {
--- a/core/state/checkpoint.go
+++ b/core/state/checkpoint.go
@@ -36,6 +36,7 @@
 	Resources []resource.Resource   `json:"resources"`
 	Changes   []checkpointChange    `json:"changes"`
 	Members   []Member              `json:"members"`
+	Departed  []departure           `json:"departed"`
 	Witnesses map[string]WitnessSet `json:"witnesses"`
 	Homes     map[string]Home       `json:"homes"`
 	Servers   []string              `json:"servers"` // referred to by the rows
@@ -45,7 +46,7 @@
 
 type checkpointChange struct {
 	Key resource.Key `json:"key"`
-	ID  string       `json:"id"`
+	IDs changeIDs    `json:"ids"`
 }
 
 // checkpointOrigin is the part of Slice that describes the former owner.
@@ -86,12 +87,13 @@
 		Members:   s.Members(),
 		Witnesses: s.witnesses,
 		Homes:     s.homes,
+		Departed:  append([]departure(nil), s.departed.queue...), // nil when empty
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(s.resources), compareKeys) {
 		header.Resources = append(header.Resources, s.resources[key])
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(s.changes), compareKeys) {
-		header.Changes = append(header.Changes, checkpointChange{Key: key, ID: s.changes[key]})
+		header.Changes = append(header.Changes, checkpointChange{Key: key, IDs: s.changes[key]})
 	}
 	var rows []byte
 	refs := newCheckpointRefs(&header)
@@ -195,11 +197,14 @@
 		s.resources[r.Key()] = r
 	}
 	for _, c := range h.Changes {
-		s.changes[c.Key] = c.ID
+		s.changes[c.Key] = c.IDs
 	}
 	for _, m := range h.Members {
 		s.members[m.Incarnation] = m
 	}
+	for _, x := range h.Departed {
+		s.departed.add(x)
+	}
 	maps.Copy(s.witnesses, h.Witnesses)
 	maps.Copy(s.homes, h.Homes)
 	reader := rowReader{header: h, rows: rows}
--- a/core/state/checkpoint_test.go
+++ b/core/state/checkpoint_test.go
@@ -12,8 +12,7 @@
 )
 
 // fold applies bodies at the next offsets and requires that each has an effect.
-func fold(t testing.TB, s *State, bodies ...record.Body) {
-	t.Helper()
+func fold(t require.TestingT, s *State, bodies ...record.Body) {
 	for _, b := range bodies {
 		out, err := s.Apply(record.Positioned{Offset: s.Applied() + 1, Record: record.Record{Body: b}})
 		require.NoError(t, err)
@@ -22,7 +21,7 @@
 }
 
 // newService returns a state with a service of n slices over the given servers.
-func newService(t testing.TB, n, servers int) *State {
+func newService(t require.TestingT, n, servers int) *State {
 	s := New()
 	fold(t, s,
 		record.ResourcePut{Resource: resource.Resource{Name: "urgent", Spec: &resource.Rank{}}, ChangeID: "c"},
--- a/core/state/fold_members.go
+++ b/core/state/fold_members.go
@@ -2,54 +2,88 @@
 
 import (
 	"slices"
+	"strings"
 
 	"parsleyrelay.example/core/record"
 )
 
 func (s *State) joinHost(offset uint64, b record.HostJoined) Outcome {
+	if b.Incarnation == "" {
+		return refused("host %s has no incarnation", b.Host)
+	}
 	if _, ok := s.members[b.Incarnation]; ok {
 		return refused("incarnation %s is a member already", b.Incarnation)
 	}
+	if s.departed.members[b.Incarnation] {
+		return refused("incarnation %s has left", b.Incarnation)
+	}
 	s.members[b.Incarnation] = Member{
 		Host: b.Host, Incarnation: b.Incarnation, Zone: b.Zone, PeerURL: b.PeerURL, JoinedAt: offset,
 	}
 	return Outcome{Applied: true}
 }
 
-func (s *State) removeHost(b record.HostLeft) Outcome {
+func (s *State) removeHost(offset uint64, b record.HostLeft) Outcome {
 	if _, ok := s.members[b.Incarnation]; !ok {
 		return refused("incarnation %s is not a member", b.Incarnation)
 	}
 	delete(s.members, b.Incarnation)
+	s.departed.add(departure{Offset: offset, Incarnation: b.Incarnation})
 	return Outcome{Applied: true}
 }
 
 func (s *State) proposeWitnesses(offset uint64, b record.WitnessProposed) Outcome {
 	set := s.witnesses[b.Scope]
-	if b.Epoch != set.Epoch+1 || len(set.Pending) > 0 || len(b.Members) == 0 {
+	if b.Epoch != set.Epoch+1 || len(set.Pending) > 0 {
 		return refused("witness epoch %d of %s cannot follow epoch %d", b.Epoch, b.Scope, set.Epoch)
 	}
+	if out, ok := s.checkWitnesses(b.Scope, b.Members); !ok {
+		return out
+	}
 	set.Pending = slices.Clone(b.Members)
 	set.PendingAt = offset
 	s.witnesses[b.Scope] = set
 	return Outcome{Applied: true}
 }
 
-func (s *State) activateWitnesses(b record.WitnessActivated) Outcome {
+// checkWitnesses refuses sets of which no majority could respond: an incarnation
+// that is named twice counts once, and one that is no member never responds.
+func (s *State) checkWitnesses(scope string, members []string) (Outcome, bool) {
+	if scope != ScopeAll && (!strings.HasPrefix(scope, ZoneScope("")) || scope == ZoneScope("")) {
+		return refused("%q is not a witness scope", scope), false
+	}
+	if len(members) == 0 {
+		return refused("witness set of %s is empty", scope), false
+	}
+	for i, id := range members {
+		if _, ok := s.members[id]; !ok {
+			return refused("witness %s of %s is not a member", id, scope), false
+		}
+		if slices.Contains(members[:i], id) {
+			return refused("witness %s of %s is named twice", id, scope), false
+		}
+	}
+	return Outcome{}, true
+}
+
+func (s *State) activateWitnesses(offset uint64, b record.WitnessActivated) Outcome {
 	set := s.witnesses[b.Scope]
 	if b.Epoch != set.Epoch+1 || len(set.Pending) == 0 {
 		return refused("witness epoch %d of %s is not pending", b.Epoch, b.Scope)
 	}
-	s.witnesses[b.Scope] = WitnessSet{Epoch: b.Epoch, Current: set.Pending}
+	s.witnesses[b.Scope] = WitnessSet{Epoch: b.Epoch, Since: offset, Current: set.Pending}
 	return Outcome{Applied: true}
 }
 
-func (s *State) resetWitnesses(b record.WitnessReset) Outcome {
+func (s *State) resetWitnesses(offset uint64, b record.WitnessReset) Outcome {
 	set := s.witnesses[b.Scope]
-	if b.Epoch != set.Epoch+1 || len(b.Members) == 0 {
+	if b.Epoch != set.Epoch+1 {
 		return refused("witness epoch %d of %s cannot follow epoch %d", b.Epoch, b.Scope, set.Epoch)
 	}
-	s.witnesses[b.Scope] = WitnessSet{Epoch: b.Epoch, Current: slices.Clone(b.Members)}
+	if out, ok := s.checkWitnesses(b.Scope, b.Members); !ok {
+		return out
+	}
+	s.witnesses[b.Scope] = WitnessSet{Epoch: b.Epoch, Since: offset, Current: slices.Clone(b.Members)}
 	return Outcome{Applied: true}
 }
 
@@ -58,7 +92,7 @@
 	if current.Term != b.PreviousTerm {
 		return refused("home of %s has term %d, the record expects %d", b.Server, current.Term, b.PreviousTerm)
 	}
-	if b.Handover && p.Record.Proposer != current.Incarnation {
+	if b.Handover && (current.Term == 0 || p.Record.Proposer != current.Incarnation) {
 		return refused("handover of %s was not proposed by its home", b.Server)
 	}
 	home, ok := s.members[b.Home]
--- a/core/state/fold_resources.go
+++ b/core/state/fold_resources.go
@@ -1,13 +1,19 @@
 package state
 
 import (
+	"slices"
+
 	"parsleyrelay.example/core/record"
 	"parsleyrelay.example/core/resource"
 )
 
-func (s *State) putResource(offset uint64, b record.ResourcePut) Outcome {
+func (s *State) putResource(p record.Positioned, b record.ResourcePut) Outcome {
+	if b.Resource.Spec == nil {
+		return refused("resource %q has no spec", b.Resource.Name)
+	}
 	key := b.Resource.Key()
-	if out, ok := s.checkVersion(key, b.ExpectedVersion, b.ChangeID); !ok {
+	id := changeID(p.Record, b.ChangeID)
+	if out, ok := s.checkVersion(key, b.ExpectedVersion, id); !ok {
 		return out
 	}
 	if findings := b.Resource.Validate(); len(findings) > 0 {
@@ -17,21 +23,36 @@
 		return out
 	}
 	r := b.Resource
-	r.Version = offset
+	r.Version = p.Offset
+	ids := changeIDs{Last: id, Created: s.changes[key].Created}
+	if b.ExpectedVersion == 0 {
+		ids.Created = id
+	}
 	s.resources[key] = r
-	s.changes[key] = b.ChangeID
+	s.changes[key] = ids
 	return Outcome{Applied: true, Current: &r}
 }
 
+// changeID returns the id by which copies of a change are recognised.
+func changeID(r record.Record, id string) string {
+	if id == "" {
+		return r.ID
+	}
+	return id
+}
+
 // checkVersion refuses a change that was made against another version. A repeat
 // of the change that won counts as applied, so that a lost answer followed by
-// the same change is one change.
+// the same change is one change. This holds for a resource that was deleted, too.
 func (s *State) checkVersion(key resource.Key, expected uint64, changeID string) (Outcome, bool) {
 	current, exists := s.resources[key]
+	if !exists && s.departed.changes[changeID] {
+		return Outcome{Applied: true}, false
+	}
 	if current.Version == expected {
 		return Outcome{}, true
 	}
-	if changeID != "" && s.changes[key] == changeID {
+	if changeID != "" && s.changes[key].Last == changeID {
 		out := Outcome{Applied: true}
 		if exists {
 			out.Current = &current
@@ -49,6 +70,11 @@
 	place := r.Key().String()
 	switch spec := r.Spec.(type) {
 	case *resource.Service:
+		if old, ok := s.Service(r.Name); ok && s.tables[r.Name].Len() > 0 && old.EffectiveScope() != spec.EffectiveScope() {
+			// The witnesses of the old scope have not confirmed anything for the
+			// new one, so a daemon that lags could go on under the old scope.
+			return refused("%s: spec.scope cannot change while the service has slices", place), false
+		}
 		for _, rank := range spec.Ranks {
 			if _, ok := s.Rank(rank); !ok {
 				return refused("%s: spec.ranks: Rank/%s does not exist", place, rank), false
@@ -62,28 +88,45 @@
 			return refused("%s: spec.service and spec.zone cannot change", place), false
 		}
 	case *resource.Route:
-		if _, ok := s.Service(spec.Service); !ok {
-			return refused("%s: spec.service: Service/%s does not exist", place, spec.Service), false
+		return s.checkRoute(r.Name, spec)
+	}
+	return Outcome{}, true
+}
+
+// checkRoute also refuses a prefix that another route has: which of the two a
+// request takes would depend on the order in which a daemon looks at them.
+func (s *State) checkRoute(name string, spec *resource.Route) (Outcome, bool) {
+	if _, ok := s.Service(spec.Service); !ok {
+		return refused("Route/%s: spec.service: Service/%s does not exist", name, spec.Service), false
+	}
+	if _, ok := s.Rank(spec.Rank); spec.Rank != "" && !ok {
+		return refused("Route/%s: spec.rank: Rank/%s does not exist", name, spec.Rank), false
+	}
+	for _, other := range s.Resources(resource.KindRoute) {
+		if route, ok := other.Spec.(*resource.Route); ok && other.Name != name && route.PathPrefix == spec.PathPrefix {
+			return refused("Route/%s: spec.pathPrefix: Route/%s has %q already", name, other.Name, spec.PathPrefix), false
 		}
 	}
 	return Outcome{}, true
 }
 
-func (s *State) deleteResource(b record.ResourceDelete) Outcome {
+func (s *State) deleteResource(p record.Positioned, b record.ResourceDelete) Outcome {
+	id := changeID(p.Record, b.ChangeID)
 	if _, exists := s.resources[b.Key]; !exists {
-		if s.changes[b.Key] == b.ChangeID && b.ChangeID != "" {
+		if s.changes[b.Key].Last == id && id != "" {
 			return Outcome{Applied: true}
 		}
 		return refused("%s does not exist", b.Key)
 	}
-	if out, ok := s.checkVersion(b.Key, b.ExpectedVersion, b.ChangeID); !ok {
+	if out, ok := s.checkVersion(b.Key, b.ExpectedVersion, id); !ok {
 		return out
 	}
 	if out, ok := s.checkUnused(b.Key); !ok {
 		return out
 	}
 	delete(s.resources, b.Key)
-	s.changes[b.Key] = b.ChangeID
+	s.departed.add(departure{Offset: p.Offset, Key: b.Key, Created: s.changes[b.Key].Created})
+	s.changes[b.Key] = changeIDs{Last: id}
 	if b.Key.Kind == resource.KindService {
 		delete(s.tables, b.Key.Name)
 	}
@@ -94,11 +137,15 @@
 	if key.Kind == resource.KindServer && s.owned[key.Name] > 0 {
 		return refused("%s owns %d slices; set spec.drain: true first", key, s.owned[key.Name]), false
 	}
+	var users []resource.Key
 	for other, r := range s.resources {
 		if refersTo(r.Spec, key) {
-			return refused("%s is used by %s", key, other), false
+			users = append(users, other)
 		}
 	}
+	if len(users) > 0 {
+		return refused("%s is used by %s", key, slices.MinFunc(users, compareKeys)), false
+	}
 	return Outcome{}, true
 }
 
@@ -108,15 +155,11 @@
 		if key.Kind != resource.KindRank {
 			return false
 		}
-		for _, rank := range spec.Ranks {
-			if rank == key.Name {
-				return true
-			}
-		}
+		return slices.Contains(spec.Ranks, key.Name)
 	case *resource.Server:
 		return key.Kind == resource.KindService && key.Name == spec.Service
 	case *resource.Route:
-		return key.Kind == resource.KindService && key.Name == spec.Service
+		return key.Kind == resource.KindService && key.Name == spec.Service || key.Kind == resource.KindRank && key.Name == spec.Rank
 	}
 	return false
 }
--- a/core/state/fold_slices.go
+++ b/core/state/fold_slices.go
@@ -18,7 +18,7 @@
 	list := make([]Slice, len(b.Slices))
 	next := uint64(0)
 	for i, p := range b.Slices {
-		if p.Range.First != next || !p.Range.Valid() {
+		if p.Range.First != next || !p.Range.Valid() || i > 0 && next == 0 {
 			return refused("slice %s leaves a gap or overlaps", p.Range)
 		}
 		if !s.serves(p.Server, b.Service) {
@@ -60,7 +60,10 @@
 func (s *State) moveSlice(offset uint64, b record.SlicesMoved, m record.Move) bool {
 	table := s.tables[b.Service]
 	current := exactSlice(table, m.Range, m.Generation)
-	if current == nil || current.Server != m.From || s.homes[m.From].Term != m.FromTerm {
+	if current == nil || current.Server != m.From || s.homes[m.From].Term != m.FromTerm || current.Generation >= offset {
+		return false
+	}
+	if from, ok := s.Server(m.From); ok && from.RequireReleaseConfirmation && !from.Gone && !b.Released && m.From != m.To {
 		return false
 	}
 	if !s.serves(m.To, b.Service) {
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -32,6 +32,7 @@
 // majorities are needed for evidence and for confirmation.
 type WitnessSet struct {
 	Epoch     uint64   // of Current
+	Since     uint64   // offset of the record that made Current the only set
 	Current   []string // incarnations
 	Pending   []string
 	PendingAt uint64 // offset of the proposal
@@ -60,24 +61,33 @@
 type State struct {
 	applied   uint64
 	resources map[resource.Key]resource.Resource
-	changes   map[resource.Key]string // change id of the last accepted put or delete
+	changes   map[resource.Key]changeIDs
 	members   map[string]Member
 	witnesses map[string]WitnessSet
 	homes     map[string]Home
 	tables    map[string]*Table
 	owned     map[string]int // slices per server
+	departed  *departures
+}
+
+// changeIDs are the ids of changes of a resource. A change without an id counts
+// under the id of its record.
+type changeIDs struct {
+	Last    string `json:"last"` // last accepted put or delete
+	Created string `json:"created"`
 }
 
 // New returns the state before the first record.
 func New() *State {
 	return &State{
 		resources: map[resource.Key]resource.Resource{},
-		changes:   map[resource.Key]string{},
+		changes:   map[resource.Key]changeIDs{},
 		members:   map[string]Member{},
 		witnesses: map[string]WitnessSet{},
 		homes:     map[string]Home{},
 		tables:    map[string]*Table{},
 		owned:     map[string]int{},
+		departed:  newDepartures(),
 	}
 }
 
@@ -182,25 +192,26 @@
 		return Outcome{}, fmt.Errorf("record at offset %d does not follow applied offset %d", p.Offset, s.applied)
 	}
 	s.applied = p.Offset
+	s.departed.expire(p.Offset, s.forget)
 	return s.apply(p), nil
 }
 
 func (s *State) apply(p record.Positioned) Outcome {
 	switch b := p.Record.Body.(type) {
 	case record.ResourcePut:
-		return s.putResource(p.Offset, b)
+		return s.putResource(p, b)
 	case record.ResourceDelete:
-		return s.deleteResource(b)
+		return s.deleteResource(p, b)
 	case record.HostJoined:
 		return s.joinHost(p.Offset, b)
 	case record.HostLeft:
-		return s.removeHost(b)
+		return s.removeHost(p.Offset, b)
 	case record.WitnessProposed:
 		return s.proposeWitnesses(p.Offset, b)
 	case record.WitnessActivated:
-		return s.activateWitnesses(b)
+		return s.activateWitnesses(p.Offset, b)
 	case record.WitnessReset:
-		return s.resetWitnesses(b)
+		return s.resetWitnesses(p.Offset, b)
 	case record.HomeAssigned:
 		return s.assignHome(p, b)
 	case record.SlicesPlaced:
@@ -211,8 +222,10 @@
 		return s.splitSlice(b)
 	case record.SliceMerged:
 		return s.mergeSlices(b)
+	case record.CheckpointPart:
+		return Outcome{Applied: true} // does not change the state
 	}
-	return Outcome{Applied: true} // checkpoint parts do not change the state
+	return refused("record has no body of a known type")
 }
 
 func refused(format string, args ...any) Outcome {
