Add benchmarks of the state

The bounds are 1 µs without allocation for Lookup and 500,000 records/s for the fold at 1.4 million slices.

--- /dev/null
+++ b/core/state/bench_test.go
@@ -0,0 +1,126 @@
+package state
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+
+	"parsleyrelay.example/core/record"
+)
+
+// Sizes of the benchmarks. 1.4 million slices are the target.
+var benchSizes = []int{14_000, 140_000, 1_400_000}
+
+const benchServers = 25
+
+func BenchmarkLookup(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := newService(b, n, benchServers).Table("svc")
+			rng := rand.New(rand.NewPCG(1, 2))
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				if table.Lookup(rng.Uint64()) == nil {
+					b.Fatal("no slice")
+				}
+			}
+		})
+	}
+}
+
+// movesOf returns records that move one slice each, a different one each time.
+func movesOf(s *State, n int) []record.Positioned {
+	rng := rand.New(rand.NewPCG(3, 4))
+	generations := map[uint64]record.Move{}
+	list := make([]record.Positioned, n)
+	for i := range list {
+		slice := s.Table("svc").Lookup(rng.Uint64())
+		m, ok := generations[slice.Range.First]
+		if !ok {
+			m = record.Move{Range: slice.Range, Generation: slice.Generation, To: slice.Server}
+		}
+		offset := s.Applied() + 1 + uint64(i)
+		m.From, m.To = m.To, serverName(rng.IntN(benchServers))
+		list[i] = record.Positioned{Offset: offset, Record: record.Record{Body: record.SlicesMoved{Service: "svc", Moves: []record.Move{m}}}}
+		m.Generation = offset
+		generations[slice.Range.First] = m
+	}
+	return list
+}
+
+// BenchmarkFold folds moves of one slice each. Each batch ends with a snapshot
+// of the table, as the daemon takes one per read of the log.
+func BenchmarkFold(b *testing.B) {
+	for _, n := range benchSizes {
+		for _, batch := range []int{1, 256} {
+			b.Run(fmt.Sprintf("%d/batch%d", n, batch), func(b *testing.B) {
+				s := newService(b, n, benchServers)
+				moves := movesOf(s, b.N)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i, p := range moves {
+					if out, err := s.Apply(p); err != nil || !out.Applied {
+						b.Fatal(out.Reason, err)
+					}
+					if i%batch == 0 {
+						s.Table("svc").Lookup(0)
+					}
+				}
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "records/s")
+			})
+		}
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkMemory reports the heap that a state holds per slice.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				s := newService(b, n, benchServers)
+				b.ReportMetric((heapBytes()-before)/float64(n), "B/slice")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+func BenchmarkCheckpoint(b *testing.B) {
+	for _, n := range benchSizes {
+		s := newService(b, n, benchServers)
+		for _, p := range movesOf(s, n/2) {
+			_, _ = s.Apply(p)
+		}
+		parts, digest := EncodeCheckpoint(s)
+		b.Run(fmt.Sprintf("encode/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				parts, digest = EncodeCheckpoint(s)
+			}
+			size := 0
+			for _, p := range parts {
+				size += len(p)
+			}
+			b.ReportMetric(float64(size)/float64(n), "B/slice")
+			b.ReportMetric(b.Elapsed().Seconds()*1e9/float64(b.N)/float64(n), "ns/slice")
+		})
+		b.Run(fmt.Sprintf("restore/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := Restore(parts, digest); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(b.Elapsed().Seconds()*1e9/float64(b.N)/float64(n), "ns/slice")
+		})
+	}
+}
