--- a/core/state/fold_slices.go
+++ b/core/state/fold_slices.go
@@ -74,10 +74,10 @@
 	if from, ok := s.Server(m.From); ok {
 		zone = from.Zone
 	}
-	s.tables[b.Service] = table.with(m.Range.First, 1, []Slice{{
+	s.tables[b.Service] = table.set(s.editing(), Slice{
 		Range: m.Range, Server: m.To, Generation: offset,
 		Former: m.From, FormerScope: scope, FormerZone: zone, Released: b.Released,
-	}})
+	})
 	s.owned[m.From]--
 	s.owned[m.To]++
 	return true
@@ -111,7 +111,7 @@
 	last := *current
 	last.Range = keyspace.Range{First: first, Last: b.Range.Last}
 	pieces = append(pieces, last)
-	s.tables[b.Service] = table.with(b.Range.First, 1, pieces)
+	s.tables[b.Service] = table.replace(s.editing(), b.Range.First, 1, pieces)
 	s.owned[current.Server] += len(pieces) - 1
 	return Outcome{Applied: true}
 }
@@ -139,7 +139,7 @@
 	if merged.Range != b.Range || count < 2 {
 		return refused("%s is not a run of two or more whole slices", b.Range)
 	}
-	s.tables[b.Service] = table.with(b.Range.First, count, []Slice{merged})
+	s.tables[b.Service] = table.replace(s.editing(), b.Range.First, count, []Slice{merged})
 	s.owned[first.Server] -= count - 1
 	return Outcome{Applied: true}
 }
--- a/core/state/fold_test.go
+++ b/core/state/fold_test.go
@@ -105,7 +105,7 @@
 
 func (h *history) placements() []record.Placement {
 	var list []record.Placement
-	for _, r := range keyspace.Divide(1 + h.pick("count", 2*chunkSize)) {
+	for _, r := range keyspace.Divide(1 + h.pick("count", 2*maxLeaf)) {
 		list = append(list, record.Placement{Range: r, Server: h.server()})
 	}
 	if h.pick("overlap", 4) == 0 {
@@ -129,12 +129,12 @@
 	x := h.slice()
 	if h.pick("split", 2) == 0 {
 		var cuts []uint64
-		for range h.pick("cuts", 3*chunkSize) {
-			cuts = append(cuts, x.Range.First+uint64(len(cuts)+1)*((x.Range.Last-x.Range.First)/uint64(4*chunkSize)))
+		for range h.pick("cuts", 3*maxLeaf) {
+			cuts = append(cuts, x.Range.First+uint64(len(cuts)+1)*((x.Range.Last-x.Range.First)/uint64(4*maxLeaf)))
 		}
 		return record.SliceSplit{Service: "svc", Range: x.Range, Generation: h.expected(x.Generation), Cuts: cuts}
 	}
-	merged, left := x, 1+h.pick("merged", 3*chunkSize)
+	merged, left := x, 1+h.pick("merged", 3*maxLeaf)
 	for slice := range h.s.Table("svc").All {
 		if slice.Range.First > x.Range.First && slice.Server == x.Server && slice.Generation == x.Generation && left > 0 {
 			merged.Range.Last = slice.Range.Last
@@ -223,7 +223,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		h := &history{t: t, s: New()}
 		if rapid.Bool().Draw(t, "placed") {
-			h.start = 1 + h.pick("slices", 3*chunkSize)
+			h.start = 1 + h.pick("slices", 3*maxLeaf)
 			h.s = newService(t, h.start, 4)
 		}
 		var snapshot *Table
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -57,7 +57,7 @@
 }
 
 // State is the result of folding a prefix of the log. It is not safe for
-// concurrent use; Service tables may be shared, since they are immutable.
+// concurrent use; the tables that it returns may be shared, since they do not change.
 type State struct {
 	applied   uint64
 	resources map[resource.Key]resource.Resource
@@ -68,6 +68,7 @@
 	tables    map[string]*Table
 	owned     map[string]int // slices per server
 	departed  *departures
+	edit      *edit
 }
 
 // changeIDs are the ids of changes of a resource. A change without an id counts
@@ -179,8 +180,21 @@
 // Home returns the home of a server; its term is 0 if it never had one.
 func (s *State) Home(server string) Home { return s.homes[server] }
 
-// Table returns the slices of a service, nil before the first placement.
-func (s *State) Table(service string) *Table { return s.tables[service] }
+// Table returns the slices of a service, nil before the first placement. The
+// table does not change when more records are folded.
+func (s *State) Table(service string) *Table {
+	s.edit = nil
+	return s.tables[service]
+}
+
+// editing returns the mark of the tables' parts that may change in place, because
+// they were made after the last call of Table.
+func (s *State) editing() *edit {
+	if s.edit == nil {
+		s.edit = &edit{}
+	}
+	return s.edit
+}
 
 // Owned returns how many slices a server owns.
 func (s *State) Owned(server string) int { return s.owned[server] }
--- a/core/state/table.go
+++ b/core/state/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 
 	"parsleyrelay.example/core/keyspace"
 )
@@ -21,28 +20,82 @@
 	Released    bool // the former owner confirmed the release before the record
 }
 
-// chunkSize bounds the slices that a change of one slice copies. 256 keeps both
-// the copied chunk and the index of 1.4 million slices small.
-const chunkSize = 256
+// Sizes of the tree. A change after a snapshot copies one leaf, one node and the
+// root; at 1.4 million slices these are about 2, 1 and 2.5 kB. New leaves and
+// nodes are filled to three quarters, so that a split does not overflow at once.
+const (
+	maxLeaf  = 64
+	fillLeaf = maxLeaf * 3 / 4
+	maxNode  = 128
+	fillNode = maxNode * 3 / 4
+)
+
+// edit marks the parts of a table that the fold has made since the last snapshot
+// and may therefore change in place. It must not be of size zero, since pointers
+// to such values may be equal.
+type edit struct{ _ byte }
 
-// Table holds the slices of one service in hash order, without gaps. It is
-// immutable; changes return a new table that shares the unchanged chunks.
+// Table holds the slices of one service in hash order, without gaps, as a tree
+// of three levels. A table that State.Table returned does not change: the fold
+// copies what it changes and shares the rest.
 type Table struct {
-	firsts []uint64 // first hash of each chunk
-	chunks [][]Slice
+	owner  *edit
+	firsts []uint64 // first hash of each node
+	nodes  []*node
 	count  int
 }
 
+type node struct {
+	owner  *edit
+	firsts []uint64 // first hash of each leaf
+	leaves []*leaf
+}
+
+type leaf struct {
+	owner  *edit
+	slices []Slice
+}
+
 // NewTable builds a table from slices in hash order.
 func NewTable(sorted []Slice) *Table {
-	t := &Table{count: len(sorted)}
-	for chunk := range slices.Chunk(sorted, chunkSize) {
-		t.firsts = append(t.firsts, chunk[0].Range.First)
-		t.chunks = append(t.chunks, slices.Clone(chunk))
+	return newTable(nil, newNodes(nil, newLeaves(nil, sorted)), len(sorted))
+}
+
+func newTable(owner *edit, nodes []*node, count int) *Table {
+	t := &Table{owner: owner, nodes: nodes, count: count, firsts: make([]uint64, len(nodes))}
+	for i, n := range nodes {
+		t.firsts[i] = n.firsts[0]
 	}
 	return t
 }
 
+func newLeaves(owner *edit, list []Slice) []*leaf {
+	if len(list) <= maxLeaf && len(list) > fillLeaf {
+		return []*leaf{{owner: owner, slices: slices.Clone(list)}}
+	}
+	leaves := make([]*leaf, 0, len(list)/fillLeaf+1)
+	for chunk := range slices.Chunk(list, fillLeaf) {
+		leaves = append(leaves, &leaf{owner: owner, slices: slices.Clone(chunk)})
+	}
+	return leaves
+}
+
+func newNodes(owner *edit, leaves []*leaf) []*node {
+	size := fillNode
+	if len(leaves) <= maxNode {
+		size = maxNode
+	}
+	nodes := make([]*node, 0, len(leaves)/size+1)
+	for chunk := range slices.Chunk(leaves, size) {
+		n := &node{owner: owner, leaves: slices.Clone(chunk), firsts: make([]uint64, len(chunk))}
+		for i, l := range n.leaves {
+			n.firsts[i] = l.slices[0].Range.First
+		}
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
 // Len returns the number of slices.
 func (t *Table) Len() int {
 	if t == nil {
@@ -57,15 +110,36 @@
 	if t == nil || t.count == 0 {
 		return nil
 	}
-	c, i := t.position(hash)
-	return &t.chunks[c][i]
+	n := t.nodes[floor(t.firsts, hash)]
+	l := n.leaves[floor(n.firsts, hash)]
+	return &l.slices[l.floor(hash)]
 }
 
-func (t *Table) position(hash uint64) (chunk, index int) {
-	c := sort.Search(len(t.firsts), func(i int) bool { return t.firsts[i] > hash }) - 1
-	slicesOfChunk := t.chunks[c]
-	i := sort.Search(len(slicesOfChunk), func(i int) bool { return slicesOfChunk[i].Range.First > hash }) - 1
-	return c, i
+// floor returns the index of the last element of sorted that is at most hash; the
+// first element always is.
+func floor(sorted []uint64, hash uint64) int {
+	low, high := 0, len(sorted)
+	for high-low > 1 {
+		if middle := int(uint(low+high) >> 1); sorted[middle] <= hash {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// floor is the function floor over the first hashes of the slices.
+func (l *leaf) floor(hash uint64) int {
+	low, high := 0, len(l.slices)
+	for high-low > 1 {
+		if middle := int(uint(low+high) >> 1); l.slices[middle].Range.First <= hash {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
 }
 
 // All calls yield for each slice in hash order until it returns false.
@@ -73,48 +147,62 @@
 	if t == nil {
 		return
 	}
-	for _, chunk := range t.chunks {
-		for i := range chunk {
-			if !yield(&chunk[i]) {
-				return
+	for _, n := range t.nodes {
+		for _, l := range n.leaves {
+			for i := range l.slices {
+				if !yield(&l.slices[i]) {
+					return
+				}
 			}
 		}
 	}
 }
 
-// with returns a table in which the count slices from the one that starts at
-// first are replaced. The replacement must cover exactly the same hashes.
-func (t *Table) with(first uint64, count int, replacement []Slice) *Table {
-	c, i := t.position(first)
-	next := &Table{count: t.count - count + len(replacement)}
-	merged := slices.Clone(t.chunks[c][:i])
-	merged = append(merged, replacement...)
-	rest := i + count
-	end := c
-	for rest > len(t.chunks[end]) {
-		rest -= len(t.chunks[end])
-		end++
-	}
-	merged = append(merged, t.chunks[end][rest:]...)
-	if end == c && len(merged) <= 2*chunkSize && len(merged) > 0 {
-		next.firsts = t.firsts
-		next.chunks = slices.Clone(t.chunks)
-		next.chunks[c] = merged
-		return next
-	}
-	pieces := splitChunk(merged)
-	next.chunks = slices.Concat(t.chunks[:c], pieces, t.chunks[end+1:])
-	next.firsts = make([]uint64, len(next.chunks))
-	for k, chunk := range next.chunks {
-		next.firsts[k] = chunk[0].Range.First
-	}
-	return next
+// set returns a table in which x replaces the slice of the same range. Parts that
+// owner has made are changed in place.
+func (t *Table) set(owner *edit, x Slice) *Table {
+	if t.owner != owner {
+		t = &Table{owner: owner, firsts: t.firsts, nodes: slices.Clone(t.nodes), count: t.count}
+	}
+	a := floor(t.firsts, x.Range.First)
+	n := t.nodes[a]
+	if n.owner != owner {
+		n = &node{owner: owner, firsts: n.firsts, leaves: slices.Clone(n.leaves)}
+		t.nodes[a] = n
+	}
+	b := floor(n.firsts, x.Range.First)
+	l := n.leaves[b]
+	if l.owner != owner {
+		l = &leaf{owner: owner, slices: slices.Clone(l.slices)}
+		n.leaves[b] = l
+	}
+	l.slices[l.floor(x.Range.First)] = x
+	return t
 }
 
-func splitChunk(merged []Slice) [][]Slice {
-	var pieces [][]Slice
-	for piece := range slices.Chunk(merged, chunkSize) {
-		pieces = append(pieces, slices.Clip(piece))
+// replace returns a table in which the count slices from the one that starts at
+// first are replaced. The replacement must not be empty and must cover exactly
+// the same hashes.
+func (t *Table) replace(owner *edit, first uint64, count int, replacement []Slice) *Table {
+	a := floor(t.firsts, first)
+	b := floor(t.nodes[a].firsts, first)
+	i := t.nodes[a].leaves[b].floor(first)
+	endA, endB, rest := a, b, i+count
+	for rest > len(t.nodes[endA].leaves[endB].slices) {
+		rest -= len(t.nodes[endA].leaves[endB].slices)
+		if endB++; endB == len(t.nodes[endA].leaves) {
+			endA, endB = endA+1, 0
+		}
+	}
+	last := t.nodes[endA].leaves
+	merged := slices.Concat(t.nodes[a].leaves[b].slices[:i], replacement, last[endB].slices[rest:])
+	if endB++; len(merged) < maxLeaf/4 && endB < len(last) {
+		// Joins a small leaf with the next, so that merges do not leave a tree of
+		// nearly empty leaves.
+		merged = append(merged, last[endB].slices...)
+		endB++
 	}
-	return pieces
+	leaves := slices.Concat(t.nodes[a].leaves[:b], newLeaves(owner, merged), last[endB:])
+	nodes := slices.Concat(t.nodes[:a], newNodes(owner, leaves), t.nodes[endA+1:])
+	return newTable(owner, nodes, t.count-count+len(replacement))
 }
