Share owner and origin between slices

Four strings per slice took most of the table's memory, against 128 MB per node at the target. Server and the description of the former owner are now embedded pointers to shared values; slice.Server, slice.Former and the others read as before, but composite literals have to use NewSlice.

--- a/core/state/checkpoint.go
+++ b/core/state/checkpoint.go
@@ -40,7 +40,7 @@
 	Witnesses map[string]WitnessSet `json:"witnesses"`
 	Homes     map[string]Home       `json:"homes"`
 	Servers   []string              `json:"servers"` // referred to by the rows
-	Origins   []checkpointOrigin    `json:"origins"` // referred to by the rows
+	Origins   []Origin              `json:"origins"` // referred to by the rows
 	Tables    []checkpointTable     `json:"tables"`
 }
 
@@ -49,14 +49,6 @@
 	IDs changeIDs    `json:"ids"`
 }
 
-// checkpointOrigin is the part of Slice that describes the former owner.
-type checkpointOrigin struct {
-	Former   string `json:"former,omitempty"`
-	Scope    string `json:"scope,omitempty"`
-	Zone     string `json:"zone,omitempty"`
-	Released bool   `json:"released,omitempty"`
-}
-
 type checkpointTable struct {
 	Service string `json:"service"`
 	Slices  int    `json:"slices"`
@@ -123,11 +115,11 @@
 type checkpointRefs struct {
 	header  *checkpointHeader
 	servers map[string]int
-	origins map[checkpointOrigin]int
+	origins map[Origin]int
 }
 
 func newCheckpointRefs(header *checkpointHeader) *checkpointRefs {
-	return &checkpointRefs{header: header, servers: map[string]int{}, origins: map[checkpointOrigin]int{}}
+	return &checkpointRefs{header: header, servers: map[string]int{}, origins: map[Origin]int{}}
 }
 
 // appendTable appends a row per slice: width of the range minus one, server,
@@ -155,12 +147,11 @@
 }
 
 func (c *checkpointRefs) origin(slice *Slice) int {
-	o := checkpointOrigin{Former: slice.Former, Scope: slice.FormerScope, Zone: slice.FormerZone, Released: slice.Released}
-	i, ok := c.origins[o]
+	i, ok := c.origins[*slice.Origin]
 	if !ok {
 		i = len(c.origins)
-		c.origins[o] = i
-		c.header.Origins = append(c.header.Origins, o)
+		c.origins[*slice.Origin] = i
+		c.header.Origins = append(c.header.Origins, *slice.Origin)
 	}
 	return i
 }
@@ -207,7 +198,13 @@
 	}
 	maps.Copy(s.witnesses, h.Witnesses)
 	maps.Copy(s.homes, h.Homes)
-	reader := rowReader{header: h, rows: rows}
+	reader := rowReader{rows: rows}
+	for _, name := range h.Servers {
+		reader.owners = append(reader.owners, s.intern.owner(name))
+	}
+	for _, origin := range h.Origins {
+		reader.origins = append(reader.origins, s.intern.origin(origin))
+	}
 	for _, t := range h.Tables {
 		list, err := reader.table(t)
 		if err != nil {
@@ -228,9 +225,10 @@
 const minRowSize = 4
 
 type rowReader struct {
-	header *checkpointHeader
-	rows   []byte
-	failed bool
+	owners  []*Owner
+	origins []*Origin
+	rows    []byte
+	failed  bool
 }
 
 func (r *rowReader) table(t checkpointTable) ([]Slice, error) {
@@ -244,13 +242,12 @@
 		generation += uint64(r.varint())
 		last := first + width
 		if r.failed || last < first || (last == math.MaxUint64) != (i == len(list)-1) ||
-			server >= uint64(len(r.header.Servers)) || origin >= uint64(len(r.header.Origins)) {
+			server >= uint64(len(r.owners)) || origin >= uint64(len(r.origins)) {
 			return nil, fmt.Errorf("%w: slice %d of %s", ErrBadCheckpoint, i, t.Service)
 		}
-		o := r.header.Origins[origin]
 		list[i] = Slice{
-			Range: keyspace.Range{First: first, Last: last}, Server: r.header.Servers[server], Generation: generation,
-			Former: o.Former, FormerScope: o.Scope, FormerZone: o.Zone, Released: o.Released,
+			Range: keyspace.Range{First: first, Last: last}, Generation: generation,
+			Owner: r.owners[server], Origin: r.origins[origin],
 		}
 		first = last + 1
 	}
--- a/core/state/fold_slices.go
+++ b/core/state/fold_slices.go
@@ -24,7 +24,7 @@
 		if !s.serves(p.Server, b.Service) {
 			return refused("Server/%s is not a server of Service/%s", p.Server, b.Service)
 		}
-		list[i] = Slice{Range: p.Range, Server: p.Server, Generation: offset}
+		list[i] = Slice{Range: p.Range, Generation: offset, Owner: s.intern.owner(p.Server), Origin: s.intern.origin(Origin{})}
 		next = p.Range.Last + 1
 	}
 	if len(list) == 0 || list[len(list)-1].Range.Last != math.MaxUint64 {
@@ -75,8 +75,8 @@
 		zone = from.Zone
 	}
 	s.tables[b.Service] = table.set(s.editing(), Slice{
-		Range: m.Range, Server: m.To, Generation: offset,
-		Former: m.From, FormerScope: scope, FormerZone: zone, Released: b.Released,
+		Range: m.Range, Generation: offset, Owner: s.intern.owner(m.To),
+		Origin: s.intern.origin(Origin{Former: m.From, FormerScope: scope, FormerZone: zone, Released: b.Released}),
 	})
 	s.owned[m.From]--
 	s.owned[m.To]++
@@ -126,7 +126,7 @@
 	count := 0
 	for next := b.Range.First; ; {
 		part := table.Lookup(next)
-		if part.Server != first.Server || part.Generation != b.Generation || part.Former != first.Former {
+		if part.Server != first.Server || part.Generation != b.Generation || part.Origin != first.Origin {
 			return refused("slices of %s do not share owner and generation", b.Range)
 		}
 		count++
--- a/core/state/fold_test.go
+++ b/core/state/fold_test.go
@@ -59,7 +59,7 @@
 	if slice := h.s.Table("svc").Lookup(rapid.Uint64().Draw(h.t, "hash")); slice != nil {
 		return *slice
 	}
-	return Slice{Range: keyspace.Full}
+	return NewSlice(keyspace.Full, "", 0)
 }
 
 func (h *history) body() record.Body {
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -69,6 +69,7 @@
 	owned     map[string]int // slices per server
 	departed  *departures
 	edit      *edit
+	intern    *intern
 }
 
 // changeIDs are the ids of changes of a resource. A change without an id counts
@@ -89,6 +90,7 @@
 		tables:    map[string]*Table{},
 		owned:     map[string]int{},
 		departed:  newDepartures(),
+		intern:    newIntern(),
 	}
 }
 
--- a/core/state/table.go
+++ b/core/state/table.go
@@ -6,20 +6,65 @@
 	"parsleyrelay.example/core/keyspace"
 )
 
-// Slice is a range of a service's key space with its owner.
+// Slice is a range of a service's key space with its owner. Owner and Origin are
+// shared between slices, which brings a slice from 96 to 40 bytes; they are never
+// nil and must not be written through.
 type Slice struct {
 	Range      keyspace.Range
-	Server     string // owning server
 	Generation uint64 // offset of the record that gave the slice to Server; its fence
+	*Owner
+	*Origin
+}
+
+// Owner is the server that owns a slice.
+type Owner struct {
+	Server string
+}
 
-	// The following describe the change that made the generation. Former is
-	// empty after the first placement.
+// Origin describes the change that made the generation of a slice. Former is
+// empty after the first placement.
+type Origin struct {
 	Former      string
 	FormerScope string // witness scope that guarded the former owner
 	FormerZone  string
 	Released    bool // the former owner confirmed the release before the record
 }
 
+// NewSlice returns a slice after the first placement. It shares nothing with
+// other slices and serves tests.
+func NewSlice(r keyspace.Range, server string, generation uint64) Slice {
+	return Slice{Range: r, Generation: generation, Owner: &Owner{Server: server}, Origin: &Origin{}}
+}
+
+// intern holds the owners and origins that slices share. It keeps those that no
+// slice uses any more: their number is bounded by that of the servers.
+type intern struct {
+	owners  map[string]*Owner
+	origins map[Origin]*Origin
+}
+
+func newIntern() *intern {
+	return &intern{owners: map[string]*Owner{}, origins: map[Origin]*Origin{}}
+}
+
+func (t *intern) owner(server string) *Owner {
+	o := t.owners[server]
+	if o == nil {
+		o = &Owner{Server: server}
+		t.owners[server] = o
+	}
+	return o
+}
+
+func (t *intern) origin(origin Origin) *Origin {
+	o := t.origins[origin]
+	if o == nil {
+		o = &origin
+		t.origins[origin] = o
+	}
+	return o
+}
+
 // Sizes of the tree. A change after a snapshot copies one leaf, one node and the
 // root; at 1.4 million slices these are about 2, 1 and 2.5 kB. New leaves and
 // nodes are filled to three quarters, so that a split does not overflow at once.
