Bound the debt of a rank for idle slots to two requests

Cause: without any debt a rank that floods idle slots went before urgent work too. Change: up to two requests of debt for uncontended use.

--- a/core/admission/schedule.go
+++ b/core/admission/schedule.go
@@ -19,6 +19,9 @@
 	maxCredit = 2
 	// maxDebt bounds how far one long request can push a rank under its floor.
 	maxDebt = 16
+	// maxIdleDebt, in requests, is what a rank can owe for idle slots. Without
+	// any, a rank that floods idle slots would go before urgent work in addition.
+	maxIdleDebt = 2
 	// usageHalfLife is the memory of the slot time used per rank. It must be
 	// short against the 2 s in which service has to recover after a flood.
 	usageHalfLife = 250 * time.Millisecond
@@ -70,7 +73,7 @@
 
 // charge books the expected slot time of a request that starts: every rank with
 // a floor earns its share, and the request's rank pays. Only a request that went
-// before more urgent work can put its rank in debt; otherwise a rank would enter
+// before more urgent work can put its rank deep in debt; otherwise a rank would enter
 // a flood in debt for the idle slots that it used before.
 func (q *Queue) charge(now time.Duration, it *item) {
 	it.charged = max(q.serviceTime(it.rank), nominalServiceTime)
@@ -89,15 +92,15 @@
 		if r.floor == 0 {
 			continue
 		}
+		unit := max(q.serviceTime(r), nominalServiceTime)
 		r.credit += time.Duration(r.floor * float64(used))
 		switch {
 		case r != it.rank:
 		case it.contended:
 			r.credit -= used
-		case r.credit > 0 && used > 0:
-			r.credit = max(r.credit-used, 0)
+		case used > 0:
+			r.credit = max(r.credit-used, min(r.credit, -maxIdleDebt*unit))
 		}
-		unit := max(q.serviceTime(r), nominalServiceTime)
 		r.credit = min(max(r.credit, -maxDebt*unit), maxCredit*unit)
 	}
 }
