--- a/core/admission/schedule.go
+++ b/core/admission/schedule.go
@@ -11,11 +11,17 @@
 	// nominalServiceTime stands in until the first response; it only scales
 	// the floor credit, which Finish corrects to the real time.
 	nominalServiceTime = time.Millisecond
+	// marginFactor is the time left at dispatch in mean service times. With 3,
+	// about 5% of exponential service times exceed the deadline; with 1, 37%.
+	marginFactor = 3
 	// maxCredit bounds what a rank may save up under its floor, in requests, so
 	// that a rank that was idle cannot displace urgent work in a burst.
 	maxCredit = 2
 	// maxDebt bounds how far one long request can push a rank under its floor.
 	maxDebt = 16
+	// maxIdleDebt, in requests, is what a rank can owe for idle slots. Without
+	// any, a rank that floods idle slots would go before urgent work in addition.
+	maxIdleDebt = 2
 	// usageHalfLife is the memory of the slot time used per rank. It must be
 	// short against the 2 s in which service has to recover after a flood.
 	usageHalfLife = 250 * time.Millisecond
@@ -24,16 +30,17 @@
 // dispatch starts waiting requests while the limit allows it.
 func (q *Queue) dispatch(now time.Duration) {
 	for now >= q.pausedUntil && len(q.running) < q.limit(now) {
-		r := q.pick()
+		r, contended := q.pick()
 		if r == nil {
 			return
 		}
 		it := r.pop()
+		it.contended = contended
 		if it.Deadline <= now || now-it.arrived > r.cfg.MaxQueueTime {
 			q.refuse(now, it, expiryReason(now, it))
 			continue
 		}
-		if it.Deadline-now < q.serviceTime(r) {
+		if it.Deadline-now < q.timeNeeded(it) {
 			q.refuse(now, it, ReasonDeadlineShort)
 			continue
 		}
@@ -46,45 +53,54 @@
 }
 
 // pick returns the rank to serve next: one below its floor, else the most
-// urgent. It returns nil when nothing waits.
-func (q *Queue) pick() *rankQueue {
+// urgent. It returns nil when nothing waits. contended tells that more urgent
+// work waits as well.
+func (q *Queue) pick() (next *rankQueue, contended bool) {
+	var first *rankQueue
 	for _, r := range q.ranks {
-		if r.length > 0 && r.credit > 0 {
-			return r
+		if r.length == 0 {
+			continue
 		}
-	}
-	for _, r := range q.ranks {
-		if r.length > 0 {
-			return r
+		if r.credit > 0 {
+			return r, first != nil
+		}
+		if first == nil {
+			first = r
 		}
 	}
-	return nil
+	return first, false
 }
 
-// charge books the expected slot time of a request that starts: its rank pays
-// and every rank with a floor earns its share.
+// charge books the expected slot time of a request that starts: every rank with
+// a floor earns its share, and the request's rank pays. Only a request that went
+// before more urgent work can put its rank deep in debt; otherwise a rank would enter
+// a flood in debt for the idle slots that it used before.
 func (q *Queue) charge(now time.Duration, it *item) {
 	it.charged = max(q.serviceTime(it.rank), nominalServiceTime)
 	it.rank.usage.add(now, float64(it.charged))
-	q.book(it.rank, it.charged)
+	q.book(it, it.charged)
 }
 
 // settle corrects charge to the slot time that the request really used. Without
 // it a rank with long requests would get more than its floor.
 func (q *Queue) settle(it *item, held time.Duration) {
-	q.book(it.rank, held-it.charged)
+	q.book(it, held-it.charged)
 }
 
-func (q *Queue) book(user *rankQueue, used time.Duration) {
+func (q *Queue) book(it *item, used time.Duration) {
 	for _, r := range q.ranks {
 		if r.floor == 0 {
 			continue
 		}
+		unit := max(q.serviceTime(r), nominalServiceTime)
 		r.credit += time.Duration(r.floor * float64(used))
-		if r == user {
+		switch {
+		case r != it.rank:
+		case it.contended:
 			r.credit -= used
+		case used > 0:
+			r.credit = max(r.credit-used, min(r.credit, -maxIdleDebt*unit))
 		}
-		unit := max(q.serviceTime(r), nominalServiceTime)
 		r.credit = min(max(r.credit, -maxDebt*unit), maxCredit*unit)
 	}
 }
@@ -107,6 +123,14 @@
 	return q.service.mean()
 }
 
+// timeNeeded returns the time that must be left until the deadline of a request
+// when it is dispatched: marginFactor service times, but no more than half of
+// the time that it was given, so that short deadlines are tried on an idle server.
+func (q *Queue) timeNeeded(it *item) time.Duration {
+	mean := q.serviceTime(it.rank)
+	return min(marginFactor*mean, max(mean, (it.Deadline-it.arrived)/2))
+}
+
 // expectedWait estimates the time until a request of rank r that arrives now
 // would be dispatched. The work ahead of it is that of its own and more urgent
 // queues; it drains with the share of the slots that more urgent arrivals
