--- a/core/admission/rankqueue.go
+++ b/core/admission/rankqueue.go
@@ -38,12 +38,12 @@
 	r.length++
 }
 
-// pop returns the newest request of the caller whose turn it is.
+// pop returns the oldest request of the caller whose turn it is.
 func (r *rankQueue) pop() *item {
 	c := r.turns[0]
-	it := c.items[len(c.items)-1]
-	c.items[len(c.items)-1] = nil
-	c.items = c.items[:len(c.items)-1]
+	it := c.items[0]
+	c.items[0] = nil
+	c.items = c.items[1:]
 	r.length--
 	r.turns = append(r.turns[:0], r.turns[1:]...)
 	if len(c.items) > 0 {
