--- a/core/ownership/drain.go
+++ b/core/ownership/drain.go
@@ -127,7 +127,7 @@
 		return
 	}
 	m.emit(TransferIDs{
-		Service: h.spec.Service, Server: h.name, Slice: slice, Term: h.assigned.Term,
+		Service: h.spec.Service, Server: h.name, Target: h.name, Slice: slice, Term: h.assigned.Term,
 		To: h.handover.to, PeerURL: m.known[h.handover.to].PeerURL,
 	})
 }
--- a/core/ownership/fold.go
+++ b/core/ownership/fold.go
@@ -186,6 +186,7 @@
 		served := m.dropSlice(move)
 		if h := m.local[move.To]; h != nil {
 			s := m.adopt(h, slice)
+			s.origin = IDOrigin{Server: move.From, Term: move.FromTerm, Generation: move.Generation}
 			if move.From == move.To {
 				s.activation = served // the window of ids is still here
 			}
--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -344,9 +344,12 @@
 	case slice.Former == "" && h.assigned.PreviousTerm == 0:
 		s.activation = Activation{Since: m.now, Fresh: true}
 	case slice.Former != "" && slice.Former != h.name && slice.Released && slice.Generation > h.assigned.Term:
-		s.activation = Activation{Since: m.now, IDsFrom: slice.Former}
+		s.activation = Activation{Since: m.now, IDs: s.origin}
 	case h.assigned.Handover && slice.Generation < h.assigned.Term:
-		s.activation = Activation{Since: m.now, IDsFrom: h.name}
+		s.activation = Activation{
+			Since: m.now,
+			IDs:   IDOrigin{Server: h.name, Term: h.assigned.PreviousTerm, Generation: s.held.Generation},
+		}
 	default:
 		s.activation = Activation{Since: m.now}
 	}
--- a/core/ownership/homes.go
+++ b/core/ownership/homes.go
@@ -243,6 +243,7 @@
 	version    uint64
 	served     bool
 	activation Activation
+	origin     IDOrigin // of the move that brought it here
 }
 
 // adopt adds a slice that the state gives to a local server.
--- a/core/ownership/messages.go
+++ b/core/ownership/messages.go
@@ -182,10 +182,12 @@
 		Slice  HeldSlice
 	}
 
-	// TransferIDs sends the idempotency window of a slice to its next home.
+	// TransferIDs sends the idempotency window of a slice to its next home, which
+	// can be this daemon itself.
 	TransferIDs struct {
 		Service string
-		Server  string
+		Server  string // present owner
+		Target  string // next owner
 		Slice   HeldSlice
 		Term    uint64
 		To      string // incarnation
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -103,12 +103,13 @@
 func (m *Machine) transferForMove(h *home, mv *move) {
 	next := m.st.Home(mv.to).Incarnation
 	url := m.known[next].PeerURL
-	if next == m.cfg.Incarnation || url == "" || m.suspected(next) {
+	if next != m.cfg.Incarnation && (url == "" || m.suspected(next)) {
 		mv.idsDone = true
 		return
 	}
 	m.emit(TransferIDs{
-		Service: h.spec.Service, Server: h.name, Slice: mv.slice, Term: h.assigned.Term, To: next, PeerURL: url,
+		Service: h.spec.Service, Server: h.name, Target: mv.to, Slice: mv.slice, Term: h.assigned.Term,
+		To: next, PeerURL: url,
 	})
 }
 
--- a/core/ownership/view.go
+++ b/core/ownership/view.go
@@ -58,14 +58,21 @@
 // Activation says since when a home may dispatch requests of a slice.
 type Activation struct {
 	Since time.Duration
-	// IDsFrom names the former owner whose idempotency window this home must
-	// have received for the window to be whole; empty when Fresh.
-	IDsFrom string
+	// IDs tells which transfer this home must have received for its idempotency
+	// window to be whole; zero when there was none.
+	IDs IDOrigin
 	// Fresh is set when the slice had no owner before, so that no earlier
 	// attempt can exist.
 	Fresh bool
 }
 
+// IDOrigin identifies one period of ownership of a slice.
+type IDOrigin struct {
+	Server     string // former owner
+	Term       uint64 // of its home
+	Generation uint64 // of the slice at that owner
+}
+
 // NewServingSet returns a set of the given slices. The map must not change afterwards.
 func NewServingSet(slices map[HeldSlice]Activation) *ServingSet {
 	return &ServingSet{slices: slices}
--- a/relay/control/loop.go
+++ b/relay/control/loop.go
@@ -60,6 +60,7 @@
 // Config holds what a Loop needs.
 type Config struct {
 	Machine *ownership.Machine
+	Views   *Views
 	Log     Log
 	Peers   Peers
 	Servers Servers
@@ -88,7 +89,7 @@
 func NewLoop(cfg Config) *Loop {
 	return &Loop{
 		cfg:     cfg,
-		views:   NewViews(),
+		views:   cfg.Views,
 		history: NewHistory(),
 		inputs:  make(chan ownership.Input, inputRing),
 		drained: make(chan struct{}),
--- /dev/null
+++ b/relay/daemon/assemble.go
@@ -0,0 +1,230 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+
+	"parsleyrelay.example/api/callerapi"
+	"parsleyrelay.example/api/peerv1"
+	"parsleyrelay.example/core/dedup"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/core/retry"
+	"parsleyrelay.example/relay/control"
+	"parsleyrelay.example/relay/frontend"
+	"parsleyrelay.example/relay/home"
+	"parsleyrelay.example/relay/peer"
+	"parsleyrelay.example/relay/platform"
+)
+
+// assemble builds the parts. Nothing runs and nothing connects yet.
+func (d *Daemon) assemble() error {
+	d.sink = newSink(d.opts.Logger, d.opts.Host, d.opts.Zone)
+	d.client = platform.NewClient(d.opts.Platform)
+	d.servers = newServers(d.opts.Host)
+	d.peers = newPeers(d.incarnation, d.opts.PeerClient)
+	views := control.NewViews()
+	d.homes = home.NewManager(home.Config{
+		Views: views, Backend: d.servers, Now: d.now, Wall: time.Now,
+		Dropped: d.sink.Dropped, PolicyOff: d.opts.PolicyOff,
+	})
+	d.loop = control.NewLoop(control.Config{
+		Machine: ownership.New(ownership.Config{
+			Host: d.opts.Host, Incarnation: d.incarnation, Zone: d.opts.Zone, PeerURL: d.opts.PeerURL,
+			NewID: uuid.NewString, WallMS: func() int64 { return time.Now().UnixMilli() },
+			Retention: d.opts.Retention,
+		}),
+		Views: views, Log: logAppender{platform.NewPublisher(d.client), d.sink.appended},
+		Peers: controlPeers{d}, Servers: d.servers, Homes: homesFollower{d},
+		Events: d.sink, Now: d.now,
+	})
+	d.frontend = frontend.NewHandler(frontend.Config{
+		Views: views, Home: d.homes, Forwarder: frontend.NewPeerForwarder(d.peers, d.now),
+		Retrier: newRetrier(d.now), Observer: d.sink, Now: d.now, MaxRequests: d.opts.MaxRequests,
+		Ready: d.ready, Draining: d.draining.Load,
+	})
+	return nil
+}
+
+// ready reports whether the daemon has read the log up to the record of its own
+// start. Once true it stays true, also when the daemon has left.
+func (d *Daemon) ready() bool {
+	if d.wasReady.Load() {
+		return true
+	}
+	view, _ := d.loop.Views().Current()
+	if _, ok := view.Members[d.incarnation]; !ok || !view.Complete {
+		return false
+	}
+	d.wasReady.Store(true)
+	return true
+}
+
+// homesFollower makes queues and clients follow a view.
+type homesFollower struct{ d *Daemon }
+
+func (f homesFollower) Quiesce(server string, slice ownership.HeldSlice, done func()) {
+	f.d.homes.Quiesce(server, slice, done)
+}
+
+func (f homesFollower) Resume(server string, slice ownership.HeldSlice) {
+	f.d.homes.Resume(server, slice)
+}
+
+func (f homesFollower) Update(view *ownership.View) {
+	f.d.homes.Update(view)
+	f.d.servers.follow(view)
+	f.d.peers.follow(view)
+}
+
+// controlPeers implements control.Peers.
+type controlPeers struct{ d *Daemon }
+
+func (p controlPeers) Poll(ctx context.Context, poll ownership.Poll) (ownership.PollAnswered, error) {
+	return p.d.peers.calls.Poll(ctx, poll)
+}
+
+// TransferIDs exports the window of a slice and gives it to the next home.
+func (p controlPeers) TransferIDs(ctx context.Context, t ownership.TransferIDs) error {
+	origin := dedup.Origin{Server: t.Server, Term: t.Term, Generation: t.Slice.Generation}
+	parts, ok := p.d.homes.Export(t.Server, t.Slice, origin)
+	if !ok {
+		return errNothingToTransfer
+	}
+	for _, part := range parts {
+		if t.To == p.d.incarnation {
+			if !p.d.homes.Import(t.Target, part) {
+				return errNothingToTransfer
+			}
+			continue
+		}
+		if err := p.d.peers.calls.Transfer(ctx, t.PeerURL, t.Target, part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type transferError struct{}
+
+// Error implements error.
+func (transferError) Error() string {
+	return "the idempotency window of the slice is not active or has running requests"
+}
+
+var errNothingToTransfer = transferError{}
+
+// peerDaemon implements peer.Daemon.
+type peerDaemon struct{ d *Daemon }
+
+func (p peerDaemon) Applied() uint64 {
+	view, _ := p.d.loop.Views().Current()
+	return view.Applied
+}
+
+func (p peerDaemon) Polled(in ownership.PollReceived) { p.d.loop.TrySubmit(in) }
+
+func (p peerDaemon) ImportIDs(server string, part dedup.Part) bool {
+	return p.d.homes.Import(server, part)
+}
+
+func (p peerDaemon) Status(context.Context) *peerv1.StatusResponse { return p.d.status() }
+
+func (p peerDaemon) Timeline(_ context.Context, r *peerv1.TimelineRequest) (*peerv1.TimelineResponse, error) {
+	events, overwritten := p.d.sink.timeline(r.FilterJson, int(r.MaxEvents))
+	data, err := json.Marshal(events)
+	return &peerv1.TimelineResponse{Host: p.d.opts.Host, EventsJson: data, Overwritten: overwritten}, err
+}
+
+func (d *Daemon) status() *peerv1.StatusResponse {
+	view, _ := d.loop.Views().Current()
+	s := &peerv1.StatusResponse{
+		Host: d.opts.Host, Incarnation: d.incarnation, Zone: d.opts.Zone,
+		Applied: view.Applied, Complete: view.Complete, Draining: d.draining.Load(),
+		LeaseValid: d.now() < view.LeaseUntil, LogReachable: view.LogReachable,
+	}
+	for name, server := range view.Servers {
+		if server.Local {
+			s.Servers = append(s.Servers, d.serverStatus(name, server))
+		}
+	}
+	return s
+}
+
+func (d *Daemon) serverStatus(name string, server ownership.ServerView) *peerv1.ServerStatus {
+	s := &peerv1.ServerStatus{
+		Server: name, State: string(server.State), Term: server.Term, SubTerm: server.SubTerm,
+		Instance: server.Instance, SlicesServing: uint32(server.Serving.Len()),
+	}
+	if stats, ok := d.homes.Stats(name); ok {
+		s.Running, s.Limit = uint32(stats.Running), uint32(stats.Limit)
+		for _, n := range stats.Queued {
+			s.Queued += uint32(n)
+		}
+	}
+	return s
+}
+
+func (d *Daemon) peerRoutes() http.Handler {
+	r := chi.NewRouter()
+	server := peer.NewServer(d.incarnation, peerDaemon{d}, d.loop.History(), d.now)
+	twirpServer := peerv1.NewPeerServer(server)
+	r.Mount(twirpServer.PathPrefix(), twirpServer)
+	r.HandleFunc(frontend.ForwardPrefix, d.frontend.PeerRoutes().ServeHTTP)
+	r.HandleFunc(frontend.ForwardPrefix+"/*", d.frontend.PeerRoutes().ServeHTTP)
+	return r
+}
+
+// retrier applies the retry policy per service.
+type retrier struct {
+	now      func() time.Duration
+	mu       sync.Mutex
+	policies map[string]*retry.Policy
+}
+
+func newRetrier(now func() time.Duration) *retrier {
+	return &retrier{now: now, policies: map[string]*retry.Policy{}}
+}
+
+func (r *retrier) policy(service string) *retry.Policy {
+	p := r.policies[service]
+	if p == nil {
+		p = &retry.Policy{}
+		r.policies[service] = p
+	}
+	return p
+}
+
+// Sent implements frontend.Retrier.
+func (r *retrier) Sent(req *frontend.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.policy(req.Service).Request(r.now())
+}
+
+// Retry implements frontend.Retrier.
+func (r *retrier) Retry(req *frontend.Request, attempt int, err *frontend.RequestError, now time.Duration) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delay, refusal := r.policy(req.Service).Retry(now, retry.Attempt{
+		Number: attempt, Proof: proofOf(err), Repeatable: req.Repeatable,
+		BodyKept: req.Body.Replayable(), Remaining: req.Deadline - now,
+	}, rand.Float64())
+	return delay, refusal == ""
+}
+
+func proofOf(err *frontend.RequestError) retry.Proof {
+	switch {
+	case err.Outcome != callerapi.NotRun:
+		return retry.MayHaveRun
+	case err.Reason == callerapi.ReasonServerRefused:
+		return retry.Rejected
+	}
+	return retry.NotWritten
+}
--- a/relay/daemon/daemon.go
+++ b/relay/daemon/daemon.go
@@ -57,14 +57,17 @@
 	started     time.Time
 
 	client   *platform.Client
+	servers  *servers
+	peers    *peers
 	loop     *control.Loop
 	homes    *home.Manager
 	frontend *frontend.Handler
 	sink     *sink
 	draining atomic.Bool
+	wasReady atomic.Bool
 
-	servers []*http.Server
-	duties  sync.WaitGroup
+	listeners []*http.Server
+	duties    sync.WaitGroup
 }
 
 // New returns a daemon that does not run yet.
@@ -102,6 +105,8 @@
 	stop()
 	d.homes.Stop()
 	d.duties.Wait()
+	d.servers.close()
+	d.peers.close()
 	d.client.Close()
 	d.sink.Emit(event.Event{Code: event.ProcessStopped})
 	return err
@@ -124,13 +129,13 @@
 	}
 	// Callers with open connections may still send requests, which are forwarded
 	// to the new homes, until Shutdown closes the connections.
-	for _, server := range d.servers {
+	for _, server := range d.listeners {
 		_ = server.Shutdown(ctx)
 	}
 }
 
 func (d *Daemon) close() {
-	for _, server := range d.servers {
+	for _, server := range d.listeners {
 		_ = server.Close()
 	}
 }
@@ -152,7 +157,7 @@
 			Handler: h, MaxHeaderBytes: d.opts.MaxHeader,
 			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		}
-		d.servers = append(d.servers, server)
+		d.listeners = append(d.listeners, server)
 		d.duties.Go(func() {
 			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
--- a/relay/daemon/duties.go
+++ b/relay/daemon/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -133,5 +134,5 @@
 		return 0, err
 	}
 	a.count(len(data))
-	return platform.OffsetOf(m)
+	return strconv.ParseUint(m.Metadata.Get(platform.MetadataOffset), 10, 64)
 }
--- /dev/null
+++ b/relay/daemon/peers.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/relay/backend"
+	"parsleyrelay.example/relay/frontend"
+	"parsleyrelay.example/relay/peer"
+)
+
+// forwardConnections bounds the connections to one peer for forwarded requests.
+const forwardConnections = 512
+
+// peers holds the clients of other daemons: control calls and forwarding.
+type peers struct {
+	calls *peer.Client
+
+	mu      sync.Mutex
+	forward map[string]*backend.Server // by URL
+}
+
+func newPeers(self string, client *http.Client) *peers {
+	return &peers{calls: peer.NewClient(self, client), forward: map[string]*backend.Server{}}
+}
+
+func (p *peers) forwarder(url string) (*backend.Server, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.forward[url]; s != nil {
+		return s, nil
+	}
+	s, err := backend.New(backend.Options{BaseURL: url, MaxConnections: forwardConnections})
+	if err == nil {
+		p.forward[url] = s
+	}
+	return s, err
+}
+
+// Send implements frontend.Sender. The client of backend servers serves peers
+// too: it never sends a request twice and tells whether anything was written.
+func (p *peers) Send(ctx context.Context, url string, x frontend.Exchange) (*frontend.Answer, bool, error) {
+	s, err := p.forwarder(url)
+	if err != nil {
+		return nil, false, err
+	}
+	r, err := s.Do(ctx, &backend.Request{
+		Method: x.Method, Path: x.Path, Header: x.Header, Body: x.Body, ContentLength: x.Length,
+	})
+	if err != nil {
+		var notSent *backend.NotSentError
+		return nil, !errors.As(err, &notSent), err
+	}
+	return answerOf(r), true, nil
+}
+
+func (p *peers) follow(view *ownership.View) {
+	urls := make(map[string]bool, len(view.Members))
+	for _, m := range view.Members {
+		urls[m.PeerURL] = true
+	}
+	p.calls.Keep(urls)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for url, s := range p.forward {
+		if !urls[url] {
+			s.Close()
+			delete(p.forward, url)
+		}
+	}
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.forward {
+		s.Close()
+	}
+}
--- a/relay/frontend/handler.go
+++ b/relay/frontend/handler.go
@@ -35,7 +35,8 @@
 // Retrier decides whether a request that ended with err is tried again, and
 // after which delay. It is safe for concurrent use.
 type Retrier interface {
-	Sent()
+	// Sent notes a first attempt.
+	Sent(req *Request)
 	Retry(req *Request, attempt int, err *RequestError, now time.Duration) (delay time.Duration, ok bool)
 }
 
@@ -145,7 +146,7 @@
 // deadline passes. Only the entry host that the caller reached retries, so that
 // retries never multiply over hops.
 func (h *Handler) run(ctx context.Context, req *Request) (*Answer, *RequestError) {
-	h.cfg.Retrier.Sent()
+	h.cfg.Retrier.Sent(req)
 	for attempt := 1; ; attempt++ {
 		answer, err := h.tryOnce(ctx, req)
 		if err == nil || req.Forwarded || !mayTryAgain(req, err) {
--- a/relay/home/once.go
+++ b/relay/home/once.go
@@ -16,6 +16,7 @@
 	"parsleyrelay.example/core/dedup"
 	"parsleyrelay.example/core/keyspace"
 	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/core/state"
 	"parsleyrelay.example/relay/frontend"
 )
 
@@ -23,17 +24,23 @@
 type windowState struct {
 	mu      *sync.Mutex
 	window  *dedup.Window
-	serving *ownership.ServingSet            // last followed
-	active  map[ownership.HeldSlice]struct{} // activated and still owned
-	running map[uuid.UUID]chan struct{}      // closed when the attempt ends
-	exports uint64                           // sequence of exports
+	serving *ownership.ServingSet                 // last followed
+	active  map[ownership.HeldSlice]time.Duration // time of activation
+	running map[attemptKey]chan struct{}          // closed when the attempt ends
+	exports uint64                                // sequence of exports
+}
+
+// attemptKey is what the window tells attempts apart by.
+type attemptKey struct {
+	id   uuid.UUID
+	hash uint64
 }
 
 func newWindowState() windowState {
 	return windowState{
 		mu: &sync.Mutex{}, window: dedup.New(dedup.Config{}),
-		active:  map[ownership.HeldSlice]struct{}{},
-		running: map[uuid.UUID]chan struct{}{},
+		active:  map[ownership.HeldSlice]time.Duration{},
+		running: map[attemptKey]chan struct{}{},
 	}
 }
 
@@ -46,27 +53,60 @@
 		return
 	}
 	w.serving = server.Serving
-	table := view.Tables[server.Spec.Service]
+	type change struct {
+		slice ownership.HeldSlice
+		a     ownership.Activation
+		kept  bool
+	}
+	var began []change
+	server.Serving.All(func(slice ownership.HeldSlice, a ownership.Activation) {
+		if _, ok := w.active[slice]; !ok {
+			began = append(began, change{slice, a, w.kept(slice, a)})
+		}
+	})
+	w.forgetMoved(view.Tables[server.Spec.Service], name)
+	for _, c := range began {
+		source, origin := sourceOf(c.a)
+		if c.kept {
+			source = dedup.SourceKept
+		}
+		w.window.Activate(now, c.slice.Range, source, origin)
+		w.active[c.slice] = c.a.Since
+	}
+}
+
+// kept reports whether a slice was served here without a gap: a split, a merge
+// and an aborted move carry the time of activation over.
+func (w *windowState) kept(slice ownership.HeldSlice, a ownership.Activation) bool {
+	for old, since := range w.active {
+		if since == a.Since && old.Range.Overlaps(slice.Range) {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetMoved drops the ids of slices that the server does not own any more.
+func (w *windowState) forgetMoved(table *state.Table, server string) {
 	for slice := range w.active {
-		if owner := table.Lookup(slice.Range.First); owner == nil || owner.Server != name {
+		owner := table.Lookup(slice.Range.First)
+		switch {
+		case owner == nil || owner.Server != server:
 			w.window.Deactivate(slice.Range)
 			delete(w.active, slice)
+		case owner.Range != slice.Range || owner.Generation != slice.Generation:
+			delete(w.active, slice)
 		}
 	}
-	server.Serving.All(func(slice ownership.HeldSlice, a ownership.Activation) {
-		if _, ok := w.active[slice]; ok {
-			return
-		}
-		source, origin := sourceOf(a)
-		w.window.Activate(now, slice.Range, source, origin)
-		w.active[slice] = struct{}{}
-	})
 }
 
 // sourceOf tells the window what is known of earlier attempts in a slice.
 func sourceOf(a ownership.Activation) (dedup.Source, dedup.Origin) {
-	if a.Fresh {
+	switch {
+	case a.Fresh:
 		return dedup.SourceFresh, dedup.Origin{}
+	case a.IDs != ownership.IDOrigin{}:
+		return dedup.SourceTransfer, dedup.Origin(a.IDs)
 	}
 	return dedup.SourceNone, dedup.Origin{}
 }
@@ -85,7 +125,7 @@
 		verdict, response, twin := q.begin(begin)
 		switch verdict {
 		case dedup.Run:
-			return q.runOnce(ctx, req, id)
+			return q.runOnce(ctx, req, attemptKey{id, req.Hash})
 		case dedup.Wait:
 			select {
 			case <-twin:
@@ -110,33 +150,33 @@
 	defer w.mu.Unlock()
 	verdict, response := w.window.Begin(dedup.Time{Mono: q.cfg.Now(), Wall: q.cfg.Wall()}, req)
 	if verdict == dedup.Run {
-		w.running[req.ID] = make(chan struct{})
+		w.running[attemptKey{req.ID, req.Hash}] = make(chan struct{})
 	}
-	return verdict, response, w.running[req.ID]
+	return verdict, response, w.running[attemptKey{req.ID, req.Hash}]
 }
 
-func (q *queue) runOnce(ctx context.Context, req *frontend.Request, id uuid.UUID) (*frontend.Answer, *frontend.RequestError) {
+func (q *queue) runOnce(ctx context.Context, req *frontend.Request, key attemptKey) (*frontend.Answer, *frontend.RequestError) {
 	answer, err := q.execute(ctx, req)
 	switch {
 	case err != nil && err.Outcome == callerapi.NotRun:
-		q.endOnce(id, dedup.NotRun, nil)
+		q.endOnce(key, dedup.NotRun, nil)
 	case err != nil:
-		q.endOnce(id, dedup.Unknown, nil)
+		q.endOnce(key, dedup.Unknown, nil)
 	default:
-		q.keepAnswer(id, answer)
+		q.keepAnswer(key, answer)
 	}
 	return answer, err
 }
 
 // keepAnswer stores a short answer for repeats. A streamed one is not stored;
 // its attempt ends with the stream.
-func (q *queue) keepAnswer(id uuid.UUID, answer *frontend.Answer) {
+func (q *queue) keepAnswer(key attemptKey, answer *frontend.Answer) {
 	if s, ok := answer.Body.(*streamedBody); ok {
 		ended := s.ended
 		s.ended = func(whole bool) {
 			ended(whole)
 			// The server has begun to answer, so the request ran, whole or not.
-			q.endOnce(id, dedup.Done, nil)
+			q.endOnce(key, dedup.Done, nil)
 		}
 		return
 	}
@@ -144,17 +184,17 @@
 	answer.Body = io.NopCloser(bytes.NewReader(body))
 	header := http.Header{}
 	frontend.CopyHeader(header, answer.Header)
-	q.endOnce(id, dedup.Done, &dedup.Response{Status: answer.Status, Header: header, Body: body})
+	q.endOnce(key, dedup.Done, &dedup.Response{Status: answer.Status, Header: header, Body: body})
 }
 
-func (q *queue) endOnce(id uuid.UUID, ending dedup.Ending, response *dedup.Response) {
+func (q *queue) endOnce(key attemptKey, ending dedup.Ending, response *dedup.Response) {
 	w := &q.window
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.window.Finish(id, ending, response)
-	if twin, ok := w.running[id]; ok {
+	w.window.Finish(key.id, key.hash, ending, response)
+	if twin, ok := w.running[key]; ok {
 		close(twin)
-		delete(w.running, id)
+		delete(w.running, key)
 	}
 }
 
