--- /dev/null
+++ b/cmd/internal/dev/deployment.go
@@ -0,0 +1,214 @@
+// Package dev runs a whole small deployment in one process over loopback
+// sockets: a platform stand-in, entry hosts in two availability zones, backend
+// server stand-ins, and a mixed load. It is a demonstration, not a simulator.
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+
+	"parsleyrelay.example/api/platformapi"
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/core/resource"
+	"parsleyrelay.example/relay/daemon"
+	"parsleyrelay.example/relay/platform"
+	"parsleyrelay.example/standin/listen"
+	platformstandin "parsleyrelay.example/standin/platform"
+	"parsleyrelay.example/standin/server"
+)
+
+// The deployment.
+const (
+	hostsPerZone   = 2
+	serversPerZone = 3
+	slotsPerServer = 6
+	connections    = 110
+	serviceName    = "almacen"
+	operatorToken  = "dev"
+)
+
+var zones = []string{"ate", "callao"}
+
+// deployment is a running set of processes' worth of goroutines.
+type deployment struct {
+	platform *platformstandin.Platform
+	listener *listen.Server
+	hosts    []*entryHost
+	servers  []*backendServer
+	journal  *server.Journal
+	running  sync.WaitGroup
+	failed   chan error
+}
+
+type entryHost struct {
+	name     string
+	zone     string
+	caller   string // base URL
+	operator string // base URL
+	stop     context.CancelFunc
+}
+
+type backendServer struct {
+	name     string
+	zone     string
+	listener *listen.Server
+	server   *server.Server
+}
+
+func start(ctx context.Context, logger log.Logger) (*deployment, error) {
+	d := &deployment{
+		platform: platformstandin.New(time.Now), journal: server.NewJournal(),
+		failed: make(chan error, len(zones)*hostsPerZone),
+	}
+	var err error
+	if d.listener, err = d.platform.Start("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	for _, zone := range zones {
+		for i := 1; i <= serversPerZone; i++ {
+			if err := d.startServer(fmt.Sprintf("%s-%s-%d", serviceName, zone, i), zone, uint64(i)); err != nil {
+				return d, err
+			}
+		}
+		for i := 1; i <= hostsPerZone; i++ {
+			if err := d.startHost(ctx, fmt.Sprintf("entry-%s-%d", zone, i), zone, logger); err != nil {
+				return d, err
+			}
+		}
+	}
+	d.listHosts()
+	return d, nil
+}
+
+func (d *deployment) startServer(name, zone string, seed uint64) error {
+	s := server.New(server.Options{
+		Name: name, Service: serviceName, ChecksGrants: true, Slots: slotsPerServer,
+		ServiceTime: server.Exponential(5 * time.Millisecond), Seed: seed, Journal: d.journal,
+		Listen: listen.Options{MaxConnections: connections, AcceptDelay: time.Millisecond},
+	})
+	l, err := s.Start("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	d.servers = append(d.servers, &backendServer{name: name, zone: zone, listener: l, server: s})
+	return nil
+}
+
+func (d *deployment) startHost(ctx context.Context, name, zone string, logger log.Logger) error {
+	var listeners daemon.Listeners
+	for _, l := range []*net.Listener{&listeners.Caller, &listeners.Peer, &listeners.Operator} {
+		opened, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		*l = opened
+	}
+	relay, err := daemon.New(daemon.Options{
+		Host: name, Zone: zone, PeerURL: "http://" + listeners.Peer.Addr().String(),
+		Listeners: listeners, Platform: platform.Options{BaseURL: d.listener.URL()},
+		Logger: log.With(logger, "host", name), Retention: time.Hour,
+		MaxRequests: 4096, MaxHeader: 64 << 10, DrainTimeout: 30 * time.Second,
+		OperatorToken: operatorToken, PeerClient: &http.Client{Timeout: 5 * time.Second},
+	})
+	if err != nil {
+		return err
+	}
+	hostCtx, stop := context.WithCancel(ctx)
+	d.hosts = append(d.hosts, &entryHost{
+		name: name, zone: zone, stop: stop,
+		caller:   "http://" + listeners.Caller.Addr().String(),
+		operator: "http://" + listeners.Operator.Addr().String(),
+	})
+	d.running.Go(func() {
+		if err := relay.Run(hostCtx); err != nil {
+			d.failed <- fmt.Errorf("host %s: %w", name, err)
+		}
+	})
+	return nil
+}
+
+func (d *deployment) listHosts() {
+	var list []platformapi.Host
+	for _, h := range d.hosts {
+		list = append(list, platformapi.Host{Name: h.name, State: platformapi.HostLive})
+	}
+	for _, s := range d.servers {
+		list = append(list, platformapi.Host{Name: s.name, State: platformapi.HostLive})
+	}
+	d.platform.SetHosts(list...)
+}
+
+// resources returns what an operator would apply.
+func (d *deployment) resources() []resource.Resource {
+	list := []resource.Resource{
+		{Name: "urgent", Spec: &resource.Rank{Level: 0}},
+		{Name: "normal", Spec: &resource.Rank{Level: 1, FloorPercent: 10}},
+		{Name: "casual", Spec: &resource.Rank{Level: 2, FloorPercent: 5}},
+		{Name: serviceName, Spec: &resource.Service{Ranks: []string{"urgent", "normal", "casual"}, DefaultRank: "casual"}},
+	}
+	for _, s := range d.servers {
+		list = append(list, resource.Resource{Name: s.name, Spec: &resource.Server{
+			Service: serviceName, Zone: s.zone, Address: s.listener.URL(),
+			Slots: slotsPerServer, Connections: connections, ChecksGrants: true,
+		}})
+	}
+	return list
+}
+
+func (d *deployment) apply() error {
+	for _, r := range d.resources() {
+		data, err := record.Marshal(record.Record{
+			ID: uuid.NewString(), Proposer: "dev", WallMS: time.Now().UnixMilli(),
+			Body: record.ResourcePut{Resource: r, ChangeID: uuid.NewString()},
+		})
+		if err != nil {
+			return err
+		}
+		d.platform.Append(data)
+	}
+	return nil
+}
+
+// awaitServing polls until every host answers a request of a key of each server.
+func (d *deployment) awaitServing(ctx context.Context, probe func(ctx context.Context, host *entryHost) bool) error {
+	for {
+		serving := 0
+		for _, h := range d.hosts {
+			if probe(ctx, h) {
+				serving++
+			}
+		}
+		if serving == len(d.hosts) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("the deployment did not serve in time")
+		case err := <-d.failed:
+			return err
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// stop ends all hosts gracefully, then the stand-ins.
+func (d *deployment) stop() {
+	for _, h := range d.hosts {
+		h.stop()
+	}
+	d.running.Wait()
+	for _, s := range d.servers {
+		s.listener.Close()
+	}
+	if d.listener != nil {
+		d.listener.Close()
+	}
+}
