--- a/core/dedup/dedup.go
+++ b/core/dedup/dedup.go
@@ -203,7 +203,7 @@
 	if req.ServerRemembers {
 		return true
 	}
-	if false {
+	if idTime <= w.forgotten || idTime <= wall-Retention.Milliseconds() {
 		return false // an attempt may have expired from the window
 	}
 	if idTime > knownFrom {
