Add checked settings and the run command

Cause: daemons must run as separate processes with settings in flags and environment variables. Change: relay/settings (flags, variables, findings, TLS from PEM values), daemon.FromSettings, parsleyrelayd run; exit code 2 for bad settings.

--- a/cmd/internal/dev/deployment.go
+++ b/cmd/internal/dev/deployment.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -116,7 +115,7 @@
 		Listeners: listeners, Platform: platform.Options{BaseURL: d.listener.URL()},
 		Logger: log.With(logger, "host", name), Retention: time.Hour,
 		MaxRequests: 4096, MaxHeader: 64 << 10, DrainTimeout: 30 * time.Second,
-		OperatorToken: operatorToken, PeerClient: &http.Client{Timeout: 5 * time.Second},
+		OperatorToken: operatorToken,
 	})
 	if err != nil {
 		return err
--- a/cmd/parsleyrelayd/main.go
+++ b/cmd/parsleyrelayd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -13,6 +14,9 @@
 	"github.com/urfave/cli/v3"
 
 	"parsleyrelay.example/cmd/internal/dev"
+	"parsleyrelay.example/core/finding"
+	"parsleyrelay.example/relay/daemon"
+	"parsleyrelay.example/relay/settings"
 )
 
 func main() {
@@ -21,11 +25,49 @@
 	command := &cli.Command{
 		Name:     "parsleyrelayd",
 		Usage:    "request router for servers that own keys exclusively",
-		Commands: []*cli.Command{devCommand()},
+		Commands: []*cli.Command{runCommand(), devCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
+	}
+}
+
+// Exit codes.
+const (
+	exitFailure     = 1
+	exitBadSettings = 2
+)
+
+func exitCode(err error) int {
+	var findings finding.List
+	if errors.As(err, &findings) {
+		return exitBadSettings
+	}
+	return exitFailure
+}
+
+func newLogger() log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	return log.With(logger, "ts", log.TimestampFormat(time.Now, time.RFC3339Nano))
+}
+
+func runCommand() *cli.Command {
+	s := settings.Defaults()
+	return &cli.Command{
+		Name:  "run",
+		Usage: "run the daemon of an entry host until SIGTERM, then drain",
+		Flags: settings.Flags(&s),
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			if err := s.Validate().Err(); err != nil {
+				return err
+			}
+			d, err := daemon.FromSettings(s, log.With(newLogger(), "host", s.Host, "zone", s.Zone))
+			if err != nil {
+				return err
+			}
+			return d.Run(ctx)
+		},
 	}
 }
 
@@ -42,8 +84,7 @@
 		Action: func(ctx context.Context, c *cli.Command) error {
 			logger := log.NewNopLogger()
 			if c.Bool("verbose") {
-				logger = log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
-				logger = log.With(logger, "ts", log.TimestampFormat(time.Now, time.RFC3339Nano))
+				logger = newLogger()
 			}
 			return dev.Run(ctx, dev.Options{
 				Duration: c.Duration("duration"), LoseServer: c.Bool("lose-server"), Seed: c.Uint64("seed"),
--- a/relay/daemon/assemble.go
+++ b/relay/daemon/assemble.go
@@ -28,7 +28,7 @@
 	d.sink = newSink(d.opts.Logger, d.opts.Host, d.opts.Zone)
 	d.client = platform.NewClient(d.opts.Platform)
 	d.servers = newServers(d.opts.Host)
-	d.peers = newPeers(d.incarnation, d.opts.PeerClient)
+	d.peers = newPeers(d.incarnation, d.opts.PeerTLS)
 	views := control.NewViews()
 	d.homes = home.NewManager(home.Config{
 		Views: views, Backend: d.servers, Now: d.now, Wall: time.Now,
--- a/relay/daemon/daemon.go
+++ b/relay/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -37,7 +38,7 @@
 	DrainTimeout  time.Duration
 	OperatorToken string
 	AnonymousRead bool
-	PeerClient    *http.Client // control calls and forwarding to other daemons
+	PeerTLS       *tls.Config // of calls to other daemons, nil for plaintext
 	// PolicyOff is the baseline of measurements: one FIFO queue per server.
 	PolicyOff bool
 }
@@ -92,7 +93,7 @@
 	d.duties.Go(func() { d.readLog(work) })
 	d.duties.Go(func() { d.pollHosts(work) })
 	d.duties.Go(func() { d.reportLoad(work) })
-	failed := d.listen()
+	failed := d.serve()
 	d.sink.Emit(event.Event{Code: event.ProcessStarted, Detail: "incarnation " + d.incarnation})
 
 	var err error
@@ -147,7 +148,7 @@
 	idleTimeout       = 2 * time.Minute
 )
 
-func (d *Daemon) listen() <-chan error {
+func (d *Daemon) serve() <-chan error {
 	failed := make(chan error, 4)
 	serve := func(l net.Listener, h http.Handler) {
 		if l == nil {
--- a/relay/daemon/peers.go
+++ b/relay/daemon/peers.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
-	"net/http"
 	"sync"
 
 	"parsleyrelay.example/core/ownership"
@@ -17,14 +17,18 @@
 
 // peers holds the clients of other daemons: control calls and forwarding.
 type peers struct {
-	calls *peer.Client
+	config *tls.Config
+	calls  *peer.Client
 
 	mu      sync.Mutex
 	forward map[string]*backend.Server // by URL
 }
 
-func newPeers(self string, client *http.Client) *peers {
-	return &peers{calls: peer.NewClient(self, client), forward: map[string]*backend.Server{}}
+func newPeers(self string, config *tls.Config) *peers {
+	return &peers{
+		config: config, calls: peer.NewClient(self, peerHTTPClient(config)),
+		forward: map[string]*backend.Server{},
+	}
 }
 
 func (p *peers) forwarder(url string) (*backend.Server, error) {
@@ -33,7 +37,7 @@
 	if s := p.forward[url]; s != nil {
 		return s, nil
 	}
-	s, err := backend.New(backend.Options{BaseURL: url, MaxConnections: forwardConnections})
+	s, err := backend.New(backend.Options{BaseURL: url, TLS: p.config, MaxConnections: forwardConnections})
 	if err == nil {
 		p.forward[url] = s
 	}
--- /dev/null
+++ b/relay/daemon/settings.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/go-kit/log"
+
+	"parsleyrelay.example/core/event"
+	"parsleyrelay.example/relay/platform"
+	"parsleyrelay.example/relay/settings"
+)
+
+// FromSettings opens the listeners and returns a daemon. The settings must have
+// passed Validate. An error names the address that cannot be used.
+func FromSettings(s settings.Settings, logger log.Logger) (*Daemon, error) {
+	peerServer, peerClient := s.PeerTLS()
+	caller := s.CallerTLS()
+	var listeners Listeners
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+		config  *tls.Config
+	}{
+		{&listeners.Caller, s.CallerAddress, caller},
+		{&listeners.Operator, s.OperatorAddress, caller},
+		{&listeners.Metrics, s.MetricsAddress, nil},
+		{&listeners.Peer, s.PeerAddress, peerServer},
+	} {
+		if l.address == "" {
+			continue
+		}
+		opened, err := listen(l.address, l.config)
+		if err != nil {
+			listeners.close()
+			return nil, err
+		}
+		*l.into = opened
+	}
+	d, err := New(Options{
+		Host: s.Host, Zone: s.Zone, PeerURL: s.AdvertisedPeerURL(), Listeners: listeners,
+		Platform: platform.Options{BaseURL: s.PlatformURL}, Logger: logger, Retention: s.Retention,
+		MaxRequests: s.MaxRequests, MaxHeader: s.MaxHeaderBytes, DrainTimeout: s.DrainTimeout,
+		OperatorToken: s.OperatorToken, AnonymousRead: s.AnonymousRead,
+		PeerTLS: peerClient, PolicyOff: s.PolicyOff,
+	})
+	if err != nil {
+		listeners.close()
+		return nil, err
+	}
+	if caller == nil || peerServer == nil {
+		d.sink.Emit(event.Event{Code: event.InsecureMode})
+	}
+	return d, nil
+}
+
+func listen(address string, config *tls.Config) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil || config == nil {
+		return l, err
+	}
+	return tls.NewListener(l, config), nil
+}
+
+func (l *Listeners) close() {
+	for _, open := range []net.Listener{l.Caller, l.Operator, l.Metrics, l.Peer} {
+		if open != nil {
+			_ = open.Close()
+		}
+	}
+}
+
+// peerHTTPClient makes control calls, each bounded by its context.
+func peerHTTPClient(config *tls.Config) *http.Client {
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: 4}}
+}
