--- /dev/null
+++ b/cmd/internal/load/load_test.go
@@ -0,0 +1,133 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"encoding/xml"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/api/callerapi"
+)
+
+func entryHost(t *testing.T, handle http.HandlerFunc) string {
+	host := httptest.NewServer(handle)
+	t.Cleanup(host.Close)
+	return host.URL
+}
+
+// Guards against coordinated omission: a stall of the system must show in the
+// latencies of all requests that were intended during it, and must not reduce
+// the number of requests.
+func TestLatencyCountsFromIntendedTime(t *testing.T) {
+	begin := time.Now()
+	address := entryHost(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(time.Until(begin.Add(600 * time.Millisecond))) // stalled until then
+		w.Header().Set(callerapi.HeaderOutcome, string(callerapi.Done))
+	})
+	cfg := Config{
+		Addresses: []string{address},
+		Streams:   []Stream{{Service: "s", Rank: "checks", Rate: 200, Deadline: 300 * time.Millisecond, Repeatable: true}},
+		Duration:  time.Second,
+		Seed:      1,
+		Keys:      DefaultKeys,
+	}
+	report, err := Run(context.Background(), cfg)
+	require.NoError(t, err)
+	k := report.Ranks[0]
+	require.InDelta(t, 200, k.Offered, 50)
+	require.Equal(t, k.Offered, k.Outcomes[string(callerapi.Done)])
+	require.InDelta(t, 0.7, float64(k.InTime)/float64(k.Offered), 0.15)
+	require.Greater(t, k.Max, 500.0)
+}
+
+// Guards against requests that the router would reject, outcomes that are lost,
+// and reports that cannot be read.
+func TestRequestsAndReport(t *testing.T) {
+	var bad atomic.Int64
+	address := entryHost(t, func(w http.ResponseWriter, r *http.Request) {
+		id, err := uuid.Parse(r.Header.Get(callerapi.HeaderID))
+		body, _ := io.ReadAll(r.Body)
+		post := r.Method == http.MethodPost
+		if !strings.HasPrefix(r.URL.Path, "/v1/") || post != (err == nil && id.Version() == 7 && len(body) == 64) {
+			bad.Add(1)
+		}
+		if r.Header.Get(callerapi.HeaderRank) == "lookups" {
+			w.Header().Set(callerapi.HeaderOutcome, string(callerapi.NotRun))
+			w.Header().Set(callerapi.HeaderReason, string(callerapi.ReasonQueueFull))
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		w.Header().Set(callerapi.HeaderOutcome, string(callerapi.Done))
+	})
+	for name := range profiles {
+		cfg, err := Profile(name, 200)
+		require.NoError(t, err)
+		cfg.Addresses, cfg.Duration, cfg.Seed = []string{address}, time.Second, 2
+		cfg.Floods = []Flood{{Rank: "lookups", From: 300 * time.Millisecond, To: 600 * time.Millisecond, Factor: 2}}
+		report, err := Run(context.Background(), cfg)
+		require.NoError(t, err)
+		require.Len(t, report.Ranks, 3)
+		lookups := report.Ranks[2]
+		require.Equal(t, lookups.Offered, lookups.Reasons["not-run queue_full"])
+		require.Greater(t, lookups.Offered, 100)
+
+		var table, data, svg bytes.Buffer
+		require.NoError(t, report.WriteTable(&table))
+		require.Contains(t, table.String(), "not-run queue_full")
+		require.NoError(t, report.WriteJSON(&data))
+		require.NoError(t, json.Unmarshal(data.Bytes(), &Report{}))
+		require.NoError(t, report.WriteSVG(&svg))
+		for dec := xml.NewDecoder(&svg); err == nil; {
+			_, err = dec.Token()
+		}
+		require.True(t, errors.Is(err, io.EOF), "%v", err)
+	}
+	require.Zero(t, bad.Load())
+	_, err := Run(context.Background(), Config{})
+	require.ErrorContains(t, err, "addresses")
+}
+
+// Guards against runs that cannot be repeated and hot keys that do not move.
+func TestSequenceDependsOnSeed(t *testing.T) {
+	sequence := func(seed uint64) (list []intended) {
+		cfg, err := Profile("kandyan", 1000)
+		require.NoError(t, err)
+		cfg.Addresses, cfg.Duration, cfg.Seed = []string{"a", "b"}, 2*time.Minute, seed
+		g := &generator{Config: cfg}
+		g.Callers = 5
+		rng := newRand(seed, 0)
+		g.arrivals(0, rng, newKeySource(cfg.Keys, rng), func(r intended) bool {
+			r.stream = nil
+			list = append(list, r)
+			return true
+		})
+		return list
+	}
+	first := sequence(1)
+	require.Equal(t, first, sequence(1))
+	require.NotEqual(t, first[:100], sequence(2)[:100])
+	hottest := func(from, to time.Duration) (best string) {
+		counts := map[string]int{}
+		for _, r := range first {
+			if r.at >= from && r.at < to {
+				counts[r.key]++
+				if counts[r.key] > counts[best] {
+					best = r.key
+				}
+			}
+		}
+		return best
+	}
+	require.NotEqual(t, hottest(0, time.Minute), hottest(time.Minute, 2*time.Minute))
+}
--- /dev/null
+++ b/cmd/internal/load/profile.go
@@ -0,0 +1,145 @@
+// Package load is an open-loop load generator: requests are sent at their
+// intended times whether or not earlier ones have been answered, and latency
+// counts from the intended time, so that a slow system cannot hide its delays.
+package load
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"parsleyrelay.example/core/finding"
+)
+
+// Stream is the traffic of one rank to one service.
+type Stream struct {
+	Service    string        `json:"service"`
+	Rank       string        `json:"rank"`
+	Rate       float64       `json:"rate"` // requests per second
+	Deadline   time.Duration `json:"deadlineNs"`
+	Repeatable bool          `json:"repeatable"` // GET, else POST with an id
+}
+
+// Flood replaces the rate of all streams of a rank for some time.
+type Flood struct {
+	Rank   string        `json:"rank"`
+	From   time.Duration `json:"fromNs"` // from the start of the run
+	To     time.Duration `json:"toNs"`
+	Factor float64       `json:"factor"` // of the capacity of each service
+}
+
+// Config describes a run.
+type Config struct {
+	Addresses []string           `json:"addresses"` // base URLs of entry hosts
+	Streams   []Stream           `json:"streams"`
+	Capacity  map[string]float64 `json:"capacity"` // requests per second by service, for floods
+	Floods    []Flood            `json:"floods,omitempty"`
+	Duration  time.Duration      `json:"durationNs"`
+	Seed      uint64             `json:"seed"`
+	Keys      Keys               `json:"keys"`
+	Callers   int                `json:"callers"` // caller names, default 20
+	// MaxInFlight bounds the requests in flight, default 4096. Requests beyond
+	// it are not sent; they are counted as failures of the generator.
+	MaxInFlight int `json:"maxInFlight"`
+	BodyBytes   int `json:"bodyBytes"` // of requests that are not repeatable, default 64
+
+	// Client sends the requests; nil means one with pooled connections.
+	Client *http.Client `json:"-"`
+}
+
+// profile gives the shape of a site's traffic; rates are shares of capacity.
+type profile struct {
+	services map[string]float64 // capacity relative to the first service
+	streams  []Stream           // Rate is a share of the capacity of the service
+}
+
+// The sites of design 2.1. Capacities are in proportion to the number of
+// servers, as both services of a site have the same number of slots per server.
+var profiles = map[string]profile{
+	"huaman": {
+		services: map[string]float64{"almacen": 1, "cotizador": 10.0 / 15},
+		streams: []Stream{
+			{Service: "almacen", Rank: "orders", Rate: 0.10, Deadline: time.Second},
+			{Service: "almacen", Rank: "checks", Rate: 0.25, Deadline: time.Second, Repeatable: true},
+			{Service: "almacen", Rank: "lookups", Rate: 0.15, Deadline: 2 * time.Second, Repeatable: true},
+			{Service: "cotizador", Rank: "checks", Rate: 0.35, Deadline: time.Second, Repeatable: true},
+			{Service: "cotizador", Rank: "lookups", Rate: 0.15, Deadline: 2 * time.Second, Repeatable: true},
+		},
+	},
+	"kandyan": {
+		services: map[string]float64{"orders": 1, "proofs": 15.0 / 25},
+		streams: []Stream{
+			{Service: "orders", Rank: "orders", Rate: 0.25, Deadline: 2 * time.Second},
+			{Service: "orders", Rank: "checks", Rate: 0.15, Deadline: time.Second, Repeatable: true},
+			{Service: "orders", Rank: "lookups", Rate: 0.10, Deadline: 2 * time.Second, Repeatable: true},
+			{Service: "proofs", Rank: "checks", Rate: 0.30, Deadline: 2 * time.Second, Repeatable: true},
+			{Service: "proofs", Rank: "lookups", Rate: 0.20, Deadline: 2 * time.Second, Repeatable: true},
+		},
+	},
+}
+
+// Profile returns the configuration of a named site. capacity is that of its
+// larger service in requests per second.
+func Profile(name string, capacity float64) (Config, error) {
+	p, ok := profiles[name]
+	if !ok {
+		return Config{}, fmt.Errorf("unknown load profile %q; known profiles are huaman and kandyan", name)
+	}
+	cfg := Config{Capacity: map[string]float64{}, Keys: DefaultKeys}
+	for service, share := range p.services {
+		cfg.Capacity[service] = share * capacity
+	}
+	for _, s := range p.streams {
+		s.Rate *= cfg.Capacity[s.Service]
+		cfg.Streams = append(cfg.Streams, s)
+	}
+	return cfg, nil
+}
+
+// Validate returns all findings.
+func (c Config) Validate() finding.List {
+	var findings finding.List
+	if len(c.Addresses) == 0 {
+		findings.Add("addresses", "at least one entry host is required")
+	}
+	if len(c.Streams) == 0 {
+		findings.Add("streams", "at least one is required")
+	}
+	if c.Duration <= 0 {
+		findings.Add("duration", "%v is not positive", c.Duration)
+	}
+	for i, s := range c.Streams {
+		if s.Rate < 0 {
+			findings.Add(fmt.Sprintf("streams[%d].rate", i), "%v is negative", s.Rate)
+		}
+		if s.Deadline <= 0 {
+			findings.Add(fmt.Sprintf("streams[%d].deadline", i), "%v is not positive", s.Deadline)
+		}
+	}
+	for i, f := range c.Floods {
+		if f.From >= f.To || f.Factor < 0 {
+			findings.Add(fmt.Sprintf("floods[%d]", i), "needs from before to and a factor of 0 or more")
+		}
+	}
+	c.Keys.validate(&findings)
+	return findings
+}
+
+// rate returns the rate of a stream at a time and the time of its next change.
+func (c Config) rate(s Stream, at time.Duration) (rate float64, until time.Duration) {
+	rate, until = s.Rate, c.Duration
+	for _, f := range c.Floods {
+		if f.Rank != s.Rank {
+			continue
+		}
+		if at >= f.From && at < f.To {
+			rate = f.Factor * c.Capacity[s.Service]
+		}
+		for _, change := range []time.Duration{f.From, f.To} {
+			if change > at {
+				until = min(until, change)
+			}
+		}
+	}
+	return rate, until
+}
