--- /dev/null
+++ b/cmd/internal/e2e/process_test.go
@@ -0,0 +1,244 @@
+// Package e2e tests the daemon as separate processes against in-process
+// stand-ins of the platform and of backend servers.
+package e2e
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/api/callerapi"
+	"parsleyrelay.example/api/platformapi"
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/core/resource"
+	"parsleyrelay.example/standin/listen"
+	"parsleyrelay.example/standin/platform"
+	"parsleyrelay.example/standin/server"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "parsleyrelay")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "parsleyrelayd")
+	build := exec.Command("go", "build", "-o", binary, "parsleyrelay.example/cmd/parsleyrelayd")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s", out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const token = "secret"
+
+type fixture struct {
+	t        *testing.T
+	platform *platform.Platform
+	log      *listen.Server
+	journal  *server.Journal
+	servers  []*server.Server
+	sockets  []*listen.Server
+	daemons  []*process
+}
+
+type process struct {
+	name     string
+	caller   string
+	operator string
+	cmd      *exec.Cmd
+	output   *lockedBuffer
+	done     chan struct{}
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// newFixture starts hosts daemons and servers servers in one availability zone
+// and applies their resources.
+func newFixture(t *testing.T, hosts, servers int) *fixture {
+	f := &fixture{t: t, platform: platform.New(time.Now), journal: server.NewJournal()}
+	var err error
+	f.log, err = f.platform.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { f.log.Close() })
+	f.put("urgent", &resource.Rank{Level: 0})
+	f.put("casual", &resource.Rank{Level: 1, FloorPercent: 10})
+	f.put("almacen", &resource.Service{Ranks: []string{"urgent", "casual"}, DefaultRank: "casual", Slices: 32, MaxBodyBytes: 1 << 20})
+	for i := range servers {
+		f.startServer(fmt.Sprintf("almacen-%d", i))
+	}
+	var list []platformapi.Host
+	for i := range hosts {
+		f.startDaemon(fmt.Sprintf("entry-%d", i))
+		list = append(list, platformapi.Host{Name: f.daemons[i].name, State: platformapi.HostLive})
+	}
+	f.platform.SetHosts(list...)
+	t.Cleanup(func() {
+		for _, p := range f.daemons {
+			p.kill()
+			if t.Failed() {
+				t.Logf("%s:\n%s", p.name, p.output)
+			}
+		}
+		require.Empty(t, f.journal.Check(nil), "two owners or a doubled run at the servers")
+	})
+	return f
+}
+
+func (f *fixture) put(name string, spec resource.Spec) {
+	data, err := record.Marshal(record.Record{
+		ID: uuid.NewString(), Proposer: "test",
+		Body: record.ResourcePut{Resource: resource.Resource{Name: name, Spec: spec}, ChangeID: uuid.NewString()},
+	})
+	require.NoError(f.t, err)
+	f.platform.Append(data)
+}
+
+func (f *fixture) startServer(name string) {
+	s := server.New(server.Options{
+		Name: name, Service: "almacen", ChecksGrants: true, Slots: 6, Journal: f.journal,
+		ServiceTime: server.Constant(2 * time.Millisecond),
+	})
+	l, err := s.Start("127.0.0.1:0")
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { s.Thaw(); l.Close() })
+	f.servers, f.sockets = append(f.servers, s), append(f.sockets, l)
+	f.put(name, &resource.Server{Service: "almacen", Zone: "ate", Address: l.URL(), Slots: 6, Connections: 110, ChecksGrants: true})
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *fixture) startDaemon(name string) *process {
+	p := &process{name: name, output: &lockedBuffer{}, done: make(chan struct{})}
+	caller, operator := freeAddress(f.t), freeAddress(f.t)
+	p.caller, p.operator = "http://"+caller, "http://"+operator
+	p.cmd = exec.Command(binary, "run", "--host", name, "--availability-zone", "ate",
+		"--caller-address", caller, "--operator-address", operator,
+		"--peer-address", freeAddress(f.t), "--metrics-address", freeAddress(f.t))
+	p.cmd.Env = append(os.Environ(), "PARSLEYRELAY_PLATFORM_URL="+f.log.URL(), "PARSLEYRELAY_OPERATOR_TOKEN="+token)
+	p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
+	require.NoError(f.t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	f.daemons = append(f.daemons, p)
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// answer is what a caller sees.
+type answer struct {
+	status  int
+	outcome callerapi.Outcome
+	reason  callerapi.Reason
+	body    string
+	err     error
+}
+
+type call struct {
+	method string
+	key    string
+	body   string
+	header map[string]string
+	path   string
+}
+
+func (p *process) send(c call) answer {
+	if c.method == "" {
+		c.method = http.MethodGet
+	}
+	if c.path == "" {
+		c.path = "/v1/almacen/" + c.key + "/item"
+	}
+	r, err := http.NewRequest(c.method, p.caller+c.path, strings.NewReader(c.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	for name, value := range c.header {
+		r.Header.Set(name, value)
+	}
+	client := &http.Client{Timeout: 10 * time.Second}
+	resp, err := client.Do(r)
+	if err != nil {
+		return answer{err: err, outcome: callerapi.Unknown}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{
+		status: resp.StatusCode, body: string(body), err: err,
+		outcome: callerapi.Outcome(resp.Header.Get(callerapi.HeaderOutcome)),
+		reason:  callerapi.Reason(resp.Header.Get(callerapi.HeaderReason)),
+	}
+}
+
+// testKeys are enough for every server to own some of them.
+func testKeys() []string {
+	keys := make([]string, 40)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("key-%d", i)
+	}
+	return keys
+}
+
+// awaitServing waits until all keys are served through p and returns the time it took.
+func (f *fixture) awaitServing(p *process, bound time.Duration) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for _, key := range testKeys() {
+		for {
+			a := p.send(call{key: key, header: map[string]string{callerapi.HeaderDeadlineMS: "1000"}})
+			if a.outcome == callerapi.Done {
+				break
+			}
+			if time.Since(began) > bound {
+				require.FailNowf(f.t, "not served", "key %s after %v: %+v", key, bound, a)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
