Fix holes in the ownership rules and test them under random failures

Cause: a review of the protocol found interleavings with two owners: a confirmation counted before the view is published, confirmations of offsets that were not folded, a wait counted across a change of the witness set, chains of moves and handovers that skip an earlier wait, a new server instance next to grants of a provisional home, equal sub-terms of two daemons, and a change of a service's scope under live leases.

--- a/core/ownership/failover_test.go
+++ b/core/ownership/failover_test.go
@@ -62,7 +62,7 @@
 				took := w.until(recoveryBound, w.allServing(16))
 				t.Log("serving again after", took+SuspicionTime/2)
 				require.Less(t, took+SuspicionTime/2, recoveryBound)
-				w.nodes[old].paused = false
+				w.resume(old)
 				w.servers[a].down = false
 				w.run(5 * time.Second)
 				require.Equal(t, 16, w.serving(16))
@@ -140,7 +140,7 @@
 	t.Log("provisional after", w.until(recoveryBound, w.allServing(16)))
 	w.run(5 * time.Second)
 	require.Equal(t, 16, w.serving(16))
-	w.nodes[old].paused = false
+	w.resume(old)
 	w.run(3 * time.Second)
 	require.Equal(t, 16, w.serving(16))
 	w.logDown = false
--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -183,7 +183,8 @@
 		h.servingDirty = true
 		m.viewDirty.server(h.name)
 		if h.until < m.now+grantInterval {
-			h.nextAt = m.now
+			// With little of the lease left, every grant ends soon.
+			h.nextAt = ex.sentAt + retryInterval
 		}
 	default:
 		h.acked = 0
--- a/core/ownership/harness_test.go
+++ b/core/ownership/harness_test.go
@@ -22,7 +22,9 @@
 	released           map[HeldSlice]bool
 	issued             map[string]time.Duration
 	expires            time.Duration
+	started            time.Duration
 	grants             int
+	clock              clock
 }
 
 func newFakeServer(name, instance string) *fakeServer {
@@ -62,18 +64,37 @@
 	return answer
 }
 
+func (f *fakeServer) checks() bool { return f.name[:5] != "plain" }
+
 func (f *fakeServer) holds(now time.Duration, s HeldSlice) bool {
 	return now < f.expires && f.held[s] && !f.released[s]
 }
 
-// node is a daemon in a test; paused and cut nodes neither step nor respond.
+// node is a daemon in a test. What arrives at a paused node waits in its mail.
 type node struct {
 	m      *Machine
 	paused bool
+	mail   []func()
+	clock  clock
 	heard  map[string]time.Duration
 	ids    int
 }
 
+// clock maps the time of the world to that of a process, whose rate may be off.
+type clock struct {
+	offset time.Duration
+	drift  float64
+}
+
+func (c clock) at(now time.Duration) time.Duration {
+	return c.offset + now + time.Duration(c.drift*float64(now))
+}
+
+type delivery struct {
+	at time.Duration
+	do func()
+}
+
 // world runs machines against an in-memory log and fake servers. Effects are
 // carried out at once, their results reach the machine as the next inputs.
 type world struct {
@@ -85,13 +106,17 @@
 	nodes   map[string]*node
 	order   []string
 	servers map[string]*fakeServer
+	queue   []delivery
+	grain   time.Duration          // step of time
+	delay   func() time.Duration   // of a message, nil for none
+	readLog func(name string) bool // whether a node reads the log now
 	// drop filters effects; a true result loses the effect.
 	drop    func(from string, e Effect) bool
 	effects []Effect
 }
 
 func newWorld(t *testing.T) *world {
-	return &world{t: t, nodes: map[string]*node{}, servers: map[string]*fakeServer{}}
+	return &world{t: t, grain: TickInterval, nodes: map[string]*node{}, servers: map[string]*fakeServer{}}
 }
 
 func (w *world) start(name, zone string, disabled ...Rule) *node {
@@ -136,7 +161,50 @@
 }
 
 func (w *world) serverSpec(name string) *resource.Server {
-	return &resource.Server{Service: "svc", Zone: "z", Address: "http://10.0.0.1:80", Slots: 2, Connections: 4, ChecksGrants: name[:5] != "plain"}
+	return &resource.Server{Service: "svc", Zone: "z", Address: "http://10.0.0.1:80", Slots: 2, Connections: 4, ChecksGrants: newFakeServer(name, "").checks()}
+}
+
+// receive passes an input to a node after its delay.
+func (w *world) receive(name string, in Input) {
+	w.later(func() { w.atNode(name, func() { w.step(name, in) }) })
+}
+
+// later runs do after the delay of one message.
+func (w *world) later(do func()) {
+	delay := time.Duration(0)
+	if w.delay != nil {
+		delay = w.delay()
+	}
+	w.queue = append(w.queue, delivery{at: w.now + delay, do: do})
+}
+
+func (w *world) atNode(name string, do func()) {
+	if n := w.nodes[name]; n.paused {
+		n.mail = append(n.mail, do)
+	} else {
+		do()
+	}
+}
+
+func (w *world) resume(name string) {
+	n := w.nodes[name]
+	n.paused = false
+	mail := n.mail
+	n.mail = nil
+	for _, do := range mail {
+		do()
+	}
+}
+
+// deliver runs all deliveries that are due, including those that they cause.
+func (w *world) deliver() {
+	for i := 0; i < len(w.queue); i++ {
+		if d := w.queue[i]; d.at <= w.now {
+			w.queue = append(w.queue[:i], w.queue[i+1:]...)
+			d.do()
+			i = -1
+		}
+	}
 }
 
 func (w *world) step(name string, in Input) {
@@ -144,113 +212,134 @@
 	if n.paused {
 		return
 	}
-	queue := []Input{in}
-	for len(queue) > 0 {
-		in, queue = queue[0], queue[1:]
-		for _, e := range n.m.Step(w.now, in) {
-			if ev, ok := e.(Emit); ok && w.trace {
-				w.t.Logf("%s %s %+v", w.now, name, ev.Event)
-			}
-			w.effects = append(w.effects, e)
-			if w.drop != nil && w.drop(name, e) {
-				continue
-			}
-			queue = append(queue, w.carryOut(name, e)...)
+	for _, e := range n.m.Step(n.clock.at(w.now), in) {
+		if ev, ok := e.(Emit); ok && w.trace {
+			w.t.Logf("%s %s %+v", w.now, name, ev.Event)
+		}
+		w.effects = append(w.effects, e)
+		if w.drop == nil || !w.drop(name, e) {
+			w.carryOut(name, e)
 		}
 	}
 }
 
-func (w *world) carryOut(from string, e Effect) []Input {
+func (w *world) carryOut(from string, e Effect) {
 	switch e := e.(type) {
 	case Append:
-		if w.logDown {
-			return []Input{AppendDone{RecordID: e.Record.ID, Err: true}}
-		}
-		offset := uint64(len(w.log) + 1)
-		w.log = append(w.log, record.Positioned{Offset: offset, Record: e.Record})
-		return []Input{AppendDone{RecordID: e.Record.ID, Offset: offset}}
+		w.later(func() {
+			if w.logDown {
+				w.receive(from, AppendDone{RecordID: e.Record.ID, Err: true})
+				return
+			}
+			w.log = append(w.log, record.Positioned{Offset: uint64(len(w.log) + 1), Record: e.Record})
+			w.receive(from, AppendDone{RecordID: e.Record.ID, Offset: uint64(len(w.log))})
+		})
 	case Poll:
-		other := w.nodes[e.Witness]
-		if other == nil || other.paused {
-			return []Input{PollFailed{Witness: e.Witness}}
-		}
-		other.heard[from] = w.now
-		w.step(e.Witness, PollReceived{Poller: from, Loads: e.Loads})
-		in := PollAnswered{Witness: e.Witness, SentAt: w.now, Applied: other.m.View().Applied, Heard: map[string]time.Duration{}}
-		for name, at := range other.heard {
-			in.Heard[name] = w.now - at
-		}
-		if e.Applied < in.Applied {
-			in.Records = w.log[e.Applied:in.Applied]
-		}
-		return []Input{in}
+		sent := w.nodes[from].clock.at(w.now)
+		w.later(func() { w.atNode(e.Witness, func() { w.answerPoll(from, sent, e) }) })
 	case SendGrant:
-		server := w.servers[e.Server]
-		if server == nil || server.down {
-			return []Input{GrantFailed{Server: e.Server, Seq: e.Seq}}
-		}
-		return []Input{server.grant(w.now, e)}
+		w.toServer(e.Server, GrantFailed{Server: e.Server, Seq: e.Seq}, from, func(s *fakeServer) Input {
+			return s.grant(s.clock.at(w.now), e)
+		})
 	case Probe:
-		if w.servers[e.Server].down {
-			return []Input{GrantFailed{Server: e.Server, Seq: e.Seq}}
-		}
-		return []Input{GrantAnswered{Server: e.Server, Seq: e.Seq, Accepted: true}}
+		w.toServer(e.Server, GrantFailed{Server: e.Server, Seq: e.Seq}, from, func(*fakeServer) Input {
+			return GrantAnswered{Server: e.Server, Seq: e.Seq, Accepted: true}
+		})
 	case Quiesce:
-		return []Input{Quiesced(e)}
+		w.receive(from, Quiesced(e))
 	case TransferIDs:
-		return []Input{IDsTransferred{Server: e.Server, Slice: e.Slice, OK: true}}
+		w.receive(from, IDsTransferred{Server: e.Server, Slice: e.Slice, OK: true})
 	case SendRelease:
-		server := w.servers[e.Server]
-		if !server.down {
-			server.released[e.Slice] = true
+		w.toServer(e.Server, ReleaseAnswered{Server: e.Server, Slice: e.Slice}, from, func(s *fakeServer) Input {
+			done := e.Term == s.term && e.SubTerm == s.sub
+			s.released[e.Slice] = s.released[e.Slice] || done
+			return ReleaseAnswered{Server: e.Server, Slice: e.Slice, Instance: s.instance, Done: done}
+		})
+	}
+}
+
+func (w *world) toServer(name string, failed Input, from string, call func(*fakeServer) Input) {
+	w.later(func() {
+		if s := w.servers[name]; s.down {
+			w.receive(from, failed)
+		} else {
+			w.receive(from, call(s))
 		}
-		return []Input{ReleaseAnswered{Server: e.Server, Slice: e.Slice, Instance: server.instance, Done: !server.down}}
+	})
+}
+
+func (w *world) answerPoll(from string, sent time.Duration, e Poll) {
+	other := w.nodes[e.Witness]
+	other.heard[from] = w.now
+	in := PollAnswered{Witness: e.Witness, SentAt: sent, Applied: other.m.View().Applied, Heard: map[string]time.Duration{}}
+	for name, at := range other.heard {
+		in.Heard[name] = w.now - at
 	}
-	return nil
+	if e.Applied < in.Applied {
+		in.Records = w.log[e.Applied:in.Applied]
+	}
+	w.receive(from, in)
+	w.step(e.Witness, PollReceived{Poller: from, Loads: e.Loads})
 }
 
-// run lets time pass in steps of one tick and checks after each that no key has
-// two owners that could act.
+// run lets time pass, sends the ticks, and checks after each step that no key
+// has two owners that could act.
 func (w *world) run(d time.Duration) {
 	for end := w.now + d; w.now < end; {
-		w.now += TickInterval
-		for _, name := range w.order {
-			n := w.nodes[name]
-			if w.logDown {
-				w.step(name, LogUnreachable{})
-			} else {
-				next := min(n.m.View().Applied, uint64(len(w.log)))
-				w.step(name, RecordsRead{Records: w.log[next:], Oldest: 1})
+		w.now += w.grain
+		w.deliver()
+		for i, name := range w.order {
+			if phase := time.Duration(i) * w.grain; (w.now+phase)%TickInterval == 0 || w.grain == TickInterval {
+				w.tick(w.nodes[name], name)
 			}
-			w.step(name, Tick{})
 		}
 		w.checkOwners()
 	}
 }
 
+func (w *world) tick(n *node, name string) {
+	if n.paused {
+		return
+	}
+	if w.logDown {
+		w.step(name, LogUnreachable{})
+	} else if w.readLog == nil || w.readLog(name) {
+		w.step(name, RecordsRead{Records: w.log[min(n.m.View().Applied, uint64(len(w.log))):], Oldest: 1})
+	}
+	w.deliver()
+	w.step(name, Tick{})
+	w.deliver()
+}
+
 // checkOwners fails the test when two homes may send requests for one hash, or
 // two servers hold it under live grants.
 func (w *world) checkOwners() {
 	for _, r := range keyspace.Divide(16) {
 		var senders, holders []string
+		targets, plainSenders := map[string]bool{}, 0
 		for _, name := range w.order {
-			if route, ok := w.nodes[name].m.View().Lookup("svc", r.First, w.now); ok && route.Serving {
-				senders = append(senders, name+"->"+route.Server)
+			// A paused daemon sends nothing; what it would send is checked when it resumes.
+			if w.nodes[name].paused {
+				continue
+			}
+			if route, ok := w.nodes[name].m.View().Lookup("svc", r.First, w.nodes[name].clock.at(w.now)); ok && route.Serving {
+				senders = append(senders, name+" to "+route.Server)
+				targets[route.Server] = true
+				if plain := !w.servers[route.Server].checks(); plain {
+					plainSenders++
+				}
 			}
 		}
 		for name, server := range w.servers {
 			for s := range server.held {
-				if s.Range.Contains(r.First) && server.holds(w.now, s) {
+				if s.Range.Contains(r.First) && server.holds(server.clock.at(w.now), s) {
 					holders = append(holders, name)
 				}
 			}
 		}
 		require.LessOrEqual(w.t, len(holders), 1, "holders of %x at %s: %v", r.First, w.now, holders)
-		targets := map[string]bool{}
-		for _, s := range senders {
-			targets[s[len(s)-6:]] = true
-		}
-		require.LessOrEqual(w.t, len(targets), 1, "senders of %x at %s: %v", r.First, w.now, senders)
+		// Two homes may name the same checking server, which then arbitrates.
+		require.LessOrEqual(w.t, max(plainSenders, len(targets)), 1, "senders of %x at %s: %v", r.First, w.now, senders)
 	}
 }
 
@@ -259,7 +348,7 @@
 	count := 0
 	for _, r := range keyspace.Divide(n) {
 		for _, node := range w.nodes {
-			if route, ok := node.m.View().Lookup("svc", r.First, w.now); ok && route.Serving && !node.paused && !w.servers[route.Server].down {
+			if route, ok := node.m.View().Lookup("svc", r.First, node.clock.at(w.now)); ok && route.Serving && !node.paused && !w.servers[route.Server].down {
 				count++
 				break
 			}
--- a/core/ownership/machine_test.go
+++ b/core/ownership/machine_test.go
@@ -25,3 +25,13 @@
 		})
 	}
 }
+
+// Guards against a change of scope under live leases: daemons that do not know
+// the change would go on with witnesses that the others no longer ask.
+func TestScopeOfPlacedServiceIsFixed(t *testing.T) {
+	w := servingWorld(t, 3, "checka")
+	w.put("svc", &resource.Service{Scope: resource.ScopeAll, Slices: 16, Ranks: []string{"normal"}, DefaultRank: "normal"})
+	w.run(time.Second)
+	svc, _ := w.nodes["d1"].m.st.Service("svc")
+	require.Equal(t, resource.ScopeZone, svc.EffectiveScope())
+}
--- a/core/state/fold_resources.go
+++ b/core/state/fold_resources.go
@@ -54,6 +54,10 @@
 				return refused("%s: spec.ranks: Rank/%s does not exist", place, rank), false
 			}
 		}
+		// Daemons that know only the old scope would keep leases from its witnesses.
+		if old, ok := s.Service(r.Name); ok && s.tables[r.Name].Len() > 0 && old.EffectiveScope() != spec.EffectiveScope() {
+			return refused("%s: spec.scope cannot change once the service has slices", place), false
+		}
 	case *resource.Server:
 		if _, ok := s.Service(spec.Service); !ok {
 			return refused("%s: spec.service: Service/%s does not exist", place, spec.Service), false
