Keep batches of moves apart and order effects

A slice can enter a second batch of moves while the first is outstanding. Forgetting the first by its slice dropped the second one and stopped the process with a nil pointer. Batches are now forgotten by key.

--- a/core/ownership/chaos_test.go
+++ b/core/ownership/chaos_test.go
@@ -38,8 +38,8 @@
 	}
 	w.service(scope, 16, "checka", "checkb", "checkc", "plaina", "plainb")
 	names := []string{"checka", "checkb", "checkc", "plaina", "plainb"}
-	for _, s := range w.servers {
-		s.clock.drift = (r.Float64()*2 - 1) * ClockDriftBound
+	for _, name := range names {
+		w.servers[name].clock.drift = (r.Float64()*2 - 1) * ClockDriftBound
 	}
 	w.until(20*time.Second, w.allServing(16))
 	instances := 0
@@ -84,11 +84,20 @@
 	require.Equal(t, 16, w.serving(16))
 }
 
+func seeds(n uint64) []uint64 {
+	list := make([]uint64, n)
+	for i := range list {
+		list[i] = uint64(i)
+	}
+	return list
+}
+
 // Guards against any interleaving of failures that gives a key two owners, and
 // against one that leaves keys unavailable after the failures end.
 func TestChaos(t *testing.T) {
 	for _, scope := range []resource.Scope{resource.ScopeZone, resource.ScopeAll} {
-		for seed := range uint64(20) {
+		// Seed 1027 found a batch of moves that was forgotten in place of another.
+		for _, seed := range append(seeds(20), 1027) {
 			t.Run(fmt.Sprintf("%s/%d", scope, seed), func(t *testing.T) {
 				t.Parallel()
 				chaos(t, seed, scope)
--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -313,8 +313,8 @@
 	m.viewDirty.server(h.name)
 	serving := map[HeldSlice]Activation{}
 	if h.open && !h.stopped {
-		for _, s := range h.slices {
-			if m.dispatched(h, s) {
+		for _, first := range sortedKeys(h.slices) {
+			if s := h.slices[first]; m.dispatched(h, s) {
 				serving[s.held] = m.activation(h, s)
 			}
 		}
--- a/core/ownership/homes.go
+++ b/core/ownership/homes.go
@@ -102,7 +102,7 @@
 }
 
 func (m *Machine) closeHome(h *home) {
-	for _, mv := range h.moves {
+	for _, mv := range m.sortedMoves(h) {
 		m.emit(Resume{Server: h.name, Slice: mv.slice})
 	}
 	delete(m.local, h.name)
@@ -114,8 +114,8 @@
 // reconcile compares the slices of a home with the state.
 func (m *Machine) reconcile(h *home) {
 	table := m.st.Table(h.spec.Service)
-	for first, s := range h.slices {
-		slice := table.Lookup(first)
+	for _, first := range sortedKeys(h.slices) {
+		s, slice := h.slices[first], table.Lookup(first)
 		if slice == nil || slice.Server != h.name || slice.Range != s.held.Range || slice.Generation != s.held.Generation {
 			m.removeSlice(h, first)
 		}
@@ -326,9 +326,9 @@
 // that it overlaps.
 func (m *Machine) reshape(h *home, first, last uint64, pieces []*state.Slice) {
 	var before []*ownedSlice
-	for hash, s := range h.slices {
+	for _, hash := range sortedKeys(h.slices) {
 		if hash >= first && hash <= last {
-			before = append(before, s)
+			before = append(before, h.slices[hash])
 			m.removeSlice(h, hash)
 		}
 	}
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -243,7 +243,7 @@
 		}
 	}
 	for _, key := range sortedKeys(m.batches) {
-		if b := m.batches[key]; m.stillWanted(b) {
+		if b := m.batches[key]; m.stillWanted(key, b) {
 			m.propose(key, b.body)
 		}
 	}
@@ -278,20 +278,16 @@
 }
 
 // stillWanted reports whether a batch should be proposed again.
-func (m *Machine) stillWanted(b *batch) bool {
+func (m *Machine) stillWanted(key string, b *batch) bool {
 	h := m.local[b.server]
 	if h == nil || h.assigned.Term != b.body.Moves[0].FromTerm {
-		return m.abandoned(b)
+		m.forgetBatch(key) // its precondition can never hold again
+		return false
 	}
 	return m.logReachable && (!b.forced || h.unresponsive || h.spec.Gone)
 }
 
-// abandoned forgets a batch whose precondition can never hold again.
-func (m *Machine) abandoned(b *batch) bool {
-	m.forgetBatch(m.batchOf[HeldSlice{Range: b.body.Moves[0].Range, Generation: b.body.Moves[0].Generation}])
-	return false
-}
-
+// forgetBatch drops a batch. A slice may have entered a later batch meanwhile.
 func (m *Machine) forgetBatch(key string) *batch {
 	b := m.batches[key]
 	if b == nil {
@@ -299,7 +295,9 @@
 	}
 	delete(m.batches, key)
 	for _, e := range b.body.Moves {
-		delete(m.batchOf, HeldSlice{Range: e.Range, Generation: e.Generation})
+		if held := (HeldSlice{Range: e.Range, Generation: e.Generation}); m.batchOf[held] == key {
+			delete(m.batchOf, held)
+		}
 	}
 	return b
 }
