--- a/core/state/fold_slices.go
+++ b/core/state/fold_slices.go
@@ -18,13 +18,13 @@
 	list := make([]Slice, len(b.Slices))
 	next := uint64(0)
 	for i, p := range b.Slices {
-		if p.Range.First != next || !p.Range.Valid() {
+		if p.Range.First != next || !p.Range.Valid() || i > 0 && next == 0 {
 			return refused("slice %s leaves a gap or overlaps", p.Range)
 		}
 		if !s.serves(p.Server, b.Service) {
 			return refused("Server/%s is not a server of Service/%s", p.Server, b.Service)
 		}
-		list[i] = Slice{Range: p.Range, Server: p.Server, Generation: offset}
+		list[i] = Slice{Range: p.Range, Generation: offset, Owner: s.intern.owner(p.Server), Origin: s.intern.origin(Origin{})}
 		next = p.Range.Last + 1
 	}
 	if len(list) == 0 || list[len(list)-1].Range.Last != math.MaxUint64 {
@@ -60,7 +60,10 @@
 func (s *State) moveSlice(offset uint64, b record.SlicesMoved, m record.Move) bool {
 	table := s.tables[b.Service]
 	current := exactSlice(table, m.Range, m.Generation)
-	if current == nil || current.Server != m.From || s.homes[m.From].Term != m.FromTerm {
+	if current == nil || current.Server != m.From || s.homes[m.From].Term != m.FromTerm || current.Generation >= offset {
+		return false
+	}
+	if from, ok := s.Server(m.From); ok && from.RequireReleaseConfirmation && !from.Gone && !b.Released && m.From != m.To {
 		return false
 	}
 	if !s.serves(m.To, b.Service) {
@@ -71,10 +74,10 @@
 	if from, ok := s.Server(m.From); ok {
 		zone = from.Zone
 	}
-	s.tables[b.Service] = table.with(m.Range.First, 1, []Slice{{
-		Range: m.Range, Server: m.To, Generation: offset,
-		Former: m.From, FormerScope: scope, FormerZone: zone, Released: b.Released,
-	}})
+	s.tables[b.Service] = table.set(s.editing(), Slice{
+		Range: m.Range, Generation: offset, Owner: s.intern.owner(m.To),
+		Origin: s.intern.origin(Origin{Former: m.From, FormerScope: scope, FormerZone: zone, Released: b.Released}),
+	})
 	s.owned[m.From]--
 	s.owned[m.To]++
 	return true
@@ -108,7 +111,7 @@
 	last := *current
 	last.Range = keyspace.Range{First: first, Last: b.Range.Last}
 	pieces = append(pieces, last)
-	s.tables[b.Service] = table.with(b.Range.First, 1, pieces)
+	s.tables[b.Service] = table.replace(s.editing(), b.Range.First, 1, pieces)
 	s.owned[current.Server] += len(pieces) - 1
 	return Outcome{Applied: true}
 }
@@ -123,7 +126,7 @@
 	count := 0
 	for next := b.Range.First; ; {
 		part := table.Lookup(next)
-		if part.Server != first.Server || part.Generation != b.Generation || part.Former != first.Former {
+		if part.Server != first.Server || part.Generation != b.Generation || part.Origin != first.Origin {
 			return refused("slices of %s do not share owner and generation", b.Range)
 		}
 		count++
@@ -136,7 +139,7 @@
 	if merged.Range != b.Range || count < 2 {
 		return refused("%s is not a run of two or more whole slices", b.Range)
 	}
-	s.tables[b.Service] = table.with(b.Range.First, count, []Slice{merged})
+	s.tables[b.Service] = table.replace(s.editing(), b.Range.First, count, []Slice{merged})
 	s.owned[first.Server] -= count - 1
 	return Outcome{Applied: true}
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -32,6 +32,7 @@
 // majorities are needed for evidence and for confirmation.
 type WitnessSet struct {
 	Epoch     uint64   // of Current
+	Since     uint64   // offset of the record that made Current the only set
 	Current   []string // incarnations
 	Pending   []string
 	PendingAt uint64 // offset of the proposal
@@ -56,28 +57,40 @@
 }
 
 // State is the result of folding a prefix of the log. It is not safe for
-// concurrent use; Service tables may be shared, since they are immutable.
+// concurrent use; the tables that it returns may be shared, since they do not change.
 type State struct {
 	applied   uint64
 	resources map[resource.Key]resource.Resource
-	changes   map[resource.Key]string // change id of the last accepted put or delete
+	changes   map[resource.Key]changeIDs
 	members   map[string]Member
 	witnesses map[string]WitnessSet
 	homes     map[string]Home
 	tables    map[string]*Table
 	owned     map[string]int // slices per server
+	departed  *departures
+	edit      *edit
+	intern    *intern
+}
+
+// changeIDs are the ids of changes of a resource. A change without an id counts
+// under the id of its record.
+type changeIDs struct {
+	Last    string `json:"last"` // last accepted put or delete
+	Created string `json:"created"`
 }
 
 // New returns the state before the first record.
 func New() *State {
 	return &State{
 		resources: map[resource.Key]resource.Resource{},
-		changes:   map[resource.Key]string{},
+		changes:   map[resource.Key]changeIDs{},
 		members:   map[string]Member{},
 		witnesses: map[string]WitnessSet{},
 		homes:     map[string]Home{},
 		tables:    map[string]*Table{},
 		owned:     map[string]int{},
+		departed:  newDepartures(),
+		intern:    newIntern(),
 	}
 }
 
@@ -169,8 +182,21 @@
 // Home returns the home of a server; its term is 0 if it never had one.
 func (s *State) Home(server string) Home { return s.homes[server] }
 
-// Table returns the slices of a service, nil before the first placement.
-func (s *State) Table(service string) *Table { return s.tables[service] }
+// Table returns the slices of a service, nil before the first placement. The
+// table does not change when more records are folded.
+func (s *State) Table(service string) *Table {
+	s.edit = nil
+	return s.tables[service]
+}
+
+// editing returns the mark of the tables' parts that may change in place, because
+// they were made after the last call of Table.
+func (s *State) editing() *edit {
+	if s.edit == nil {
+		s.edit = &edit{}
+	}
+	return s.edit
+}
 
 // Owned returns how many slices a server owns.
 func (s *State) Owned(server string) int { return s.owned[server] }
@@ -182,25 +208,26 @@
 		return Outcome{}, fmt.Errorf("record at offset %d does not follow applied offset %d", p.Offset, s.applied)
 	}
 	s.applied = p.Offset
+	s.departed.expire(p.Offset, s.forget)
 	return s.apply(p), nil
 }
 
 func (s *State) apply(p record.Positioned) Outcome {
 	switch b := p.Record.Body.(type) {
 	case record.ResourcePut:
-		return s.putResource(p.Offset, b)
+		return s.putResource(p, b)
 	case record.ResourceDelete:
-		return s.deleteResource(b)
+		return s.deleteResource(p, b)
 	case record.HostJoined:
 		return s.joinHost(p.Offset, b)
 	case record.HostLeft:
-		return s.removeHost(b)
+		return s.removeHost(p.Offset, b)
 	case record.WitnessProposed:
 		return s.proposeWitnesses(p.Offset, b)
 	case record.WitnessActivated:
-		return s.activateWitnesses(b)
+		return s.activateWitnesses(p.Offset, b)
 	case record.WitnessReset:
-		return s.resetWitnesses(b)
+		return s.resetWitnesses(p.Offset, b)
 	case record.HomeAssigned:
 		return s.assignHome(p, b)
 	case record.SlicesPlaced:
@@ -211,8 +238,10 @@
 		return s.splitSlice(b)
 	case record.SliceMerged:
 		return s.mergeSlices(b)
+	case record.CheckpointPart:
+		return Outcome{Applied: true} // does not change the state
 	}
-	return Outcome{Applied: true} // checkpoint parts do not change the state
+	return refused("record has no body of a known type")
 }
 
 func refused(format string, args ...any) Outcome {
