--- a/core/ownership/fold.go
+++ b/core/ownership/fold.go
@@ -64,6 +64,12 @@
 		m.viewDirty.members = true
 	case record.HostLeft:
 		delete(m.suspects, b.Incarnation)
+		if b.Incarnation == m.cfg.Incarnation {
+			m.removed = true
+			if !m.draining {
+				m.emit(Removed{})
+			}
+		}
 		m.viewDirty.members = true
 		m.report(event.Event{Code: event.HostLeft, Peer: b.Incarnation, Offset: p.Offset, Detail: string(b.Reason)})
 	case record.WitnessProposed:
--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -183,7 +183,8 @@
 		h.servingDirty = true
 		m.viewDirty.server(h.name)
 		if h.until < m.now+grantInterval {
-			h.nextAt = m.now
+			// With little of the lease left, every grant ends soon.
+			h.nextAt = ex.sentAt + retryInterval
 		}
 	default:
 		h.acked = 0
@@ -312,8 +313,8 @@
 	m.viewDirty.server(h.name)
 	serving := map[HeldSlice]Activation{}
 	if h.open && !h.stopped {
-		for _, s := range h.slices {
-			if m.dispatched(h, s) {
+		for _, first := range sortedKeys(h.slices) {
+			if s := h.slices[first]; m.dispatched(h, s) {
 				serving[s.held] = m.activation(h, s)
 			}
 		}
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -21,10 +21,10 @@
 	busyPollInterval = 100 * time.Millisecond
 )
 
-// join announces this daemon until it is a member. A daemon that was removed
-// while it was paused announces itself again.
+// join announces this daemon until it is a member. An incarnation that was
+// removed never joins again; the driver ends the process after Removed.
 func (m *Machine) join() {
-	if _, ok := m.st.Member(m.cfg.Incarnation); ok || m.draining {
+	if _, ok := m.st.Member(m.cfg.Incarnation); ok || m.draining || m.removed {
 		return
 	}
 	m.propose("join", record.HostJoined{
