Index the slices of each server

core/ownership needs the slices of a server without a scan of the table. State.SlicesOf iterates over them in hash order; slice counts come from the same sorted set of hashes.

--- a/core/state/bench_test.go
+++ b/core/state/bench_test.go
@@ -54,7 +54,7 @@
 // of the table, as the daemon takes one per read of the log.
 func BenchmarkFold(b *testing.B) {
 	for _, n := range benchSizes {
-		for _, batch := range []int{1, 256} {
+		for _, batch := range []int{1, 256, 1 << 20} {
 			b.Run(fmt.Sprintf("%d/batch%d", n, batch), func(b *testing.B) {
 				s := newService(b, n, benchServers)
 				moves := movesOf(s, b.N)
--- a/core/state/checkpoint.go
+++ b/core/state/checkpoint.go
@@ -212,7 +212,7 @@
 		}
 		s.tables[t.Service] = NewTable(list)
 		for i := range list {
-			s.owned[list[i].Server]++
+			s.own(list[i].Server, list[i].Range.First)
 		}
 	}
 	if len(reader.rows) > 0 {
--- a/core/state/fold_resources.go
+++ b/core/state/fold_resources.go
@@ -134,8 +134,8 @@
 }
 
 func (s *State) checkUnused(key resource.Key) (Outcome, bool) {
-	if key.Kind == resource.KindServer && s.owned[key.Name] > 0 {
-		return refused("%s owns %d slices; set spec.drain: true first", key, s.owned[key.Name]), false
+	if key.Kind == resource.KindServer && s.Owned(key.Name) > 0 {
+		return refused("%s owns %d slices; set spec.drain: true first", key, s.Owned(key.Name)), false
 	}
 	var users []resource.Key
 	for other, r := range s.resources {
--- a/core/state/fold_slices.go
+++ b/core/state/fold_slices.go
@@ -32,7 +32,7 @@
 	}
 	s.tables[b.Service] = NewTable(list)
 	for i := range list {
-		s.owned[list[i].Server]++
+		s.own(list[i].Server, list[i].Range.First)
 	}
 	return Outcome{Applied: true}
 }
@@ -78,8 +78,10 @@
 		Range: m.Range, Generation: offset, Owner: s.intern.owner(m.To),
 		Origin: s.intern.origin(Origin{Former: m.From, FormerScope: scope, FormerZone: zone, Released: b.Released}),
 	})
-	s.owned[m.From]--
-	s.owned[m.To]++
+	if m.From != m.To {
+		s.disown(m.From, m.Range.First)
+		s.own(m.To, m.Range.First)
+	}
 	return true
 }
 
@@ -112,7 +114,9 @@
 	last.Range = keyspace.Range{First: first, Last: b.Range.Last}
 	pieces = append(pieces, last)
 	s.tables[b.Service] = table.replace(s.editing(), b.Range.First, 1, pieces)
-	s.owned[current.Server] += len(pieces) - 1
+	for i := range pieces {
+		s.own(current.Server, pieces[i].Range.First)
+	}
 	return Outcome{Applied: true}
 }
 
@@ -124,12 +128,15 @@
 	}
 	merged := *first
 	count := 0
+	var joined []uint64
 	for next := b.Range.First; ; {
 		part := table.Lookup(next)
 		if part.Server != first.Server || part.Generation != b.Generation || part.Origin != first.Origin {
 			return refused("slices of %s do not share owner and generation", b.Range)
 		}
-		count++
+		if count++; count > 1 {
+			joined = append(joined, part.Range.First)
+		}
 		if part.Range.Last >= b.Range.Last {
 			merged.Range.Last = part.Range.Last
 			break
@@ -140,6 +147,8 @@
 		return refused("%s is not a run of two or more whole slices", b.Range)
 	}
 	s.tables[b.Service] = table.replace(s.editing(), b.Range.First, count, []Slice{merged})
-	s.owned[first.Server] -= count - 1
+	for _, hash := range joined {
+		s.disown(first.Server, hash)
+	}
 	return Outcome{Applied: true}
 }
--- a/core/state/fold_test.go
+++ b/core/state/fold_test.go
@@ -198,21 +198,26 @@
 	if table == nil {
 		return
 	}
-	owned, count, next := map[string]int{}, 0, uint64(0)
+	owned, count, next := map[string][]Slice{}, 0, uint64(0)
 	for slice := range table.All {
 		require.Equal(t, next, slice.Range.First)
 		require.LessOrEqual(t, slice.Range.First, slice.Range.Last)
 		require.Equal(t, *slice, *table.Lookup(slice.Range.First))
 		require.Equal(t, *slice, *table.Lookup(slice.Range.Last))
 		next = slice.Range.Last + 1
-		owned[slice.Server]++
+		owned[slice.Server] = append(owned[slice.Server], *slice)
 		count++
 	}
 	require.Zero(t, next, "the last slice ends at the end of the key space")
 	require.Equal(t, uint64(math.MaxUint64), table.Lookup(math.MaxUint64).Range.Last)
 	require.Equal(t, count, table.Len())
 	for i := range 4 {
-		require.Equal(t, owned[serverName(i)], s.Owned(serverName(i)))
+		var list []Slice
+		for slice := range s.SlicesOf(serverName(i)) {
+			list = append(list, *slice)
+		}
+		require.Equal(t, owned[serverName(i)], list)
+		require.Len(t, list, s.Owned(serverName(i)))
 	}
 }
 
--- /dev/null
+++ b/core/state/owned.go
@@ -0,0 +1,114 @@
+package state
+
+import (
+	"iter"
+	"slices"
+)
+
+// maxRun bounds the hashes that a change of a hashSet moves, to 4 kB.
+const maxRun = 512
+
+// hashSet is a sorted set of hashes in runs of at most maxRun.
+type hashSet struct {
+	runs  [][]uint64
+	count int
+}
+
+func (s *hashSet) len() int {
+	if s == nil {
+		return 0
+	}
+	return s.count
+}
+
+// run returns the index of the run that hash belongs to.
+func (s *hashSet) run(hash uint64) int {
+	low, high := 0, len(s.runs)
+	for high-low > 1 {
+		if middle := int(uint(low+high) >> 1); s.runs[middle][0] <= hash {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+func (s *hashSet) add(hash uint64) {
+	if len(s.runs) == 0 {
+		s.runs = append(s.runs, nil)
+	}
+	r := s.run(hash)
+	i, found := slices.BinarySearch(s.runs[r], hash)
+	if found {
+		return
+	}
+	s.count++
+	if i == maxRun && r == len(s.runs)-1 {
+		// Hashes that come in order fill each run whole.
+		s.runs = append(s.runs, append(make([]uint64, 0, maxRun), hash))
+		return
+	}
+	s.runs[r] = slices.Insert(s.runs[r], i, hash)
+	if len(s.runs[r]) <= maxRun {
+		return
+	}
+	upper := slices.Clone(s.runs[r][maxRun/2:])
+	s.runs[r] = s.runs[r][:maxRun/2]
+	s.runs = slices.Insert(s.runs, r+1, upper)
+}
+
+func (s *hashSet) remove(hash uint64) {
+	if s.len() == 0 {
+		return
+	}
+	r := s.run(hash)
+	i, found := slices.BinarySearch(s.runs[r], hash)
+	if !found {
+		return
+	}
+	s.count--
+	s.runs[r] = slices.Delete(s.runs[r], i, i+1)
+	if len(s.runs[r]) == 0 {
+		s.runs = slices.Delete(s.runs, r, r+1)
+	}
+}
+
+// SlicesOf iterates over the slices that a server owns, in hash order and without
+// a scan of the table. No record may be folded meanwhile.
+func (s *State) SlicesOf(server string) iter.Seq[*Slice] {
+	return func(yield func(*Slice) bool) {
+		spec, ok := s.Server(server)
+		owned := s.owned[server]
+		if !ok || owned.len() == 0 {
+			return
+		}
+		table := s.Table(spec.Service)
+		for _, run := range owned.runs {
+			for _, first := range run {
+				if !yield(table.Lookup(first)) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// own records that a server owns the slice that starts at first.
+func (s *State) own(server string, first uint64) {
+	owned := s.owned[server]
+	if owned == nil {
+		owned = &hashSet{}
+		s.owned[server] = owned
+	}
+	owned.add(first)
+}
+
+// disown reverses own.
+func (s *State) disown(server string, first uint64) {
+	owned := s.owned[server]
+	owned.remove(first)
+	if owned.len() == 0 {
+		delete(s.owned, server)
+	}
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -66,7 +66,7 @@
 	witnesses map[string]WitnessSet
 	homes     map[string]Home
 	tables    map[string]*Table
-	owned     map[string]int // slices per server
+	owned     map[string]*hashSet // first hashes of the slices of each server
 	departed  *departures
 	edit      *edit
 	intern    *intern
@@ -88,7 +88,7 @@
 		witnesses: map[string]WitnessSet{},
 		homes:     map[string]Home{},
 		tables:    map[string]*Table{},
-		owned:     map[string]int{},
+		owned:     map[string]*hashSet{},
 		departed:  newDepartures(),
 		intern:    newIntern(),
 	}
@@ -199,7 +199,7 @@
 }
 
 // Owned returns how many slices a server owns.
-func (s *State) Owned(server string) int { return s.owned[server] }
+func (s *State) Owned(server string) int { return s.owned[server].len() }
 
 // Apply folds one record. It returns an error, and changes nothing, when the
 // offset is not the next one.
