--- /dev/null
+++ b/core/placement/bench_test.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"parsleyrelay.example/core/keyspace"
+	"parsleyrelay.example/core/state"
+)
+
+// BenchmarkTakeover chooses new homes for the servers of failed hosts: one, 40,
+// and a ninth of all. A zone has cells of 32 hosts with 2 servers per host, and
+// each takeover orders the surviving hosts of the cell.
+func BenchmarkTakeover(b *testing.B) {
+	for _, total := range []int{360, 3600, 16000} {
+		for _, failed := range []int{1, 40, total / 9} {
+			b.Run(fmt.Sprintf("hosts%d/failed%d", total, failed), func(b *testing.B) {
+				cell := hosts(slices.Repeat([]string{"a"}, 32)...)
+				for b.Loop() {
+					for i := range 2 * failed {
+						Homes(fmt.Sprint("server-", i), "a", "zone:a", cell[1:])
+					}
+				}
+				b.ReportMetric(b.Elapsed().Seconds()*1e6/float64(b.N)/float64(failed), "µs/host")
+			})
+		}
+	}
+}
+
+func BenchmarkEvacuate(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			servers := make([]Server, 24)
+			for i := range servers {
+				servers[i] = Server{Name: fmt.Sprint("s", i), Zone: "a", Weight: 100, Owned: n}
+			}
+			ranges := keyspace.Divide(n)
+			for b.Loop() {
+				Evacuate("svc", "a", ranges, servers)
+			}
+			b.ReportMetric(b.Elapsed().Seconds()*1e9/float64(b.N)/float64(n), "ns/slice")
+		})
+	}
+}
+
+// Compares "smallest healthy address" with rendezvous order for 640 servers over
+// 32 hosts when one host fails and returns: how many homes change, and how much
+// work the busiest host has. Guards against a rendezvous order that moves more
+// than the servers of the failed host.
+func TestSmallestAddressAgainstRendezvous(t *testing.T) {
+	const servers = 640
+	all := hosts(slices.Repeat([]string{"a"}, 32)...)
+	smallest := func(_ string, h []state.Member) string {
+		return slices.MinFunc(h, func(a, b state.Member) int { return compareURLs(a.PeerURL, b.PeerURL) }).Host
+	}
+	rendezvous := func(server string, h []state.Member) string { return Homes(server, "a", "zone:a", h)[0].Host }
+	for name, choose := range map[string]func(string, []state.Member) string{"smallest": smallest, "rendezvous": rendezvous} {
+		changes, worst, busiest := 0, 0, 0
+		for failed := range all {
+			rest := slices.Delete(slices.Clone(all), failed, failed+1)
+			moved, work := 0, map[string]int{}
+			for i := range servers {
+				server := fmt.Sprint("server-", i)
+				before := choose(server, all)
+				work[before]++
+				after := choose(server, rest)
+				if before != after {
+					moved++
+				}
+				if name == "rendezvous" && before != after && before != all[failed].Host {
+					t.Fatal("a server of a healthy host changed its home")
+				}
+			}
+			changes += moved
+			worst = max(worst, moved)
+			for _, n := range work {
+				busiest = max(busiest, n)
+			}
+		}
+		t.Logf("%s: homes that change when one host fails (as many when it returns): mean %.1f, most %d; busiest host %d, mean %d",
+			name, float64(changes)/float64(len(all)), worst, busiest, servers/len(all))
+	}
+}
+
+func compareURLs(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
