Add relay/commands: changes that are acknowledged once folded

Cause: operators need one write path whose answers stay true when the log is down, an answer is lost, or two operators change the same resource. Change: PUT, DELETE and the settlement by change id behind the interfaces Proposer and Views; a Ledger of outcomes fed from RecordFolded; relay/bearer checks the token. The change id is also the record id. A spec is decoded field by field, so that all problems come in one answer. Conclusion: an accepted outcome must not be replaced by the refusal of a second copy of the same record; the ledger keeps the first acceptance.

--- /dev/null
+++ b/relay/commands/commands_test.go
@@ -0,0 +1,242 @@
+package commands
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/api/operatorapi"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/core/resource"
+	"parsleyrelay.example/core/state"
+	"parsleyrelay.example/relay/bearer"
+)
+
+// fakeLog folds proposals at once, or keeps them while held.
+type fakeLog struct {
+	mu       sync.Mutex
+	state    *state.State
+	ledger   *Ledger
+	view     *ownership.View
+	replaced chan struct{}
+	hold     bool
+	full     bool
+	held     []record.Record
+	folds    int
+}
+
+func (f *fakeLog) Propose(r record.Record) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full {
+		return false
+	}
+	if f.hold {
+		f.held = append(f.held, r)
+		return true
+	}
+	f.fold(r)
+	return true
+}
+
+func (f *fakeLog) fold(r record.Record) {
+	p := record.Positioned{Offset: f.state.Applied() + 1, Record: r}
+	out, err := f.state.Apply(p)
+	if err != nil {
+		panic(err)
+	}
+	f.folds++
+	f.ledger.Folded(ownership.RecordFolded{Positioned: p, Applied: out.Applied, Reason: out.Reason})
+	view := *f.view
+	view.Applied, view.Resources = p.Offset, maps.Clone(view.Resources)
+	if out.Applied {
+		switch b := r.Body.(type) {
+		case record.ResourcePut:
+			view.Resources[b.Resource.Key()], _ = f.state.Resource(b.Resource.Key())
+		case record.ResourceDelete:
+			delete(view.Resources, b.Key)
+		}
+	}
+	f.view = &view
+	close(f.replaced)
+	f.replaced = make(chan struct{})
+}
+
+func (f *fakeLog) Current() (*ownership.View, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view, f.replaced
+}
+
+func (f *fakeLog) release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hold = false
+	for _, r := range f.held {
+		f.fold(r)
+	}
+}
+
+func setup(t *testing.T, token string) (*fakeLog, func(method, path, id, body string) (int, operatorapi.Change)) {
+	log := &fakeLog{
+		state: state.New(), ledger: NewLedger(), replaced: make(chan struct{}),
+		view: &ownership.View{LogReachable: true, Complete: true, Resources: map[resource.Key]resource.Resource{}},
+	}
+	router := chi.NewRouter()
+	New(Config{Proposer: log, Views: log, Ledger: log.ledger, Wall: time.Now, Wait: 50 * time.Millisecond}).
+		Mount(router, bearer.Policy{Token: token})
+	return log, func(method, path, id, body string) (int, operatorapi.Change) {
+		r := httptest.NewRequest(method, path, bytes.NewBufferString(body))
+		r.Header.Set("Authorization", "Bearer secret")
+		r.Header.Set(operatorapi.HeaderChangeID, id)
+		w := httptest.NewRecorder()
+		router.ServeHTTP(w, r)
+		var change operatorapi.Change
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &change))
+		return w.Code, change
+	}
+}
+
+const rankPath = "/v1/resources/Rank/orders"
+
+func rank(version, level int) string {
+	return fmt.Sprintf(`{"kind":"Rank","metadata":{"name":"orders","version":%d},"spec":{"level":%d,"floorPercent":%d}}`, version, level, level)
+}
+
+// Guards against two operators who both win, and against a mix of both changes.
+func TestRacingOperatorsTheLoserSeesTheWinner(t *testing.T) {
+	log, call := setup(t, "secret")
+	_, created := call("PUT", rankPath, "", rank(0, 9))
+	var wg sync.WaitGroup
+	codes, changes := make([]int, 8), make([]operatorapi.Change, 8)
+	for i := range codes {
+		wg.Go(func() { codes[i], changes[i] = call("PUT", rankPath, "", rank(int(created.Version), i+1)) })
+	}
+	wg.Wait()
+	current, _ := log.state.Resource(resource.Key{Kind: resource.KindRank, Name: "orders"})
+	wins := 0
+	for i, code := range codes {
+		if code == http.StatusOK {
+			wins++
+			assert.Equal(t, current.Version, changes[i].Version)
+			continue
+		}
+		require.Equal(t, http.StatusConflict, code)
+		require.NotNil(t, changes[i].Resource)
+		assert.Equal(t, current.Version, changes[i].Resource.Metadata.Version)
+		level := current.Spec.(*resource.Rank).Level
+		assert.JSONEq(t, fmt.Sprintf(`{"level":%d,"floorPercent":%d}`, level, level), string(changes[i].Resource.Spec))
+	}
+	assert.Equal(t, 1, wins)
+}
+
+// Guards against acknowledging a change that is not in the log, and against
+// counting a repeated change twice.
+func TestLostAnswerThenTheSameChange(t *testing.T) {
+	log, call := setup(t, "secret")
+	log.hold = true
+	id := uuid.NewString()
+	code, change := call("PUT", rankPath, id, rank(0, 1))
+	assert.Equal(t, http.StatusGatewayTimeout, code)
+	assert.Equal(t, operatorapi.ChangeUnknown, change.State)
+	assert.Equal(t, id, change.ChangeID)
+	code, _ = call("GET", "/v1/changes/"+id, "", "")
+	assert.Equal(t, http.StatusNotFound, code)
+
+	log.release()
+	code, settled := call("GET", "/v1/changes/"+id, "", "")
+	assert.Equal(t, http.StatusOK, code)
+	_, later := call("PUT", rankPath, "", rank(int(settled.Version), 2))
+	assert.Equal(t, operatorapi.ChangeAccepted, later.State)
+	code, again := call("PUT", rankPath, id, rank(0, 1))
+	assert.Equal(t, http.StatusOK, code, "the change was accepted, although another one followed")
+	assert.Equal(t, settled.Version, again.Version)
+	assert.Equal(t, 2, log.folds)
+
+	code, other := call("PUT", rankPath, id, rank(0, 3))
+	assert.Equal(t, http.StatusUnprocessableEntity, code, "the id belongs to another change")
+	assert.Len(t, other.Findings, 1)
+}
+
+// Guards against losing an acceptance when a second copy of the record, proposed
+// through another host, is refused.
+func TestSecondCopyInTheLogDoesNotUndoTheOutcome(t *testing.T) {
+	log, call := setup(t, "secret")
+	id := uuid.NewString()
+	_, first := call("PUT", rankPath, id, rank(0, 1))
+	_, later := call("PUT", rankPath, "", rank(int(first.Version), 2))
+	r := resource.Resource{Name: "orders", Spec: &resource.Rank{Level: 1, FloorPercent: 1}}
+	log.Propose(record.Record{ID: id, Body: record.ResourcePut{Resource: r, ChangeID: id}})
+	code, settled := call("GET", "/v1/changes/"+id, "", "")
+	assert.Equal(t, http.StatusOK, code)
+	assert.Equal(t, first.Version, settled.Version)
+	assert.Less(t, first.Version, later.Version)
+}
+
+// Guards against an unclear answer when nothing was proposed.
+func TestLogDownOrRingFullIsNotAccepted(t *testing.T) {
+	log, call := setup(t, "secret")
+	log.full = true
+	code, change := call("PUT", rankPath, "", rank(0, 1))
+	assert.Equal(t, http.StatusServiceUnavailable, code)
+	log.full, log.view.LogReachable = false, false
+	code, _ = call("PUT", rankPath, change.ChangeID, rank(0, 1))
+	assert.Equal(t, http.StatusServiceUnavailable, code)
+	assert.Zero(t, log.folds)
+	log.view.LogReachable = true
+	code, _ = call("PUT", rankPath, change.ChangeID, rank(0, 1))
+	assert.Equal(t, http.StatusOK, code)
+}
+
+// Guards against findings that come one per attempt.
+func TestAllFindingsAtOnce(t *testing.T) {
+	log, call := setup(t, "secret")
+	code, change := call("PUT", "/v1/resources/Server/a", "not-a-uuid",
+		`{"kind":"Rank","metadata":{"name":"b"},"spec":{"slots":"ten","color":1,"service":"none","zone":"ate","address":"ftp://x"}}`)
+	assert.Equal(t, http.StatusUnprocessableEntity, code)
+	places := []string{}
+	for _, f := range change.Findings {
+		places = append(places, f.Place)
+	}
+	assert.ElementsMatch(t, []string{
+		"header Parsleyrelay-Change-Id", "kind", "metadata.name", "Server/a: spec.slots",
+		"Server/a: spec.color", "Server/a: spec.address", "Server/a: spec.service",
+	}, places)
+	code, change = call("PUT", "/v1/resources/Service/s", "", `{"spec":{"ranks":["x","y"],"defaultRank":"x"}}`)
+	assert.Equal(t, http.StatusUnprocessableEntity, code)
+	assert.Len(t, change.Findings, 2, "references that the fold refuses are all named")
+	assert.Equal(t, 1, log.folds)
+}
+
+// Guards against declaring a zone lost by accident, and against open changes.
+func TestConfirmationAndToken(t *testing.T) {
+	_, call := setup(t, "secret")
+	code, change := call("PUT", "/v1/resources/Zone/ate", "", `{"spec":{"lost":true}}`)
+	assert.Equal(t, http.StatusUnprocessableEntity, code)
+	assert.NotEmpty(t, change.Warning)
+	code, change = call("PUT", "/v1/resources/Zone/ate?confirm=lost", "", `{"spec":{"lost":true}}`)
+	assert.Equal(t, http.StatusOK, code)
+	assert.NotEmpty(t, change.Warning)
+	code, _ = call("DELETE", "/v1/resources/Zone/ate", "", "")
+	assert.Equal(t, http.StatusUnprocessableEntity, code, "a delete needs a version")
+	code, _ = call("DELETE", "/v1/resources/Zone/ate", "", fmt.Sprintf(`{"metadata":{"version":%d}}`, change.Version))
+	assert.Equal(t, http.StatusOK, code)
+	for _, token := range []string{"", "other"} {
+		log, call := setup(t, token)
+		code, _ = call("PUT", rankPath, "", rank(0, 1))
+		assert.Equal(t, http.StatusUnauthorized, code)
+		assert.Zero(t, log.folds)
+	}
+}
--- /dev/null
+++ b/relay/commands/ledger.go
@@ -0,0 +1,134 @@
+package commands
+
+import (
+	"sync"
+
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/core/resource"
+)
+
+// ledgerChanges bounds the outcomes that are kept. At 78,000 changes a day this
+// covers about 5 hours, well beyond the time for which a change is tried again.
+const ledgerChanges = 16384
+
+// Outcome is the result of folding the record of a change.
+type Outcome struct {
+	Key     resource.Key
+	Offset  uint64 // of the record that decided the change
+	Applied bool
+	Reason  string // why it had no effect
+	Digest  string // of the content, see digest
+	Deleted bool   // the change is a delete
+}
+
+// Ledger keeps the outcomes of changes by change id, whichever host proposed
+// them, and wakes commands that wait for theirs. It is safe for concurrent use.
+type Ledger struct {
+	mu       sync.Mutex
+	outcomes map[string]Outcome
+	order    []string // ring of change ids, the oldest at next when full
+	next     int
+	waiting  map[string]*waiters
+}
+
+type waiters struct {
+	count  int
+	folded chan struct{} // closed when the outcome is known
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{outcomes: map[string]Outcome{}, waiting: map[string]*waiters{}}
+}
+
+// Folded takes the outcome of any record; those of other kinds are ignored. An
+// accepted outcome is never replaced: a second record of the same change may
+// lose against a later change although the first one was accepted.
+func (l *Ledger) Folded(f ownership.RecordFolded) {
+	id, out, ok := outcomeOf(f)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old, known := l.outcomes[id]
+	if known && (old.Applied || !out.Applied) {
+		return
+	}
+	if !known {
+		l.remember(id)
+	}
+	l.outcomes[id] = out
+	if w, ok := l.waiting[id]; ok {
+		close(w.folded)
+		delete(l.waiting, id)
+	}
+}
+
+func (l *Ledger) remember(id string) {
+	if len(l.order) < ledgerChanges {
+		l.order = append(l.order, id)
+		return
+	}
+	delete(l.outcomes, l.order[l.next])
+	l.order[l.next] = id
+	l.next = (l.next + 1) % ledgerChanges
+}
+
+// Outcome returns the outcome of a change, if this host has folded it.
+func (l *Ledger) Outcome(changeID string) (Outcome, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out, ok := l.outcomes[changeID]
+	return out, ok
+}
+
+// Pending reports whether a command waits for the change on this host.
+func (l *Ledger) Pending(changeID string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.waiting[changeID]
+	return ok
+}
+
+// wait registers for the outcome of a change. first tells that no other command
+// waits for it, so that the caller proposes it. The caller ends with done.
+func (l *Ledger) wait(changeID string) (folded <-chan struct{}, first bool, done func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.outcomes[changeID]; ok {
+		ready := make(chan struct{})
+		close(ready)
+		return ready, false, func() {}
+	}
+	w, ok := l.waiting[changeID]
+	if !ok {
+		w = &waiters{folded: make(chan struct{})}
+		l.waiting[changeID] = w
+	}
+	w.count++
+	return w.folded, !ok, func() { l.leave(changeID, w) }
+}
+
+func (l *Ledger) leave(changeID string, w *waiters) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.count--
+	if w.count == 0 && l.waiting[changeID] == w {
+		delete(l.waiting, changeID)
+	}
+}
+
+func outcomeOf(f ownership.RecordFolded) (id string, out Outcome, ok bool) {
+	out = Outcome{Offset: f.Positioned.Offset, Applied: f.Applied, Reason: f.Reason}
+	switch b := f.Positioned.Record.Body.(type) {
+	case record.ResourcePut:
+		out.Key, out.Digest = b.Resource.Key(), digest(b)
+		return b.ChangeID, out, b.ChangeID != ""
+	case record.ResourceDelete:
+		out.Key, out.Digest, out.Deleted = b.Key, digest(b), true
+		return b.ChangeID, out, b.ChangeID != ""
+	}
+	return "", Outcome{}, false
+}
