--- /dev/null
+++ b/relay/queries/ownership.go
@@ -0,0 +1,205 @@
+package queries
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/go-chi/chi/v5"
+
+	"parsleyrelay.example/api/operatorapi"
+	"parsleyrelay.example/core/event"
+	"parsleyrelay.example/core/keyspace"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/relay/timeline"
+)
+
+func (q *Queries) serveOwnership(w http.ResponseWriter, r *http.Request) {
+	if current, ok := q.currentOwner(w, r); ok {
+		writeJSON(w, http.StatusOK, current)
+	}
+}
+
+// serveOwnershipHistory says who owned a key when, and why it moved, as far as
+// the rings of the hosts that respond still tell.
+func (q *Queries) serveOwnershipHistory(w http.ResponseWriter, r *http.Request) {
+	current, ok := q.currentOwner(w, r)
+	if !ok {
+		return
+	}
+	events := q.timeline(r.Context(), timeline.Filter{
+		Service: current.Service, Key: current.Key, AlsoCodes: causes,
+	})
+	writeJSON(w, http.StatusOK, operatorapi.OwnershipHistory{
+		Current: current, Periods: periodsOf(current, events.Events), Completeness: events.Completeness,
+	})
+}
+
+func (q *Queries) currentOwner(w http.ResponseWriter, r *http.Request) (operatorapi.Ownership, bool) {
+	service, key := pathValue(r, "service"), pathValue(r, "key")
+	current, ok := owner(q.view(), service, key)
+	if !ok {
+		writeNotFound(w, fmt.Sprintf("Service/%s does not exist or has no slices yet", service))
+	}
+	return current, ok
+}
+
+// pathValue decodes a path parameter; the router matches the escaped path when
+// there is one, so that a key may contain slashes.
+func pathValue(r *http.Request, name string) string {
+	value := chi.URLParam(r, name)
+	if r.URL.RawPath != "" {
+		if plain, err := url.PathUnescape(value); err == nil {
+			return plain
+		}
+	}
+	return value
+}
+
+func owner(view *ownership.View, service, key string) (operatorapi.Ownership, bool) {
+	hash := keyspace.Hash(key)
+	route, ok := view.Lookup(service, hash, 0)
+	if !ok {
+		return operatorapi.Ownership{}, false
+	}
+	current := operatorapi.Ownership{
+		Service: service, Key: key, KeyHash: fmt.Sprintf("%016x", hash),
+		Slice: route.Slice.Range.String(), Generation: route.Slice.Generation,
+		Owner: route.Server, Former: route.Slice.Former,
+		Term: route.View.Home.Term, Durable: true, Applied: view.Applied,
+	}
+	if home := route.View.Home.Incarnation; home != "" {
+		current.Home = hostName(view, home)
+	}
+	return current, true
+}
+
+// causes are events of servers and zones that explain why a slice moved.
+var causes = []event.Code{
+	event.ServerUnresponsive, event.ServerResponsive, event.ServerNewInstance, event.ZoneDeclaredLost,
+}
+
+// periodsOf derives the owners from events in clock order. Several hosts report
+// the same move; they share its generation.
+func periodsOf(current operatorapi.Ownership, events []operatorapi.Event) []operatorapi.Period {
+	var periods []operatorapi.Period
+	for _, e := range events {
+		code := event.Code(e.Code)
+		if (code == event.SlicePlaced || code == event.SliceMoved) && e.Service == current.Service {
+			periods = addOwner(periods, e)
+		}
+	}
+	if len(periods) == 0 || periods[len(periods)-1].Generation < current.Generation {
+		periods = append(periods, operatorapi.Period{Generation: current.Generation, Owner: current.Owner, Slice: current.Slice})
+	}
+	nameOwners(current, periods)
+	for i := range periods {
+		if i+1 < len(periods) {
+			periods[i].UntilMS = periods[i+1].FromMS
+		}
+		former := operatorapi.Period{}
+		if i > 0 {
+			former = periods[i-1]
+		}
+		explain(&periods[i], former, events)
+	}
+	return periods
+}
+
+func addOwner(periods []operatorapi.Period, e operatorapi.Event) []operatorapi.Period {
+	generation := e.Generation
+	if generation == 0 {
+		generation = e.Offset
+	}
+	at := 0
+	for at < len(periods) && periods[at].Generation < generation {
+		at++
+	}
+	if at < len(periods) && periods[at].Generation == generation {
+		if periods[at].Owner == "" {
+			periods[at].Owner = e.Server
+		}
+		periods[at].Evidence = append(periods[at].Evidence, e)
+		return periods
+	}
+	period := operatorapi.Period{
+		Owner: e.Server, Generation: generation, Slice: e.Slice,
+		FromMS: timeline.WallMS(e.HLC), Evidence: []operatorapi.Event{e},
+	}
+	return append(periods[:at], append([]operatorapi.Period{period}, periods[at:]...)...)
+}
+
+// nameOwners fills in owners that the events leave out and the log state knows.
+func nameOwners(current operatorapi.Ownership, periods []operatorapi.Period) {
+	for i := range periods {
+		if periods[i].Generation == current.Generation {
+			periods[i].Owner = current.Owner
+			if i > 0 && periods[i-1].Owner == "" {
+				periods[i-1].Owner = current.Former
+			}
+		}
+	}
+}
+
+// explain adds the reason of a period, the events it rests on, and the first dispatch.
+func explain(p *operatorapi.Period, former operatorapi.Period, events []operatorapi.Event) {
+	decided := len(p.Evidence) > 0
+	if !decided {
+		p.Reason = "the change of owner is not in the rings of the hosts that responded"
+	}
+	var cause *operatorapi.Event
+	for i := range events {
+		e := &events[i]
+		code := event.Code(e.Code)
+		if code == event.SliceServing && e.Server == p.Owner && e.Generation == p.Generation && p.ServingMS == 0 {
+			p.ServingMS = timeline.WallMS(e.HLC)
+		}
+		if decided && timeline.WallMS(e.HLC) <= p.FromMS && timeline.WallMS(e.HLC) >= former.FromMS && isCause(e, former) {
+			cause = e
+		}
+	}
+	if !decided {
+		return
+	}
+	p.Reason = reasonOf(p.Evidence[0], former, cause)
+	if cause != nil {
+		p.Evidence = append([]operatorapi.Event{*cause}, p.Evidence...)
+	}
+}
+
+// isCause tells whether e says something about the former owner that can lead to
+// a move. The last such event before the move counts.
+func isCause(e *operatorapi.Event, former operatorapi.Period) bool {
+	switch event.Code(e.Code) {
+	case event.SliceReleased:
+		return e.Server == former.Owner && e.Generation == former.Generation
+	case event.ServerUnresponsive, event.ServerResponsive, event.ServerNewInstance:
+		return e.Server == former.Owner && former.Owner != ""
+	case event.ZoneDeclaredLost:
+		return true
+	}
+	return false
+}
+
+func reasonOf(decision operatorapi.Event, former operatorapi.Period, cause *operatorapi.Event) string {
+	if event.Code(decision.Code) == event.SlicePlaced {
+		return "first placement"
+	}
+	reason := "the events that are still kept do not tell"
+	if cause != nil {
+		switch event.Code(cause.Code) {
+		case event.SliceReleased:
+			reason = "planned move: " + former.Owner + " released the slice"
+		case event.ServerUnresponsive:
+			reason = "forced move: " + former.Owner + " did not respond"
+		case event.ServerNewInstance:
+			reason = "forced move: " + former.Owner + " was restarted"
+		case event.ZoneDeclaredLost:
+			reason = "forced move: an availability zone was declared lost"
+		}
+	}
+	if decision.Detail != "" {
+		reason += " (" + decision.Detail + ")"
+	}
+	return reason
+}
--- /dev/null
+++ b/relay/queries/queries.go
@@ -0,0 +1,123 @@
+// Package queries holds the operators' read operations: resources with their
+// status, watches, the state of all hosts, the owner of a key and the timeline.
+package queries
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"parsleyrelay.example/api/operatorapi"
+	"parsleyrelay.example/api/peerv1"
+	"parsleyrelay.example/core/finding"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/core/state"
+	"parsleyrelay.example/relay/bearer"
+)
+
+// Views returns the current view and a channel that is closed when it is replaced.
+type Views interface {
+	Current() (*ownership.View, <-chan struct{})
+}
+
+// Peers asks one daemon. It responds for this daemon itself too.
+type Peers interface {
+	Status(ctx context.Context, member state.Member) (*peerv1.StatusResponse, error)
+	Timeline(ctx context.Context, member state.Member, req *peerv1.TimelineRequest) (*peerv1.TimelineResponse, error)
+}
+
+// Witnesses returns the witness sets by scope.
+type Witnesses interface {
+	WitnessSets() map[string]state.WitnessSet
+}
+
+// Config holds what Queries needs.
+type Config struct {
+	Views     Views
+	Peers     Peers
+	Witnesses Witnesses
+	History   *History
+	Wall      func() time.Time
+	// PeerTimeout bounds the question to each host, 0 means 1 s.
+	PeerTimeout time.Duration
+	// ProgressInterval is the period of progress events in an idle watch, 0 means 5 s.
+	ProgressInterval time.Duration
+	// Stop ends all watches when closed, so that they do not hold up a shutdown.
+	// It may be nil.
+	Stop <-chan struct{}
+}
+
+// Queries responds to read operations.
+type Queries struct {
+	cfg   Config
+	hosts hostAsker
+}
+
+// New returns Queries.
+func New(cfg Config) *Queries {
+	if cfg.PeerTimeout == 0 {
+		cfg.PeerTimeout = time.Second
+	}
+	if cfg.ProgressInterval == 0 {
+		cfg.ProgressInterval = 5 * time.Second
+	}
+	return &Queries{cfg: cfg, hosts: hostAsker{wall: cfg.Wall, timeout: cfg.PeerTimeout, heard: map[string]int64{}}}
+}
+
+// Mount adds the routes of the read operations to r.
+func (q *Queries) Mount(r chi.Router, policy bearer.Policy) {
+	r.Group(func(r chi.Router) {
+		r.Use(policy.RequireForReads)
+		r.Get("/v1/status", q.serveStatus)
+		r.Get("/v1/timeline", q.serveTimeline)
+		r.Group(func(r chi.Router) {
+			r.Use(q.requireComplete)
+			r.Get("/v1/resources", q.serveList)
+			r.Get("/v1/resources/{kind}", q.serveList)
+			r.Get("/v1/resources/{kind}/{name}", q.serveGet)
+			r.Get("/v1/watch", q.serveWatch)
+			r.Get("/v1/ownership/{service}/{key}", q.serveOwnership)
+			r.Get("/v1/ownership/{service}/{key}/history", q.serveOwnershipHistory)
+		})
+	})
+}
+
+// requireComplete refuses queries while the state of this host has gaps, since a
+// list without some resources looks like one in which they were deleted.
+func (q *Queries) requireComplete(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !q.view().Complete {
+			writeJSON(w, http.StatusServiceUnavailable, operatorapi.Problem{
+				Message: "this host has not read its whole state yet; ask another host",
+			})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (q *Queries) view() *ownership.View {
+	view, _ := q.cfg.Views.Current()
+	return view
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the operator is gone when this fails
+}
+
+func writeFindings(w http.ResponseWriter, findings finding.List) {
+	problem := operatorapi.Problem{Message: "the request has findings"}
+	for _, f := range findings {
+		problem.Findings = append(problem.Findings, operatorapi.Finding(f))
+	}
+	writeJSON(w, http.StatusUnprocessableEntity, problem)
+}
+
+func writeNotFound(w http.ResponseWriter, message string) {
+	writeJSON(w, http.StatusNotFound, operatorapi.Problem{Message: message})
+}
--- /dev/null
+++ b/relay/queries/timeline.go
@@ -0,0 +1,69 @@
+package queries
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"parsleyrelay.example/api/operatorapi"
+	"parsleyrelay.example/api/peerv1"
+	"parsleyrelay.example/core/state"
+	"parsleyrelay.example/relay/timeline"
+)
+
+// maxEventsPerHost bounds what one host returns. A host with more returns the
+// newest, since a search for a cause begins at the end.
+const maxEventsPerHost = 5000
+
+func (q *Queries) serveTimeline(w http.ResponseWriter, r *http.Request) {
+	filter, findings := timeline.FilterFromQuery(r.URL.Query(), q.cfg.Wall())
+	if len(findings) > 0 {
+		writeFindings(w, findings)
+		return
+	}
+	writeJSON(w, http.StatusOK, q.timeline(r.Context(), filter))
+}
+
+// timeline asks all hosts and merges their events. What is missing is named.
+func (q *Queries) timeline(ctx context.Context, filter timeline.Filter) operatorapi.Timeline {
+	data, _ := json.Marshal(filter) // cannot fail: the filter holds plain values
+	replies, silent := ask(ctx, &q.hosts, q.view(), func(ctx context.Context, m state.Member) (hostEvents, error) {
+		return q.hostTimeline(ctx, m, string(data))
+	})
+	result := operatorapi.Timeline{Completeness: operatorapi.Completeness{NotKnown: silent}}
+	var lists [][]operatorapi.Event
+	for _, reply := range replies {
+		lists = append(lists, reply.value.events)
+		if reply.value.overwritten > 0 {
+			if result.Overwritten == nil {
+				result.Overwritten = map[string]uint64{}
+			}
+			result.Overwritten[reply.member.Host] += reply.value.overwritten
+		}
+		if len(reply.value.events) >= maxEventsPerHost {
+			result.Truncated = append(result.Truncated, reply.member.Host)
+		}
+	}
+	result.Events = timeline.Merge(lists...)
+	if result.Events == nil {
+		result.Events = []operatorapi.Event{}
+	}
+	return result
+}
+
+type hostEvents struct {
+	events      []operatorapi.Event
+	overwritten uint64
+}
+
+func (q *Queries) hostTimeline(ctx context.Context, m state.Member, filter string) (hostEvents, error) {
+	resp, err := q.cfg.Peers.Timeline(ctx, m, &peerv1.TimelineRequest{FilterJson: filter, MaxEvents: maxEventsPerHost})
+	if err != nil {
+		return hostEvents{}, err
+	}
+	out := hostEvents{overwritten: resp.Overwritten}
+	if len(resp.EventsJson) == 0 {
+		return out, nil
+	}
+	return out, json.Unmarshal(resp.EventsJson, &out.events)
+}
