--- /dev/null
+++ b/cmd/internal/manifest/manifest.go
@@ -0,0 +1,173 @@
+// Package manifest reads resources from YAML or JSON files with several
+// documents each. Problems become findings with file, line, column and the path
+// inside the resource, and all of them are reported together.
+package manifest
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+
+	"parsleyrelay.example/core/finding"
+	"parsleyrelay.example/core/resource"
+)
+
+// Stdin is the file name that stands for standard input.
+const Stdin = "-"
+
+// Document is a resource and where it was declared.
+type Document struct {
+	Resource  resource.Resource
+	file      string
+	start     *token.Token
+	positions map[string]*token.Token // by path, such as "spec.slots"
+}
+
+// Place returns "file:line:column: Kind/name: path" for a path inside the
+// resource, with the position of the nearest field that was declared.
+func (d *Document) Place(path string) string {
+	at := d.start
+	for field := path; field != ""; {
+		if tk, ok := d.positions[field]; ok {
+			at = tk
+			break
+		}
+		cut := strings.LastIndexByte(field, '.')
+		field = field[:max(cut, 0)]
+	}
+	place := position(d.file, at)
+	if d.Resource.Spec != nil && d.Resource.Name != "" {
+		place += ": " + d.Resource.Key().String()
+	}
+	if path != "" {
+		place += ": " + path
+	}
+	return place
+}
+
+func position(file string, tk *token.Token) string {
+	if file == Stdin {
+		file = "(standard input)"
+	}
+	if tk == nil || tk.Position == nil {
+		return file
+	}
+	return fmt.Sprintf("%s:%d:%d", file, tk.Position.Line, tk.Position.Column)
+}
+
+// Load reads files, and standard input for Stdin. Documents with findings are
+// left out of the result, which is sorted so that a resource comes after those
+// that it refers to.
+func Load(files []string, stdin io.Reader) ([]*Document, finding.List) {
+	var docs []*Document
+	var findings finding.List
+	for _, file := range files {
+		data, err := read(file, stdin)
+		if err != nil {
+			findings.Add(position(file, nil), "%v", err)
+			continue
+		}
+		docs = append(docs, Parse(file, data, &findings)...)
+	}
+	docs = dropDuplicates(docs, &findings)
+	slices.SortStableFunc(docs, func(a, b *Document) int {
+		return slices.Index(resource.Kinds, a.Resource.Spec.Kind()) - slices.Index(resource.Kinds, b.Resource.Spec.Kind())
+	})
+	return docs, findings
+}
+
+func read(file string, stdin io.Reader) ([]byte, error) {
+	if file == Stdin {
+		return io.ReadAll(stdin)
+	}
+	return os.ReadFile(file)
+}
+
+func dropDuplicates(docs []*Document, findings *finding.List) []*Document {
+	first := map[resource.Key]*Document{}
+	return slices.DeleteFunc(docs, func(d *Document) bool {
+		other, ok := first[d.Resource.Key()]
+		if ok {
+			findings.Add(d.Place(""), "is declared already at %s", position(other.file, other.start))
+			return true
+		}
+		first[d.Resource.Key()] = d
+		return false
+	})
+}
+
+// Parse reads the documents of one file.
+func Parse(file string, data []byte, findings *finding.List) []*Document {
+	tree, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		addSyntaxError(file, err, findings)
+		return nil
+	}
+	var docs []*Document
+	for _, node := range tree.Docs {
+		if node.Body == nil || node.Body.Type() == ast.NullType || node.Body.Type() == ast.CommentType {
+			continue
+		}
+		p := &documentParser{doc: &Document{file: file, start: node.Body.GetToken(), positions: map[string]*token.Token{}}}
+		p.parse(node.Body)
+		if len(p.problems) == 0 {
+			docs = append(docs, p.doc)
+		}
+		*findings = append(*findings, p.findings()...)
+	}
+	return docs
+}
+
+func addSyntaxError(file string, err error, findings *finding.List) {
+	place, problem := position(file, nil), err.Error()
+	var positioned yaml.Error
+	if errors.As(err, &positioned) {
+		place, problem = position(file, positioned.GetToken()), positioned.GetMessage()
+	}
+	findings.Add(place, "%s", problem)
+}
+
+// CheckReferences reports references to resources that neither the documents
+// declare nor exists knows. A nil exists knows none.
+func CheckReferences(docs []*Document, exists func(resource.Key) bool) finding.List {
+	var findings finding.List
+	declared := map[resource.Key]*Document{}
+	for _, d := range docs {
+		declared[d.Resource.Key()] = d
+	}
+	need := func(d *Document, path string, kind resource.Kind, name string) {
+		key := resource.Key{Kind: kind, Name: name}
+		if name == "" || declared[key] != nil || (exists != nil && exists(key)) {
+			return
+		}
+		findings.Add(d.Place(path), "%s does not exist", key)
+	}
+	for _, d := range docs {
+		switch spec := d.Resource.Spec.(type) {
+		case *resource.Service:
+			for i, rank := range spec.Ranks {
+				need(d, fmt.Sprintf("spec.ranks.%d", i), resource.KindRank, rank)
+			}
+		case *resource.Server:
+			need(d, "spec.service", resource.KindService, spec.Service)
+		case *resource.Route:
+			need(d, "spec.service", resource.KindService, spec.Service)
+			service := declared[resource.Key{Kind: resource.KindService, Name: spec.Service}]
+			if service == nil || spec.Rank == "" {
+				continue
+			}
+			if !slices.Contains(service.Resource.Spec.(*resource.Service).Ranks, spec.Rank) {
+				findings.Add(d.Place("spec.rank"), "Service/%s does not list rank %q", spec.Service, spec.Rank)
+			}
+		}
+	}
+	return findings
+}
