commands: test the winner's change with views that lag

Cause: a trial that made viewAt accept any view passed all tests, because the fake published its view together with the fold. Change: the fake publishes views 5 ms late in the race of operators. Conclusion: the wait for a view that includes the record is covered.

--- a/relay/commands/commands_test.go
+++ b/relay/commands/commands_test.go
@@ -30,7 +30,9 @@
 	state    *state.State
 	ledger   *Ledger
 	view     *ownership.View
+	latest   *ownership.View // published at once, or later with lag
 	replaced chan struct{}
+	lag      time.Duration
 	hold     bool
 	full     bool
 	held     []record.Record
@@ -59,7 +61,7 @@
 	}
 	f.folds++
 	f.ledger.Folded(ownership.RecordFolded{Positioned: p, Applied: out.Applied, Reason: out.Reason})
-	view := *f.view
+	view := *f.latest
 	view.Applied, view.Resources = p.Offset, maps.Clone(view.Resources)
 	if out.Applied {
 		switch b := r.Body.(type) {
@@ -69,7 +71,23 @@
 			delete(view.Resources, b.Key)
 		}
 	}
-	f.view = &view
+	f.latest = &view
+	if f.lag == 0 {
+		f.publish(&view)
+		return
+	}
+	time.AfterFunc(f.lag, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.publish(&view)
+	})
+}
+
+func (f *fakeLog) publish(view *ownership.View) {
+	if view.Applied < f.view.Applied {
+		return
+	}
+	f.view = view
 	close(f.replaced)
 	f.replaced = make(chan struct{})
 }
@@ -94,6 +112,7 @@
 		state: state.New(), ledger: NewLedger(), replaced: make(chan struct{}),
 		view: &ownership.View{LogReachable: true, Complete: true, Resources: map[resource.Key]resource.Resource{}},
 	}
+	log.latest = log.view
 	router := chi.NewRouter()
 	New(Config{Proposer: log, Views: log, Ledger: log.ledger, Wall: time.Now, Wait: 50 * time.Millisecond}).
 		Mount(router, bearer.Policy{Token: token})
@@ -119,6 +138,7 @@
 func TestRacingOperatorsTheLoserSeesTheWinner(t *testing.T) {
 	log, call := setup(t, "secret")
 	_, created := call("PUT", rankPath, "", rank(0, 9))
+	log.lag = 5 * time.Millisecond // the winner's change must be shown even when views are late
 	var wg sync.WaitGroup
 	codes, changes := make([]int, 8), make([]operatorapi.Change, 8)
 	for i := range codes {
