Add parsleyctl: apply, delete, get, describe, watch, diff, status, timeline, ownership

Cause: operators need a command line whose exit code stays true when a response is lost, a host fails or another change comes first. Change: a thin main; cmd/internal/ctl with commands and queries apart, a client that tries entry hosts in order and settles a change by its id on the next host, and a page of the timeline with one lane per host. The tests run the command line against the routers of relay/commands and relay/queries over a fake log.

--- /dev/null
+++ b/cmd/internal/ctl/client/client.go
@@ -0,0 +1,112 @@
+// Package client calls the operators' HTTP API on a list of entry hosts.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"parsleyrelay.example/api/operatorapi"
+	"parsleyrelay.example/cmd/internal/ctl/exit"
+)
+
+// Config holds what a Client needs.
+type Config struct {
+	Hosts []string // base URLs, tried in order
+	Token string
+	// Timeout bounds each attempt at one host.
+	Timeout time.Duration
+	// SettleTimeout bounds the time in which the outcome of a change is sought
+	// after its response was lost.
+	SettleTimeout time.Duration
+	HTTP          *http.Client
+}
+
+// Client calls the API.
+type Client struct {
+	cfg Config
+}
+
+// New returns a Client.
+func New(cfg Config) *Client { return &Client{cfg: cfg} }
+
+// Get reads path from the first host that responds. A host that cannot be
+// reached, or that says it cannot respond truthfully (503), is passed over.
+func (c *Client) Get(ctx context.Context, path string, into any) error {
+	var failures []error
+	for _, host := range c.cfg.Hosts {
+		status, body, err := c.call(ctx, http.MethodGet, host, path, nil, nil)
+		if err == nil && status != http.StatusServiceUnavailable {
+			return decodeGet(host, status, body, into)
+		}
+		if err == nil {
+			err = problemOf(host, status, body)
+		}
+		failures = append(failures, err)
+	}
+	return exit.Errorf(exit.Failure, "no entry host responded: %w", errors.Join(failures...))
+}
+
+func decodeGet(host string, status int, body []byte, into any) error {
+	if status != http.StatusOK {
+		return problemOf(host, status, body)
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return exit.Errorf(exit.Failure, "%s: response is not as expected: %w", host, err)
+	}
+	return nil
+}
+
+// NotFoundError reports that what was asked for does not exist.
+type NotFoundError struct{ Message string }
+
+// Error implements error.
+func (e *NotFoundError) Error() string { return e.Message }
+
+func problemOf(host string, status int, body []byte) error {
+	var p operatorapi.Problem
+	if err := json.Unmarshal(body, &p); err != nil || p.Message == "" {
+		p.Message = fmt.Sprintf("status %d", status)
+	}
+	switch status {
+	case http.StatusNotFound:
+		return &exit.Error{Code: exit.Failure, Err: &NotFoundError{Message: p.Message}}
+	case http.StatusUnprocessableEntity:
+		return exit.Findings(exit.WireFindings(p.Findings))
+	}
+	return exit.Errorf(exit.Failure, "%s: %s", host, p.Message)
+}
+
+// maxResponseBytes bounds a response; a timeline of 12 hosts has at most 60,000
+// events of well under 1 KiB.
+const maxResponseBytes = 128 << 20
+
+func (c *Client) call(ctx context.Context, method, host, path string, header http.Header, body io.Reader) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	resp, err := c.send(ctx, method, host, path, header, body)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	return resp.StatusCode, data, err
+}
+
+func (c *Client) send(ctx context.Context, method, host, path string, header http.Header, body io.Reader) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, host+path, body)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	if c.cfg.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
+	}
+	return c.cfg.HTTP.Do(req)
+}
--- /dev/null
+++ b/cmd/internal/ctl/queries/queries.go
@@ -0,0 +1,300 @@
+// Package queries holds the commands of parsleyctl that only read.
+package queries
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"parsleyrelay.example/api/operatorapi"
+	"parsleyrelay.example/cmd/internal/ctl/exit"
+	"parsleyrelay.example/cmd/internal/ctl/session"
+)
+
+const (
+	flagFile    = "file"
+	flagFrom    = "from"
+	flagHistory = "history"
+	flagHTML    = "html"
+)
+
+// All returns the commands.
+func All() []*cli.Command {
+	return []*cli.Command{
+		{Name: "get", Usage: "list resources with their status", ArgsUsage: "[KIND [NAME]]", Action: get},
+		{Name: "describe", Usage: "show all that is known of a resource", ArgsUsage: "KIND NAME", Action: describe},
+		{
+			Name: "watch", Usage: "follow changes of resources",
+			Flags: []cli.Flag{
+				&cli.Int64Flag{Name: flagFrom, Sources: session.Env(flagFrom), Value: -1, Usage: "resume after this offset; -1 starts with the whole list"},
+			},
+			Action: watch,
+		},
+		{
+			Name: "diff", Usage: "compare manifests with the declared resources",
+			Flags: []cli.Flag{
+				&cli.StringSliceFlag{Name: flagFile, Aliases: []string{"f"}, Sources: session.Env(flagFile), Usage: "manifest, or - for standard input; may be repeated"},
+			},
+			Action: diff,
+		},
+		{Name: "status", Usage: "show hosts, offsets, leases and witness sets", Action: status},
+		{Name: "timeline", Usage: "show the events of all hosts in order", Flags: timelineFlags(), Action: showTimeline},
+		{
+			Name: "ownership", Usage: "show who owns a key", ArgsUsage: "SERVICE KEY",
+			Flags: []cli.Flag{
+				&cli.BoolFlag{Name: flagHistory, Sources: session.Env(flagHistory), Usage: "also show who owned it when, and why it moved"},
+			},
+			Action: ownership,
+		},
+	}
+}
+
+func get(ctx context.Context, cmd *cli.Command) error {
+	s, err := session.New(cmd)
+	if err != nil {
+		return err
+	}
+	args, err := session.Args(cmd, 0, 2)
+	if err != nil {
+		return err
+	}
+	if len(args) == 2 {
+		r, err := one(ctx, s, args)
+		if err != nil {
+			return err
+		}
+		return s.Print(r, func(w io.Writer) { resourceTable(w, []operatorapi.Resource{r}) })
+	}
+	path := "/v1/resources"
+	if len(args) == 1 {
+		kind, err := session.Kind(args[0])
+		if err != nil {
+			return err
+		}
+		path += "/" + string(kind)
+	}
+	var list operatorapi.List
+	if err := s.Client.Get(ctx, path, &list); err != nil {
+		return err
+	}
+	return s.Print(list, func(w io.Writer) { resourceTable(w, list.Resources) })
+}
+
+func one(ctx context.Context, s *session.Session, args []string) (r operatorapi.Resource, err error) {
+	kind, err := session.Kind(args[0])
+	if err != nil {
+		return r, err
+	}
+	return r, s.Client.Get(ctx, session.ResourcePath(kind, args[1]), &r)
+}
+
+func resourceTable(w io.Writer, list []operatorapi.Resource) {
+	session.Row(w, "KIND", "NAME", "VERSION", "IN FORCE", "BEHIND", "NOT KNOWN", "STATE", "CLAIMS", "OWNED", "SERVING", "HOME")
+	for _, r := range list {
+		cells := []any{r.Kind, r.Metadata.Name, r.Metadata.Version}
+		if r.Status != nil {
+			cells = append(cells, len(r.Status.InForce), len(r.Status.Behind), silentNames(r.Status.NotKnown))
+			if v := r.Status.Server; v != nil {
+				cells = append(cells, v.State, orDash(v.ClaimedHealth), v.SlicesOwned, v.SlicesServing, orDash(v.Home))
+			}
+		}
+		session.Row(w, cells...)
+	}
+}
+
+func silentNames(list []operatorapi.SilentHost) string {
+	if len(list) == 0 {
+		return "-"
+	}
+	names := make([]string, len(list))
+	for i, h := range list {
+		names[i] = h.Host
+	}
+	return strings.Join(names, ",")
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// clock shows a time in Unix milliseconds.
+func clock(ms int64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return time.UnixMilli(ms).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+func printSilent(w io.Writer, list []operatorapi.SilentHost) {
+	for _, h := range list {
+		session.Row(w, "not known:", h.Host, "zone "+h.Zone, "since "+clock(h.SinceMS), h.Problem)
+	}
+}
+
+// describe prints YAML instead of a table, since a description has no columns.
+func describe(ctx context.Context, cmd *cli.Command) error {
+	s, err := session.New(cmd)
+	if err != nil {
+		return err
+	}
+	args, err := session.Args(cmd, 2, 2)
+	if err != nil {
+		return err
+	}
+	r, err := one(ctx, s, args)
+	if err != nil {
+		return err
+	}
+	if s.Output == session.Table {
+		s.Output = session.YAML
+	}
+	return s.Print(r, nil)
+}
+
+func watch(ctx context.Context, cmd *cli.Command) error {
+	s, err := session.New(cmd)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt)
+	defer stop()
+	return s.Client.Watch(ctx, cmd.Int64(flagFrom), func(e operatorapi.WatchEvent) error {
+		if s.Output == session.Table {
+			return watchLine(s.Out, e)
+		}
+		if s.Output == session.YAML {
+			fmt.Fprintln(s.Out, "---")
+		}
+		return s.Print(e, nil)
+	})
+}
+
+// watchLine writes fixed columns, since a stream cannot be aligned afterwards.
+func watchLine(w io.Writer, e operatorapi.WatchEvent) error {
+	line := func(kind, name string) error {
+		_, err := fmt.Fprintf(w, "%-9d %-7s %-8s %s\n", e.Offset, e.Type, kind, name)
+		return err
+	}
+	switch {
+	case e.Type == operatorapi.WatchProgress:
+		return nil
+	case e.Type == operatorapi.WatchResync:
+		if err := line("", e.Reason); err != nil {
+			return err
+		}
+		for _, r := range e.Resources {
+			if _, err := fmt.Fprintf(w, "%-9d %-7s %-8s %s\n", r.Metadata.Version, "listed", r.Kind, r.Metadata.Name); err != nil {
+				return err
+			}
+		}
+		return nil
+	case e.Resource != nil:
+		return line(e.Resource.Kind, e.Resource.Metadata.Name)
+	}
+	return line("", "")
+}
+
+func status(ctx context.Context, cmd *cli.Command) error {
+	s, err := session.New(cmd)
+	if err != nil {
+		return err
+	}
+	var st operatorapi.Status
+	if err := s.Client.Get(ctx, "/v1/status", &st); err != nil {
+		return err
+	}
+	return s.Print(st, func(w io.Writer) { statusTable(w, st) })
+}
+
+func statusTable(w io.Writer, st operatorapi.Status) {
+	session.Row(w, "HOST", "ZONE", "APPLIED", "COMPLETE", "LEASE", "LOG", "DRAINING", "SERVERS", "JOINED AT")
+	for _, h := range st.Hosts {
+		session.Row(w, h.Host, h.Zone, h.Applied, yesNo(h.Complete), yesNo(h.LeaseValid), yesNo(h.LogReachable), yesNo(h.Draining), h.Servers, h.JoinedAt)
+	}
+	printSilent(w, st.NotKnown)
+	session.Row(w)
+	session.Row(w, "WITNESSES OF", "EPOCH", "CURRENT", "PENDING")
+	for _, set := range st.WitnessSets {
+		session.Row(w, set.Scope, set.Epoch, strings.Join(set.Current, ","), orDash(strings.Join(set.Pending, ",")))
+	}
+	session.Row(w)
+	session.Row(w, "as seen by "+st.Host+" at offset "+strconv.FormatUint(st.Applied, 10))
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func ownership(ctx context.Context, cmd *cli.Command) error {
+	s, err := session.New(cmd)
+	if err != nil {
+		return err
+	}
+	args, err := session.Args(cmd, 2, 2)
+	if err != nil {
+		return err
+	}
+	path := "/v1/ownership/" + url.PathEscape(args[0]) + "/" + url.PathEscape(args[1])
+	if !cmd.Bool(flagHistory) {
+		var o operatorapi.Ownership
+		if err := s.Client.Get(ctx, path, &o); err != nil {
+			return err
+		}
+		return s.Print(o, func(w io.Writer) { ownerTable(w, o) })
+	}
+	var h operatorapi.OwnershipHistory
+	if err := s.Client.Get(ctx, path+"/history", &h); err != nil {
+		return err
+	}
+	return s.Print(h, func(w io.Writer) {
+		ownerTable(w, h.Current)
+		session.Row(w)
+		session.Row(w, "FROM", "SERVING", "UNTIL", "OWNER", "GENERATION", "REASON")
+		for _, p := range h.Periods {
+			session.Row(w, clock(p.FromMS), clock(p.ServingMS), clock(p.UntilMS), orDash(p.Owner), p.Generation, p.Reason)
+		}
+		printMissing(w, h.Completeness)
+	})
+}
+
+func ownerTable(w io.Writer, o operatorapi.Ownership) {
+	session.Row(w, "OWNER", "HOME", "TERM", "SLICE", "GENERATION", "DURABLE", "KEY HASH")
+	session.Row(w, o.Owner, orDash(o.Home), o.Term, o.Slice, o.Generation, yesNo(o.Durable), o.KeyHash)
+}
+
+func printMissing(w io.Writer, c operatorapi.Completeness) {
+	printSilent(w, c.NotKnown)
+	for _, host := range sortedKeys(c.Overwritten) {
+		session.Row(w, "lost:", host, fmt.Sprintf("%d older events were overwritten", c.Overwritten[host]))
+	}
+	for _, host := range c.Truncated {
+		session.Row(w, "truncated:", host, "has more events that match; narrow the filter")
+	}
+}
+
+func sortedKeys(m map[string]uint64) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// errNoFile is the finding of diff without manifests.
+var errNoFile = exit.Errorf(exit.BadInput, "diff needs --file and no arguments")
--- /dev/null
+++ b/cmd/internal/ctl/session/output.go
@@ -0,0 +1,56 @@
+package session
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Output formats.
+const (
+	Table = "table"
+	JSON  = "json"
+	YAML  = "yaml"
+)
+
+// Print writes value as JSON or YAML, or calls table.
+func (s *Session) Print(value any, table func(w io.Writer)) error {
+	switch s.Output {
+	case JSON:
+		enc := json.NewEncoder(s.Out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(value)
+	case YAML:
+		return WriteYAML(s.Out, value)
+	}
+	tw := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
+	table(tw)
+	return tw.Flush()
+}
+
+// WriteYAML writes the JSON form of value as YAML.
+func WriteYAML(w io.Writer, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	text, err := yaml.JSONToYAML(data)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(text)
+	return err
+}
+
+// Row writes one line of a table.
+func Row(w io.Writer, cells ...any) {
+	texts := make([]string, len(cells))
+	for i, cell := range cells {
+		texts[i] = fmt.Sprint(cell)
+	}
+	fmt.Fprintln(w, strings.Join(texts, "\t"))
+}
--- /dev/null
+++ b/cmd/internal/ctl/session/session.go
@@ -0,0 +1,182 @@
+// Package session holds the settings that all commands of parsleyctl share.
+package session
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"parsleyrelay.example/api/operatorapi"
+	"parsleyrelay.example/cmd/internal/ctl/client"
+	"parsleyrelay.example/cmd/internal/ctl/exit"
+	"parsleyrelay.example/core/finding"
+	"parsleyrelay.example/core/resource"
+)
+
+// Names of the shared flags.
+const (
+	flagHosts   = "entry-hosts"
+	flagToken   = "operator-token"
+	flagTimeout = "timeout"
+	flagSettle  = "settle-timeout"
+	flagOutput  = "output"
+	flagCA      = "ca-file"
+	flagCert    = "certificate-file"
+	flagKey     = "key-file"
+)
+
+// Env returns the environment variable of a flag.
+func Env(flag string) cli.ValueSourceChain {
+	return cli.EnvVars("PARSLEYRELAY_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+}
+
+// Flags returns the flags that all commands share.
+func Flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: flagHosts, Sources: Env(flagHosts), Usage: "operator URLs of entry hosts, tried in order"},
+		&cli.StringFlag{Name: flagToken, Sources: Env(flagToken), HideDefault: true, Usage: "bearer token"},
+		&cli.DurationFlag{Name: flagTimeout, Sources: Env(flagTimeout), Value: 10 * time.Second, Usage: "bound of each attempt at one host"},
+		&cli.DurationFlag{Name: flagSettle, Sources: Env(flagSettle), Value: 30 * time.Second, Usage: "bound for settling a change whose response was lost"},
+		&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Sources: Env(flagOutput), Value: Table, Usage: "table, json or yaml"},
+		&cli.StringFlag{Name: flagCA, Sources: Env(flagCA), Usage: "PEM file with the authorities of entry hosts"},
+		&cli.StringFlag{Name: flagCert, Sources: Env(flagCert), Usage: "PEM file with the client certificate"},
+		&cli.StringFlag{Name: flagKey, Sources: Env(flagKey), Usage: "PEM file with the client key"},
+	}
+}
+
+// Session is one run of parsleyctl.
+type Session struct {
+	Client *client.Client
+	Output string // Table, JSON or YAML
+	In     io.Reader
+	Out    io.Writer
+	Err    io.Writer
+}
+
+// New reads the shared settings and reports all findings together.
+func New(cmd *cli.Command) (*Session, error) {
+	var findings finding.List
+	root := cmd.Root()
+	s := &Session{Output: cmd.String(flagOutput), In: root.Reader, Out: root.Writer, Err: root.ErrWriter}
+	if !slices.Contains([]string{Table, JSON, YAML}, s.Output) {
+		findings.Add("--"+flagOutput, "%q is none of table, json and yaml", s.Output)
+	}
+	for _, name := range []string{flagTimeout, flagSettle} {
+		if cmd.Duration(name) <= 0 {
+			findings.Add("--"+name, "%v is not positive", cmd.Duration(name))
+		}
+	}
+	hosts := readHosts(cmd, &findings)
+	tlsConfig := readTLS(cmd, &findings)
+	if len(findings) > 0 {
+		return nil, exit.Findings(findings)
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.TLSClientConfig = tlsConfig
+	s.Client = client.New(client.Config{
+		Hosts: hosts, Token: cmd.String(flagToken), Timeout: cmd.Duration(flagTimeout),
+		SettleTimeout: cmd.Duration(flagSettle), HTTP: &http.Client{Transport: transport},
+	})
+	return s, nil
+}
+
+func readHosts(cmd *cli.Command, findings *finding.List) []string {
+	var hosts []string
+	for _, host := range cmd.StringSlice(flagHosts) {
+		host = strings.TrimRight(strings.TrimSpace(host), "/")
+		if !strings.Contains(host, "://") {
+			host = "http://" + host
+		}
+		u, err := url.Parse(host)
+		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+			findings.Add("--"+flagHosts, "%q is not an http or https URL", host)
+			continue
+		}
+		hosts = append(hosts, host)
+	}
+	if len(cmd.StringSlice(flagHosts)) == 0 {
+		findings.Add("--"+flagHosts, "at least one entry host is required (variable PARSLEYRELAY_ENTRY_HOSTS)")
+	}
+	return hosts
+}
+
+func readTLS(cmd *cli.Command, findings *finding.List) *tls.Config {
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	if file := cmd.String(flagCA); file != "" {
+		data, err := os.ReadFile(file)
+		config.RootCAs = x509.NewCertPool()
+		if err != nil {
+			findings.Add("--"+flagCA, "%v", err)
+		} else if !config.RootCAs.AppendCertsFromPEM(data) {
+			findings.Add("--"+flagCA, "%s holds no certificate", file)
+		}
+	}
+	cert, key := cmd.String(flagCert), cmd.String(flagKey)
+	if cert == "" && key == "" {
+		return config
+	}
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		findings.Add("--"+flagCert+", --"+flagKey, "%v", err)
+	}
+	config.Certificates = []tls.Certificate{pair}
+	return config
+}
+
+// Kind reads the name of a kind, in any case.
+func Kind(arg string) (resource.Kind, error) {
+	for _, kind := range resource.Kinds {
+		if strings.EqualFold(arg, string(kind)) {
+			return kind, nil
+		}
+	}
+	return "", exit.Errorf(exit.BadInput, "%q is not a kind; known kinds are %v", arg, resource.Kinds)
+}
+
+// Args returns the arguments of a command, which must number min to max.
+func Args(cmd *cli.Command, min, max int) ([]string, error) {
+	args := cmd.Args().Slice()
+	if len(args) < min || len(args) > max {
+		return nil, exit.Errorf(exit.BadInput, "%s needs the arguments %s", cmd.Name, cmd.ArgsUsage)
+	}
+	return args, nil
+}
+
+// ResourcePath returns the path of a resource in the API.
+func ResourcePath(kind resource.Kind, name string) string {
+	return "/v1/resources/" + string(kind) + "/" + url.PathEscape(name)
+}
+
+// Existing returns the declared resources.
+func (s *Session) Existing(ctx context.Context) (map[resource.Key]operatorapi.Resource, error) {
+	var list operatorapi.List
+	if err := s.Client.Get(ctx, "/v1/resources?status=false", &list); err != nil {
+		return nil, err
+	}
+	existing := map[resource.Key]operatorapi.Resource{}
+	for _, r := range list.Resources {
+		existing[resource.Key{Kind: resource.Kind(r.Kind), Name: r.Metadata.Name}] = r
+	}
+	return existing, nil
+}
+
+// SameSpec compares the JSON forms of a declared and an existing spec.
+func SameSpec(spec resource.Spec, existing json.RawMessage) bool {
+	data, err := json.Marshal(spec)
+	var a, b any
+	if err != nil || json.Unmarshal(data, &a) != nil || json.Unmarshal(existing, &b) != nil {
+		return false
+	}
+	return reflect.DeepEqual(a, b)
+}
