Test the remaining commands of parsleyctl

Cause: docs/parsleyctl.md said that tests check the command line, but describe, status, ownership, completion and the table of the timeline had none. Conclusion: the TLS flags remain without a run.

--- a/cmd/internal/ctl/ctl_test.go
+++ b/cmd/internal/ctl/ctl_test.go
@@ -23,6 +23,7 @@
 	"parsleyrelay.example/api/peerv1"
 	"parsleyrelay.example/cmd/internal/ctl/exit"
 	"parsleyrelay.example/core/event"
+	"parsleyrelay.example/core/keyspace"
 	"parsleyrelay.example/core/ownership"
 	"parsleyrelay.example/core/record"
 	"parsleyrelay.example/core/resource"
@@ -235,6 +236,29 @@
 	assert.Contains(t, errOut, "token")
 }
 
+// Guards against queries that fail, or that hide what is not known, as a table.
+func TestTablesOfQueries(t *testing.T) {
+	f := newSystem(t)
+	f.run(rankOf("0", "1"), "apply", "-f", "-")
+	f.view.Tables = map[string]*state.Table{"almacen": state.NewTable([]state.Slice{{Range: keyspace.Full, Server: "a", Generation: 9}})}
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"describe", "rank", "r"}, `(?s)version: 1.*notKnown:.*host: lima-2`},
+		{[]string{"status"}, `(?s)lima-1 .*not known: +lima-2.*at offset 1`},
+		{[]string{"ownership", "almacen", "caja/7"}, `a +- +0 +0000000000000000-ffffffffffffffff +9 +yes`},
+		{[]string{"ownership", "almacen", "caja/7", "--history"}, `(?s)9 +the change of owner is not in the rings.*lima-2.*lost: +lima-1`},
+		{[]string{"timeline"}, `(?s)lease_gained.*slice_moved.*not known: +lima-2`},
+		{[]string{"-o", "json", "timeline"}, `"overwritten": {`},
+		{[]string{"completion", "bash"}, `parsleyctl`},
+	} {
+		code, out, errOut := f.run("", c.args...)
+		assert.Equal(t, exit.OK, code, errOut)
+		assert.Regexp(t, c.want, out)
+	}
+}
+
 // Guards against a page that hides missing hosts or runs text from events.
 func TestTimelinePage(t *testing.T) {
 	f := newSystem(t)
