Add the client and handler of the control calls between daemons

Cause: daemons poll witnesses, query status and timelines and transfer ids. Change: relay/peer over the generated twirp code: four small interfaces, timeouts per call, a bound on message size in both directions. Conclusion: a response beyond the bound is an error and never a cut message.

--- /dev/null
+++ b/relay/peer/peer.go
@@ -0,0 +1,174 @@
+// Package peer makes and answers the control calls between daemons (twirp), with
+// bounds on time and message size. Callers' requests are forwarded elsewhere.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"parsleyrelay.example/api/peerv1"
+)
+
+// Bounds of calls.
+const (
+	// DefaultPollTimeout is below the suspicion time of 900 ms; a later response
+	// would not count anyway.
+	DefaultPollTimeout = 600 * time.Millisecond
+	DefaultCallTimeout = 2 * time.Second
+	// DefaultMaxBytes holds a batch of log records or of stored responses.
+	DefaultMaxBytes = 8 << 20
+)
+
+// Poller answers witness polls.
+type Poller interface {
+	Poll(context.Context, *peerv1.PollRequest) (*peerv1.PollResponse, error)
+}
+
+// StatusReporter answers status queries.
+type StatusReporter interface {
+	Status(context.Context, *peerv1.StatusRequest) (*peerv1.StatusResponse, error)
+}
+
+// TimelineReader answers timeline queries.
+type TimelineReader interface {
+	Timeline(context.Context, *peerv1.TimelineRequest) (*peerv1.TimelineResponse, error)
+}
+
+// IDReceiver takes the idempotency window of a slice.
+type IDReceiver interface {
+	TransferIDs(context.Context, *peerv1.TransferIDsRequest) (*peerv1.TransferIDsResponse, error)
+}
+
+// Service is everything that a daemon answers to its peers.
+type Service struct {
+	Poller
+	StatusReporter
+	TimelineReader
+	IDReceiver
+}
+
+// Options bound calls. Zero values take the defaults.
+type Options struct {
+	PollTimeout time.Duration // client only
+	CallTimeout time.Duration // other calls, and every call at the server
+	MaxBytes    int64         // of a request and of a response
+}
+
+func (o Options) withDefaults() Options {
+	if o.PollTimeout <= 0 {
+		o.PollTimeout = DefaultPollTimeout
+	}
+	if o.CallTimeout <= 0 {
+		o.CallTimeout = DefaultCallTimeout
+	}
+	if o.MaxBytes <= 0 {
+		o.MaxBytes = DefaultMaxBytes
+	}
+	return o
+}
+
+// NewHandler returns the handler of the calls, for paths below peerv1.PeerPathPrefix.
+func NewHandler(service Service, o Options) http.Handler {
+	o = o.withDefaults()
+	bounded := http.MaxBytesHandler(peerv1.NewPeerServer(service), o.MaxBytes)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), o.CallTimeout)
+		defer cancel()
+		bounded.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// Client calls peers. It is safe for concurrent use.
+type Client struct {
+	options Options
+	http    *boundedClient
+}
+
+// NewClient returns a client over transport, which carries the TLS settings.
+func NewClient(transport http.RoundTripper, o Options) *Client {
+	o = o.withDefaults()
+	return &Client{options: o, http: &boundedClient{
+		inner:    &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+		maxBytes: o.MaxBytes,
+	}}
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.inner.CloseIdleConnections() }
+
+// Poll asks the witness at url for its applied offset.
+func (c *Client) Poll(ctx context.Context, url string, r *peerv1.PollRequest) (*peerv1.PollResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.PollTimeout)
+	defer cancel()
+	return c.peer(url).Poll(ctx, r)
+}
+
+// Status asks the daemon at url for its state.
+func (c *Client) Status(ctx context.Context, url string, r *peerv1.StatusRequest) (*peerv1.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	return c.peer(url).Status(ctx, r)
+}
+
+// Timeline asks the daemon at url for events.
+func (c *Client) Timeline(ctx context.Context, url string, r *peerv1.TimelineRequest) (*peerv1.TimelineResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	return c.peer(url).Timeline(ctx, r)
+}
+
+// TransferIDs sends stored ids to the daemon at url. After an error they may
+// have arrived.
+func (c *Client) TransferIDs(ctx context.Context, url string, r *peerv1.TransferIDsRequest) (*peerv1.TransferIDsResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	return c.peer(url).TransferIDs(ctx, r)
+}
+
+func (c *Client) peer(url string) peerv1.Peer {
+	return peerv1.NewPeerProtobufClient(url, c.http)
+}
+
+// SizeError reports a response beyond the bound.
+type SizeError struct{ MaxBytes int64 }
+
+// Error implements error.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("response of the peer exceeds %d bytes", e.MaxBytes)
+}
+
+type boundedClient struct {
+	inner    *http.Client
+	maxBytes int64
+}
+
+// Do implements twirp's HTTPClient.
+func (c *boundedClient) Do(r *http.Request) (*http.Response, error) {
+	response, err := c.inner.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &boundedBody{ReadCloser: response.Body, left: c.maxBytes, maxBytes: c.maxBytes}
+	return response, nil
+}
+
+type boundedBody struct {
+	io.ReadCloser
+	left     int64
+	maxBytes int64
+}
+
+// Read fails once more than the bound has arrived; a cut message could decode.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.left -= int64(n)
+	if b.left < 0 {
+		return 0, &SizeError{MaxBytes: b.maxBytes}
+	}
+	return n, err
+}
--- /dev/null
+++ b/relay/peer/peer_test.go
@@ -0,0 +1,73 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"parsleyrelay.example/api/peerv1"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type fakeDaemon struct{ data []byte }
+
+func (f *fakeDaemon) Poll(ctx context.Context, r *peerv1.PollRequest) (*peerv1.PollResponse, error) {
+	if r.Poller == "slow" {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &peerv1.PollResponse{Witness: "w", Applied: r.Applied + 1, Records: []*peerv1.LogRecord{{Offset: 1, Data: f.data}}}, nil
+}
+
+func (f *fakeDaemon) Status(context.Context, *peerv1.StatusRequest) (*peerv1.StatusResponse, error) {
+	return &peerv1.StatusResponse{Host: "h"}, nil
+}
+
+func (f *fakeDaemon) Timeline(_ context.Context, r *peerv1.TimelineRequest) (*peerv1.TimelineResponse, error) {
+	return &peerv1.TimelineResponse{EventsJson: []byte(r.FilterJson)}, nil
+}
+
+func (f *fakeDaemon) TransferIDs(_ context.Context, r *peerv1.TransferIDsRequest) (*peerv1.TransferIDsResponse, error) {
+	return &peerv1.TransferIDsResponse{Accepted: r.Complete}, nil
+}
+
+// Guards against calls that do not reach their method, wait without bound, or
+// take messages of any size in either direction.
+func TestCallsAndBounds(t *testing.T) {
+	daemon := &fakeDaemon{data: []byte("x")}
+	options := Options{PollTimeout: 100 * time.Millisecond, CallTimeout: time.Second, MaxBytes: 1000}
+	server := httptest.NewServer(NewHandler(Service{daemon, daemon, daemon, daemon}, options))
+	t.Cleanup(server.Close)
+	client := NewClient(&http.Transport{}, options)
+	t.Cleanup(client.Close)
+
+	poll, err := client.Poll(t.Context(), server.URL, &peerv1.PollRequest{Applied: 6})
+	require.NoError(t, err)
+	require.EqualValues(t, 7, poll.Applied)
+	status, err := client.Status(t.Context(), server.URL, &peerv1.StatusRequest{})
+	require.NoError(t, err)
+	require.Equal(t, "h", status.Host)
+	timeline, err := client.Timeline(t.Context(), server.URL, &peerv1.TimelineRequest{FilterJson: "{}"})
+	require.NoError(t, err)
+	require.Equal(t, "{}", string(timeline.EventsJson))
+	transfer, err := client.TransferIDs(t.Context(), server.URL, &peerv1.TransferIDsRequest{Complete: true})
+	require.NoError(t, err)
+	require.True(t, transfer.Accepted)
+
+	start := time.Now()
+	_, err = client.Poll(t.Context(), server.URL, &peerv1.PollRequest{Poller: "slow"})
+	require.Error(t, err)
+	require.Less(t, time.Since(start), time.Second)
+	_, err = client.Timeline(t.Context(), server.URL, &peerv1.TimelineRequest{FilterJson: string(make([]byte, 2000))})
+	require.Error(t, err, "request beyond the bound")
+	daemon.data = make([]byte, 2000)
+	_, err = client.Poll(t.Context(), server.URL, &peerv1.PollRequest{})
+	var size *SizeError
+	require.ErrorAs(t, err, &size)
+}
