--- /dev/null
+++ b/relay/telemetry/timeline.go
@@ -0,0 +1,138 @@
+// Package telemetry reports what a daemon does: numbered events as log lines and
+// in a bounded timeline, and metrics for scraping.
+package telemetry
+
+import (
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"parsleyrelay.example/core/event"
+)
+
+// DefaultTimelineEvents keeps about 4 MB of events.
+const DefaultTimelineEvents = 16_384
+
+// Timeline is a ring of the newest events. It is safe for concurrent use.
+type Timeline struct {
+	clock  *event.Clock
+	logger log.Logger
+	names  map[event.Code]string
+	host   string
+	zone   string
+
+	mu          sync.Mutex
+	ring        []event.Event
+	next        int // position of the next event, once the ring is full
+	overwritten uint64
+}
+
+// NewTimeline returns an empty timeline of a host with room for capacity events.
+// logger gets a line for each event; nil writes none.
+func NewTimeline(host, zone string, capacity int, clock *event.Clock, logger log.Logger) *Timeline {
+	if logger == nil {
+		logger = log.NewNopLogger()
+	}
+	t := &Timeline{clock: clock, logger: logger, host: host, zone: zone, names: map[event.Code]string{}}
+	t.ring = make([]event.Event, 0, max(1, capacity))
+	for _, d := range event.Definitions {
+		t.names[d.Code] = d.Name
+	}
+	return t
+}
+
+// Emit stamps an event with clock, name, host and zone, keeps it and logs it.
+func (t *Timeline) Emit(e event.Event) {
+	e.Name, e.Host, e.Zone = t.names[e.Code], t.host, t.zone
+	t.mu.Lock()
+	// Read under the lock, so that the ring is in the order of the clock.
+	e.HLC = t.clock.Now()
+	if len(t.ring) < cap(t.ring) {
+		t.ring = append(t.ring, e)
+	} else {
+		t.ring[t.next] = e
+		t.next = (t.next + 1) % len(t.ring)
+		t.overwritten++
+	}
+	t.mu.Unlock()
+	_ = t.logger.Log(logFields(e)...)
+}
+
+// Overwritten returns the number of events lost from the ring.
+func (t *Timeline) Overwritten() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.overwritten
+}
+
+// Filter selects events. Empty fields select all.
+type Filter struct {
+	KeyHash   string    `json:"keyHash,omitempty"` // 16 hexadecimal digits; selects the key's slices too
+	Service   string    `json:"service,omitempty"`
+	Slice     string    `json:"slice,omitempty"`
+	Server    string    `json:"server,omitempty"`
+	RequestID string    `json:"requestId,omitempty"`
+	Since     time.Time `json:"since,omitzero"`
+	Until     time.Time `json:"until,omitzero"`
+}
+
+// Select returns the newest events that match, at most limit (0 for all), oldest
+// first, and the number of events lost from the ring.
+func (t *Timeline) Select(f Filter, limit int) (events []event.Event, overwritten uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.ring {
+		if e := t.ring[(t.next+i)%len(t.ring)]; f.Matches(e) {
+			events = append(events, e)
+		}
+	}
+	if limit > 0 && len(events) > limit {
+		events = events[len(events)-limit:]
+	}
+	return events, t.overwritten
+}
+
+// Matches reports whether the filter selects an event.
+func (f Filter) Matches(e event.Event) bool {
+	at := event.WallTime(e.HLC)
+	return equalOrAny(f.Service, e.Service) &&
+		equalOrAny(f.Slice, e.Slice) &&
+		equalOrAny(f.Server, e.Server) &&
+		equalOrAny(f.RequestID, e.RequestID) &&
+		(f.KeyHash == "" || f.KeyHash == e.KeyHash || sliceContains(e.Slice, f.KeyHash)) &&
+		(f.Since.IsZero() || !at.Before(f.Since)) &&
+		(f.Until.IsZero() || !at.After(f.Until))
+}
+
+func equalOrAny(wanted, actual string) bool { return wanted == "" || wanted == actual }
+
+// sliceContains compares digits: all numbers have 16 of them.
+func sliceContains(slice, hash string) bool {
+	first, last, ok := strings.Cut(slice, "-")
+	return ok && first <= hash && hash <= last
+}
+
+func logFields(e event.Event) []any {
+	fields := []any{"event", int(e.Code), "name", e.Name, "hlc", e.HLC, "host", e.Host, "zone", e.Zone}
+	for _, f := range []struct{ key, value string }{
+		{"service", e.Service}, {"server", e.Server}, {"slice", e.Slice},
+		{"generation", number(e.Generation)}, {"term", number(e.Term)}, {"sub_term", number(e.SubTerm)},
+		{"offset", number(e.Offset)}, {"request_id", e.RequestID}, {"key_hash", e.KeyHash},
+		{"peer", e.Peer}, {"detail", e.Detail},
+	} {
+		if f.value != "" {
+			fields = append(fields, f.key, f.value)
+		}
+	}
+	return fields
+}
+
+func number(n uint64) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.FormatUint(n, 10)
+}
