--- a/cmd/internal/ctl/ctl_test.go
+++ b/cmd/internal/ctl/ctl_test.go
@@ -240,7 +240,7 @@
 func TestTablesOfQueries(t *testing.T) {
 	f := newSystem(t)
 	f.run(rankOf("0", "1"), "apply", "-f", "-")
-	f.view.Tables = map[string]*state.Table{"almacen": state.NewTable([]state.Slice{{Range: keyspace.Full, Server: "a", Generation: 9}})}
+	f.view.Tables = map[string]*state.Table{"almacen": state.NewTable([]state.Slice{state.NewSlice(keyspace.Full, "a", 9)})}
 	for _, c := range []struct {
 		args []string
 		want string
--- a/relay/backend/backend_test.go
+++ b/relay/backend/backend_test.go
@@ -31,8 +31,8 @@
 }
 
 // rawServer answers the requests of each connection with the next script entry;
-// an empty entry closes the connection after the request was read. It returns the
-// number of requests read.
+// an empty entry, and the end of the script, close the connection after the
+// request was read. It returns the number of requests read.
 func rawServer(t *testing.T, script ...string) (url string, seen *atomic.Int64) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -67,6 +67,9 @@
 			return
 		}
 		_, _ = io.WriteString(c, script[n-1])
+		if n == len(script) {
+			return
+		}
 	}
 }
 
@@ -186,6 +189,8 @@
 			fmt.Fprint(w, `{"status":"ok"}`)
 			return
 		}
+		// net/http notices a closed connection only once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		if n := running.Add(1); n > most.Load() {
 			most.Store(n)
 		}
@@ -198,7 +203,7 @@
 		case <-r.Context().Done():
 		}
 	}))
-	t.Cleanup(inner.Close)
+	t.Cleanup(func() { close(release); inner.Close() })
 	s := newServer(t, inner.URL, 2)
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
@@ -226,5 +231,4 @@
 	require.Equal(t, []int{2, 3}, []int{sent, notSent})
 	require.EqualValues(t, 2, most.Load())
 	require.Eventually(t, func() bool { return running.Load() == 0 }, time.Second, time.Millisecond)
-	close(release)
 }
--- a/relay/daemon/assemble.go
+++ b/relay/daemon/assemble.go
@@ -174,8 +174,9 @@
 func (d *Daemon) peerRoutes() http.Handler {
 	r := chi.NewRouter()
 	server := peer.NewServer(d.incarnation, peerDaemon{d}, d.loop.History(), d.now)
-	twirpServer := peerv1.NewPeerServer(server)
-	r.Mount(twirpServer.PathPrefix(), twirpServer)
+	r.Handle(peerv1.PeerPathPrefix+"*", peer.NewHandler(peer.Service{
+		Poller: server, StatusReporter: server, TimelineReader: server, IDReceiver: server,
+	}, peer.Options{}))
 	r.HandleFunc(frontend.ForwardPrefix, d.frontend.PeerRoutes().ServeHTTP)
 	r.HandleFunc(frontend.ForwardPrefix+"/*", d.frontend.PeerRoutes().ServeHTTP)
 	return r
--- a/relay/daemon/peers.go
+++ b/relay/daemon/peers.go
@@ -26,7 +26,7 @@
 
 func newPeers(self string, config *tls.Config) *peers {
 	return &peers{
-		config: config, calls: peer.NewClient(self, peerHTTPClient(config)),
+		config: config, calls: peer.NewClient(self, peer.NewTransport(peerTransport(config), peer.Options{})),
 		forward: map[string]*backend.Server{},
 	}
 }
@@ -66,7 +66,6 @@
 	for _, m := range view.Members {
 		urls[m.PeerURL] = true
 	}
-	p.calls.Keep(urls)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for url, s := range p.forward {
@@ -78,6 +77,7 @@
 }
 
 func (p *peers) close() {
+	p.calls.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.forward {
--- a/relay/daemon/settings.go
+++ b/relay/daemon/settings.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// peerHTTPClient makes control calls, each bounded by its context.
-func peerHTTPClient(config *tls.Config) *http.Client {
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: 4}}
+// peerTransport carries control calls. Few connections suffice, since one poll
+// per witness is in flight.
+func peerTransport(config *tls.Config) *http.Transport {
+	return &http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: 4}
 }
--- a/relay/peer/peer.go
+++ b/relay/peer/peer.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
-	"sync"
 	"time"
 
 	"parsleyrelay.example/api/peerv1"
@@ -18,45 +16,27 @@
 // maxRelayed bounds the records in one response to a poll.
 const maxRelayed = 256
 
-// Client calls other daemons. It is safe for concurrent use.
+// Client calls other daemons in terms of the ownership machine. It is safe for
+// concurrent use.
 type Client struct {
-	self    string // incarnation
-	http    *http.Client
-	mu      sync.Mutex
-	clients map[string]peerv1.Peer // by URL
+	self  string // incarnation
+	calls *Transport
 }
 
 // NewClient returns a client that calls in the name of the given incarnation.
-func NewClient(self string, client *http.Client) *Client {
-	return &Client{self: self, http: client, clients: map[string]peerv1.Peer{}}
+func NewClient(self string, calls *Transport) *Client {
+	return &Client{self: self, calls: calls}
 }
 
-// For returns the twirp client of a peer.
-func (c *Client) For(url string) peerv1.Peer {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	client := c.clients[url]
-	if client == nil {
-		client = peerv1.NewPeerProtobufClient(url, c.http)
-		c.clients[url] = client
-	}
-	return client
-}
+// Close closes idle connections.
+func (c *Client) Close() { c.calls.Close() }
 
-// Keep drops the clients of all peers that are not in urls.
-func (c *Client) Keep(urls map[string]bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for url := range c.clients {
-		if !urls[url] {
-			delete(c.clients, url)
-		}
-	}
-}
+// Calls returns the plain calls, for queries.
+func (c *Client) Calls() *Transport { return c.calls }
 
 // Poll asks a witness for its applied offset.
 func (c *Client) Poll(ctx context.Context, p ownership.Poll) (ownership.PollAnswered, error) {
-	r, err := c.For(p.PeerURL).Poll(ctx, &peerv1.PollRequest{
+	r, err := c.calls.Poll(ctx, p.PeerURL, &peerv1.PollRequest{
 		Poller: c.self, Applied: p.Applied, MaxRecords: maxRelayed, Loads: encodeLoads(p.Loads),
 	})
 	if err != nil {
@@ -88,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := c.For(url).TransferIDs(ctx, &peerv1.TransferIDsRequest{Server: server, PartJson: data})
+	r, err := c.calls.TransferIDs(ctx, url, &peerv1.TransferIDsRequest{Server: server, PartJson: data})
 	if err != nil {
 		return err
 	}
--- a/relay/queries/queries_test.go
+++ b/relay/queries/queries_test.go
@@ -46,7 +46,7 @@
 		view.Members[id] = state.Member{Host: fmt.Sprintf("lima-%d", i), Incarnation: id, Zone: "ate"}
 	}
 	view.Tables = map[string]*state.Table{"almacen": state.NewTable([]state.Slice{
-		{Range: keyspace.Full, Server: "b", Generation: 9, Former: "a"},
+		{Range: keyspace.Full, Generation: 9, Owner: &state.Owner{Server: "b"}, Origin: &state.Origin{Former: "a"}},
 	})}
 	view.Servers = map[string]ownership.ServerView{"b": {Home: state.Home{Incarnation: "i1", Term: 5}}}
 	c.view = view
