--- a/core/admission/schedule.go
+++ b/core/admission/schedule.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"parsleyrelay.example/core/keyspace"
@@ -168,8 +170,8 @@
 // later are rerouted as well, until Resume.
 func (q *Queue) Quiesce(r keyspace.Range) []Decision {
 	q.quiesced = append(q.quiesced, r)
-	for id, it := range q.queued {
-		if r.Contains(it.Hash) {
+	for _, id := range slices.Sorted(maps.Keys(q.queued)) { // a fixed order, so that runs can be repeated
+		if it := q.queued[id]; r.Contains(it.Hash) {
 			it.rank.remove(it)
 			delete(q.queued, id)
 			q.out = append(q.out, Decision{Action: Reroute, ID: id})
