--- /dev/null
+++ b/relay/telemetry/definitions.go
@@ -0,0 +1,53 @@
+package telemetry
+
+// Names of the metrics.
+const (
+	MetricRequests        = "parsleyrelay_requests_total"
+	MetricLatency         = "parsleyrelay_request_seconds"
+	MetricQueueTime       = "parsleyrelay_queue_seconds"
+	MetricQueued          = "parsleyrelay_queued_requests"
+	MetricLimit           = "parsleyrelay_concurrency_limit"
+	MetricConnections     = "parsleyrelay_server_connections"
+	MetricRetries         = "parsleyrelay_retries_total"
+	MetricReplays         = "parsleyrelay_replays_total"
+	MetricImbalance       = "parsleyrelay_key_imbalance_ratio"
+	MetricMovedShare      = "parsleyrelay_moved_key_share_total"
+	MetricUnavailable     = "parsleyrelay_key_unavailable_seconds"
+	MetricSlices          = "parsleyrelay_slices"
+	MetricHomes           = "parsleyrelay_homes"
+	MetricLeaseValid      = "parsleyrelay_prefix_lease_valid"
+	MetricAppliedOffset   = "parsleyrelay_applied_offset"
+	MetricLogReachable    = "parsleyrelay_log_reachable"
+	MetricLogAppends      = "parsleyrelay_log_appends_total"
+	MetricRingOverflows   = "parsleyrelay_ring_overflows_total"
+	MetricTimelineLost    = "parsleyrelay_timeline_overwritten_total"
+	MetricCPU             = "parsleyrelay_process_cpu_seconds_total"
+	MetricControlBytes    = "parsleyrelay_control_bytes_total"
+	MetricConfigurationIn = "parsleyrelay_configuration_effect_seconds"
+)
+
+// Definitions lists all metrics. docs/metrics.md has the same table.
+var Definitions = []Metric{
+	{MetricRequests, Counter, "1", []string{"service", "rank", "outcome", "reason"}, "Requests that ended at this host as the callers' entry."},
+	{MetricLatency, Histogram, "s", []string{"service", "rank", "outcome"}, "Time from the arrival of a request to the end of its response."},
+	{MetricQueueTime, Histogram, "s", []string{"service", "rank"}, "Time that a request waited in the rank queue of its home."},
+	{MetricQueued, Gauge, "1", []string{"server", "rank"}, "Requests in the rank queues of a server whose home this host is."},
+	{MetricLimit, Gauge, "1", []string{"server"}, "Concurrency limit of a server whose home this host is."},
+	{MetricConnections, Gauge, "1", []string{"server"}, "Open connections for requests to a server."},
+	{MetricRetries, Counter, "1", []string{"service", "rank"}, "Requests that were tried again."},
+	{MetricReplays, Counter, "1", []string{"service"}, "Repeated requests that got the response of the first one."},
+	{MetricImbalance, Gauge, "1", []string{"service"}, "Load of the hottest server divided by the mean."},
+	{MetricMovedShare, Counter, "1", []string{"service", "cause"}, "Share of the key space that changed its owner, summed up."},
+	{MetricUnavailable, Histogram, "s", []string{"service", "cause"}, "Time for which a slice had no serving owner."},
+	{MetricSlices, Gauge, "1", []string{"service", "state"}, "Slices by state."},
+	{MetricHomes, Gauge, "1", nil, "Servers whose home this host is."},
+	{MetricLeaseValid, Gauge, "1", nil, "1 while the host holds its prefix lease."},
+	{MetricAppliedOffset, Gauge, "1", nil, "Offset of the last folded record."},
+	{MetricLogReachable, Gauge, "1", nil, "1 while the platform's log can be read."},
+	{MetricLogAppends, Counter, "1", []string{"result"}, "Appends to the platform's log."},
+	{MetricRingOverflows, Counter, "1", []string{"ring"}, "Items that a full ring between two goroutines dropped or delayed."},
+	{MetricTimelineLost, Observed, "1", nil, "Events that were overwritten in the timeline."},
+	{MetricCPU, Observed, "s", nil, "CPU time of the process, user and system."},
+	{MetricControlBytes, Counter, "By", []string{"peer_kind", "direction"}, "Bytes of control messages with daemons, servers and the platform."},
+	{MetricConfigurationIn, Histogram, "s", nil, "Time from the acceptance of a change to its effect on this host."},
+}
