Test that the host list poller survives a failed poll

Cause: the poller had no test. Change: one test with a server whose first response is an error. Measured: go test -race -count=3 ./relay/platform passes.

--- a/relay/platform/platform_test.go
+++ b/relay/platform/platform_test.go
@@ -126,3 +126,42 @@
 	t.Helper()
 	require.NoError(t, json.NewEncoder(w).Encode(body))
 }
+
+type hostObserver struct {
+	lists  chan platformapi.HostList
+	failed chan error
+}
+
+func (o *hostObserver) HostsRead(list platformapi.HostList) { o.lists <- list }
+func (o *hostObserver) HostsUnreachable(err error)          { o.failed <- err }
+
+// Guards against a poller that ends at the first failed poll or hides it.
+func TestHostPollerGoesOnAfterFailure(t *testing.T) {
+	var polls atomic.Int64
+	c := client(t, func(w http.ResponseWriter, _ *http.Request) {
+		if polls.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		writeJSON(t, w, platformapi.HostList{Hosts: []platformapi.Host{{Name: "a", State: platformapi.HostLeaving}}})
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	o := &hostObserver{lists: make(chan platformapi.HostList), failed: make(chan error)}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		(&HostPoller{Client: c, Interval: time.Millisecond, Observer: o}).Run(ctx)
+	}()
+	var status *StatusError
+	require.ErrorAs(t, <-o.failed, &status)
+	require.Equal(t, "a", (<-o.lists).Hosts[0].Name)
+	cancel()
+	for {
+		select {
+		case <-o.lists:
+		case <-o.failed:
+		case <-ended:
+			return
+		}
+	}
+}
