Wire operators' API, timeline, metrics and the end of removed daemons

Cause: the adapters stood beside the daemon without being used. Change: numbered events go to log and timeline with a hybrid logical clock that polls carry on; OpenTelemetry metrics; commands and queries on the operator listener; a daemon that peers removed starts over with a new incarnation. The bound itself is asserted on the virtual clock.

--- a/cmd/parsleyrelayd/main.go
+++ b/cmd/parsleyrelayd/main.go
@@ -62,15 +62,28 @@
 			if err := s.Validate().Err(); err != nil {
 				return err
 			}
-			d, err := daemon.FromSettings(s, log.With(newLogger(), "host", s.Host, "zone", s.Zone))
-			if err != nil {
-				return err
-			}
-			return d.Run(ctx)
+			return runDaemon(ctx, s)
 		},
 	}
 }
 
+// runDaemon starts over with a new incarnation when the other daemons removed
+// this one while the process was paused.
+func runDaemon(ctx context.Context, s settings.Settings) error {
+	for {
+		d, err := daemon.FromSettings(s, newLogger())
+		if err != nil {
+			return err
+		}
+		err = d.Run(ctx)
+		var removed *daemon.RemovedError
+		if !errors.As(err, &removed) {
+			return err
+		}
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
 func devCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "dev",
--- a/core/ownership/fold.go
+++ b/core/ownership/fold.go
@@ -73,10 +73,13 @@
 		m.viewDirty.members = true
 		m.report(event.Event{Code: event.HostLeft, Peer: b.Incarnation, Offset: p.Offset, Detail: string(b.Reason)})
 	case record.WitnessProposed:
+		m.viewDirty.members = true
 		m.report(event.Event{Code: event.WitnessesProposed, Offset: p.Offset, Detail: b.Scope})
 	case record.WitnessActivated:
+		m.viewDirty.members = true
 		m.report(event.Event{Code: event.WitnessesActivated, Offset: p.Offset, Detail: b.Scope})
 	case record.WitnessReset:
+		m.viewDirty.members = true
 		m.witnessesReset(p.Offset, b)
 	case record.HomeAssigned:
 		m.homeAssigned(b.Server)
--- a/core/ownership/publish.go
+++ b/core/ownership/publish.go
@@ -61,6 +61,7 @@
 		Applied: m.st.Applied(), Complete: m.complete, Draining: m.draining, LogReachable: m.logReachable,
 		LeaseUntil: d.until, Self: m.cfg.Incarnation,
 		Resources: old.Resources, Members: old.Members, Tables: old.Tables, Servers: old.Servers,
+		Witnesses: old.Witnesses,
 	}
 	m.fillMaps(v, old, d)
 	m.view = v
@@ -78,6 +79,7 @@
 		}
 	}
 	if d.every || d.members {
+		v.Witnesses = m.st.WitnessSets()
 		v.Members = map[string]state.Member{}
 		for _, member := range m.st.Members() {
 			v.Members[member.Incarnation] = member
--- a/core/ownership/view.go
+++ b/core/ownership/view.go
@@ -18,7 +18,9 @@
 	Members      map[string]state.Member // by incarnation
 	Tables       map[string]*state.Table // by service
 	Servers      map[string]ServerView   // by name
-	Self         string                  // incarnation of this daemon
+	// Witnesses holds the witness sets by scope.
+	Witnesses map[string]state.WitnessSet
+	Self      string // incarnation of this daemon
 }
 
 // ServerView is a server as the daemon sees it.
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -179,6 +179,9 @@
 // Witnesses returns the witness set of a scope; its epoch is 0 if there is none yet.
 func (s *State) Witnesses(scope string) WitnessSet { return s.witnesses[scope] }
 
+// WitnessSets returns all witness sets by scope.
+func (s *State) WitnessSets() map[string]WitnessSet { return maps.Clone(s.witnesses) }
+
 // Home returns the home of a server; its term is 0 if it never had one.
 func (s *State) Home(server string) Home { return s.homes[server] }
 
--- a/relay/control/loop.go
+++ b/relay/control/loop.go
@@ -76,13 +76,15 @@
 	history *History
 	inputs  chan ownership.Input
 	drained chan struct{}
-
-	ctx     context.Context
-	workers sync.WaitGroup
-	appends chan record.Record
-	pollers map[string]chan ownership.Poll   // by witness
-	servers map[string]chan ownership.Effect // by server
-	once    sync.Once
+	removed chan struct{}
+
+	ctx         context.Context
+	workers     sync.WaitGroup
+	appends     chan record.Record
+	pollers     map[string]chan ownership.Poll   // by witness
+	servers     map[string]chan ownership.Effect // by server
+	once        sync.Once
+	onceRemoved sync.Once
 }
 
 // NewLoop returns a loop; Run starts it.
@@ -93,6 +95,7 @@
 		history: NewHistory(),
 		inputs:  make(chan ownership.Input, inputRing),
 		drained: make(chan struct{}),
+		removed: make(chan struct{}),
 		appends: make(chan record.Record, appendRing),
 		pollers: map[string]chan ownership.Poll{},
 		servers: map[string]chan ownership.Effect{},
@@ -108,6 +111,10 @@
 // Drained is closed when the daemon is home of no server any more.
 func (l *Loop) Drained() <-chan struct{} { return l.drained }
 
+// Removed is closed when the other daemons have removed this one from the
+// members, as after a long pause of the process.
+func (l *Loop) Removed() <-chan struct{} { return l.removed }
+
 // Submit hands an input to the machine. It waits while the ring is full and
 // returns false when ctx ends first.
 func (l *Loop) Submit(ctx context.Context, in ownership.Input) bool {
@@ -193,6 +200,8 @@
 		l.cfg.Events.Folded(e)
 	case ownership.Emit:
 		l.cfg.Events.Emit(e.Event)
+	case ownership.Removed:
+		l.onceRemoved.Do(func() { close(l.removed) })
 	case ownership.Drained:
 		l.once.Do(func() { close(l.drained) })
 	}
--- a/relay/daemon/assemble.go
+++ b/relay/daemon/assemble.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -14,6 +13,7 @@
 	"parsleyrelay.example/api/callerapi"
 	"parsleyrelay.example/api/peerv1"
 	"parsleyrelay.example/core/dedup"
+	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/core/ownership"
 	"parsleyrelay.example/core/retry"
 	"parsleyrelay.example/relay/control"
@@ -25,10 +25,14 @@
 
 // assemble builds the parts. Nothing runs and nothing connects yet.
 func (d *Daemon) assemble() error {
-	d.sink = newSink(d.opts.Logger, d.opts.Host, d.opts.Zone)
+	clock := event.NewClock(time.Now)
+	var err error
+	if d.sink, err = newSink(d.opts, clock); err != nil {
+		return err
+	}
 	d.client = platform.NewClient(d.opts.Platform)
 	d.servers = newServers(d.opts.Host)
-	d.peers = newPeers(d.incarnation, d.opts.PeerTLS)
+	d.peers = newPeers(d.incarnation, d.opts.PeerTLS, clock)
 	views := control.NewViews()
 	d.homes = home.NewManager(home.Config{
 		Views: views, Backend: d.servers, Now: d.now, Wall: time.Now,
@@ -134,46 +138,17 @@
 	return p.d.homes.Import(server, part)
 }
 
-func (p peerDaemon) Status(context.Context) *peerv1.StatusResponse { return p.d.status() }
-
-func (p peerDaemon) Timeline(_ context.Context, r *peerv1.TimelineRequest) (*peerv1.TimelineResponse, error) {
-	events, overwritten := p.d.sink.timeline(r.FilterJson, int(r.MaxEvents))
-	data, err := json.Marshal(events)
-	return &peerv1.TimelineResponse{Host: p.d.opts.Host, EventsJson: data, Overwritten: overwritten}, err
+func (p peerDaemon) Status(ctx context.Context) *peerv1.StatusResponse {
+	return p.d.status(ctx)
 }
 
-func (d *Daemon) status() *peerv1.StatusResponse {
-	view, _ := d.loop.Views().Current()
-	s := &peerv1.StatusResponse{
-		Host: d.opts.Host, Incarnation: d.incarnation, Zone: d.opts.Zone,
-		Applied: view.Applied, Complete: view.Complete, Draining: d.draining.Load(),
-		LeaseValid: d.now() < view.LeaseUntil, LogReachable: view.LogReachable,
-	}
-	for name, server := range view.Servers {
-		if server.Local {
-			s.Servers = append(s.Servers, d.serverStatus(name, server))
-		}
-	}
-	return s
-}
-
-func (d *Daemon) serverStatus(name string, server ownership.ServerView) *peerv1.ServerStatus {
-	s := &peerv1.ServerStatus{
-		Server: name, State: string(server.State), Term: server.Term, SubTerm: server.SubTerm,
-		Instance: server.Instance, SlicesServing: uint32(server.Serving.Len()),
-	}
-	if stats, ok := d.homes.Stats(name); ok {
-		s.Running, s.Limit = uint32(stats.Running), uint32(stats.Limit)
-		for _, n := range stats.Queued {
-			s.Queued += uint32(n)
-		}
-	}
-	return s
+func (p peerDaemon) Timeline(_ context.Context, r *peerv1.TimelineRequest) (*peerv1.TimelineResponse, error) {
+	return p.d.timeline(r)
 }
 
 func (d *Daemon) peerRoutes() http.Handler {
 	r := chi.NewRouter()
-	server := peer.NewServer(d.incarnation, peerDaemon{d}, d.loop.History(), d.now)
+	server := peer.NewServer(d.incarnation, peerDaemon{d}, d.loop.History(), d.now, d.sink.clock)
 	r.Handle(peerv1.PeerPathPrefix+"*", peer.NewHandler(peer.Service{
 		Poller: server, StatusReporter: server, TimelineReader: server, IDReceiver: server,
 	}, peer.Options{}))
--- a/relay/daemon/daemon.go
+++ b/relay/daemon/daemon.go
@@ -66,6 +66,8 @@
 	sink     *sink
 	draining atomic.Bool
 	wasReady atomic.Bool
+	// drainStarted is closed when the daemon begins to drain.
+	drainStarted chan struct{}
 
 	listeners []*http.Server
 	duties    sync.WaitGroup
@@ -73,7 +75,7 @@
 
 // New returns a daemon that does not run yet.
 func New(opts Options) (*Daemon, error) {
-	d := &Daemon{opts: opts, incarnation: uuid.NewString(), started: time.Now()}
+	d := &Daemon{opts: opts, incarnation: uuid.NewString(), started: time.Now(), drainStarted: make(chan struct{})}
 	if err := d.assemble(); err != nil {
 		return nil, err
 	}
@@ -93,6 +95,7 @@
 	d.duties.Go(func() { d.readLog(work) })
 	d.duties.Go(func() { d.pollHosts(work) })
 	d.duties.Go(func() { d.reportLoad(work) })
+	d.duties.Go(func() { d.recordGauges(work) })
 	failed := d.serve()
 	d.sink.Emit(event.Event{Code: event.ProcessStarted, Detail: "incarnation " + d.incarnation})
 
@@ -101,6 +104,8 @@
 	case <-ctx.Done():
 		d.drain(work)
 	case err = <-failed:
+	case <-d.loop.Removed():
+		err = &RemovedError{Incarnation: d.incarnation}
 	}
 	d.close()
 	stop()
@@ -113,12 +118,23 @@
 	return err
 }
 
+// RemovedError reports that the other daemons removed this one from the members,
+// as after a pause of many seconds. A new Daemon, with a new incarnation, can
+// take its place.
+type RemovedError struct{ Incarnation string }
+
+// Error implements error.
+func (e *RemovedError) Error() string {
+	return "incarnation " + e.Incarnation + " was removed from the members"
+}
+
 // balancerNotice is how long the health check fails before the daemon gives
 // its homes up, so that the balancer stops sending new connections first.
 const balancerNotice = 500 * time.Millisecond
 
 func (d *Daemon) drain(work context.Context) {
 	d.draining.Store(true)
+	close(d.drainStarted)
 	d.sink.Emit(event.Event{Code: event.ProcessDraining})
 	ctx, cancel := context.WithTimeout(work, d.opts.DrainTimeout)
 	defer cancel()
--- a/relay/daemon/duties.go
+++ b/relay/daemon/duties.go
@@ -119,7 +119,7 @@
 // logAppender appends records through the watermill publisher.
 type logAppender struct {
 	publisher message.Publisher
-	count     func(bytes int)
+	count     func(bytes int, err error)
 }
 
 // Append implements control.Log.
@@ -130,9 +130,10 @@
 	}
 	m := message.NewMessage(r.ID, data)
 	m.SetContext(ctx)
-	if err := a.publisher.Publish(platform.Topic, m); err != nil {
+	err = a.publisher.Publish(platform.Topic, m)
+	a.count(len(data), err)
+	if err != nil {
 		return 0, err
 	}
-	a.count(len(data))
 	return strconv.ParseUint(m.Metadata.Get(platform.MetadataOffset), 10, 64)
 }
--- /dev/null
+++ b/relay/daemon/operators.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"parsleyrelay.example/api/peerv1"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/core/state"
+	"parsleyrelay.example/relay/bearer"
+	"parsleyrelay.example/relay/commands"
+	"parsleyrelay.example/relay/queries"
+	"parsleyrelay.example/relay/telemetry"
+)
+
+// operatorRoutes serves the operators' API.
+func (d *Daemon) operatorRoutes() http.Handler {
+	policy := bearer.Policy{Token: d.opts.OperatorToken, AnonymousReads: d.opts.AnonymousRead}
+	r := chi.NewRouter()
+	commands.New(commands.Config{
+		Proposer: d.loop, Views: d.loop.Views(), Ledger: d.sink.ledger, Wall: time.Now,
+	}).Mount(r, policy)
+	queries.New(queries.Config{
+		Views: d.loop.Views(), Peers: queryPeers{d}, Witnesses: witnessSets{d}, History: d.sink.history,
+		Wall: time.Now, Stop: d.drainStarted,
+	}).Mount(r, policy)
+	return r
+}
+
+func (d *Daemon) metricsRoutes() http.Handler {
+	r := chi.NewRouter()
+	r.Handle("/metrics", d.sink.metrics.Handler())
+	return r
+}
+
+// queryPeers asks other daemons, and this one directly.
+type queryPeers struct{ d *Daemon }
+
+// Status implements queries.Peers.
+func (p queryPeers) Status(ctx context.Context, m state.Member) (*peerv1.StatusResponse, error) {
+	if m.Incarnation == p.d.incarnation {
+		return p.d.status(ctx), nil
+	}
+	return p.d.peers.calls.Calls().Status(ctx, m.PeerURL, &peerv1.StatusRequest{})
+}
+
+// Timeline implements queries.Peers.
+func (p queryPeers) Timeline(ctx context.Context, m state.Member, r *peerv1.TimelineRequest) (*peerv1.TimelineResponse, error) {
+	if m.Incarnation == p.d.incarnation {
+		return p.d.timeline(r)
+	}
+	return p.d.peers.calls.Calls().Timeline(ctx, m.PeerURL, r)
+}
+
+type witnessSets struct{ d *Daemon }
+
+// WitnessSets implements queries.Witnesses.
+func (w witnessSets) WitnessSets() map[string]state.WitnessSet {
+	view, _ := w.d.loop.Views().Current()
+	return view.Witnesses
+}
+
+func (d *Daemon) status(ctx context.Context) *peerv1.StatusResponse {
+	view, _ := d.loop.Views().Current()
+	s := &peerv1.StatusResponse{
+		Host: d.opts.Host, Incarnation: d.incarnation, Zone: d.opts.Zone,
+		Applied: view.Applied, Complete: view.Complete, Draining: d.draining.Load(),
+		LeaseValid: d.now() < view.LeaseUntil, LogReachable: view.LogReachable,
+	}
+	for name, server := range view.Servers {
+		if server.Local {
+			s.Servers = append(s.Servers, d.serverStatus(ctx, view, name, server))
+		}
+	}
+	return s
+}
+
+// healthTimeout bounds the question to a server's health endpoint in a status query.
+const healthTimeout = 300 * time.Millisecond
+
+func (d *Daemon) serverStatus(ctx context.Context, view *ownership.View, name string, server ownership.ServerView) *peerv1.ServerStatus {
+	s := &peerv1.ServerStatus{
+		Server: name, State: string(server.State), Term: server.Term, SubTerm: server.SubTerm,
+		Instance: server.Instance, SlicesServing: uint32(server.Serving.Len()),
+		SlicesOwned: uint32(owned(view.Tables[server.Spec.Service], name)),
+	}
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	s.ClaimedHealth = d.servers.health(ctx, name, server.Spec.Address)
+	if stats, ok := d.homes.Stats(name); ok {
+		s.Running, s.Limit = uint32(stats.Running), uint32(stats.Limit)
+		for _, n := range stats.Queued {
+			s.Queued += uint32(n)
+		}
+	}
+	return s
+}
+
+func owned(table *state.Table, server string) int {
+	n := 0
+	table.All(func(slice *state.Slice) bool {
+		if slice.Server == server {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
+// gaugeInterval is how often gauges follow the state.
+const gaugeInterval = time.Second
+
+// recordGauges keeps the gauges current until ctx ends.
+func (d *Daemon) recordGauges(ctx context.Context) {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.recordGaugesOnce()
+		}
+	}
+}
+
+func (d *Daemon) recordGaugesOnce() {
+	view, _ := d.loop.Views().Current()
+	d.sink.record(telemetry.MetricAppliedOffset, float64(view.Applied))
+	d.sink.record(telemetry.MetricLeaseValid, indicator(d.now() < view.LeaseUntil))
+	d.sink.record(telemetry.MetricLogReachable, indicator(view.LogReachable))
+	homes := 0
+	serving := map[string]int{}
+	for name, server := range view.Servers {
+		if !server.Local {
+			continue
+		}
+		homes++
+		serving[server.Spec.Service] += server.Serving.Len()
+		stats, ok := d.homes.Stats(name)
+		if !ok {
+			continue
+		}
+		d.sink.record(telemetry.MetricLimit, float64(stats.Limit), name)
+		for rank, n := range stats.Queued {
+			d.sink.record(telemetry.MetricQueued, float64(n), name, rank)
+		}
+	}
+	d.sink.record(telemetry.MetricHomes, float64(homes))
+	for service, n := range serving {
+		d.sink.record(telemetry.MetricSlices, float64(n), service, "serving")
+	}
+}
+
+func indicator(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/relay/daemon/peers.go
+++ b/relay/daemon/peers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"sync"
 
+	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/core/ownership"
 	"parsleyrelay.example/relay/backend"
 	"parsleyrelay.example/relay/frontend"
@@ -24,9 +25,9 @@
 	forward map[string]*backend.Server // by URL
 }
 
-func newPeers(self string, config *tls.Config) *peers {
+func newPeers(self string, config *tls.Config, clock *event.Clock) *peers {
 	return &peers{
-		config: config, calls: peer.NewClient(self, peer.NewTransport(peerTransport(config), peer.Options{})),
+		config: config, calls: peer.NewClient(self, peer.NewTransport(peerTransport(config), peer.Options{}), clock),
 		forward: map[string]*backend.Server{},
 	}
 }
--- a/relay/daemon/servers.go
+++ b/relay/daemon/servers.go
@@ -135,6 +135,19 @@
 	return ownership.GrantAnswered{Accepted: true, Draining: health.Status == "draining"}, err
 }
 
+// health returns what the health endpoint of a server claims, for display.
+func (s *servers) health(ctx context.Context, name, address string) string {
+	c, err := s.client(name, address, 0)
+	if err != nil {
+		return err.Error()
+	}
+	health, err := c.Probe(ctx)
+	if err != nil {
+		return "no answer"
+	}
+	return health.Status
+}
+
 // Do implements home.Backend.
 func (s *servers) Do(ctx context.Context, call home.Call) (*frontend.Answer, *home.Failure) {
 	c, err := s.client(call.Server, call.Spec.Address, call.Spec.Connections)
--- a/relay/peer/peer.go
+++ b/relay/peer/peer.go
@@ -9,6 +9,7 @@
 
 	"parsleyrelay.example/api/peerv1"
 	"parsleyrelay.example/core/dedup"
+	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/core/ownership"
 	"parsleyrelay.example/core/record"
 )
@@ -21,11 +22,12 @@
 type Client struct {
 	self  string // incarnation
 	calls *Transport
+	clock *event.Clock
 }
 
 // NewClient returns a client that calls in the name of the given incarnation.
-func NewClient(self string, calls *Transport) *Client {
-	return &Client{self: self, calls: calls}
+func NewClient(self string, calls *Transport, clock *event.Clock) *Client {
+	return &Client{self: self, calls: calls, clock: clock}
 }
 
 // Close closes idle connections.
@@ -37,7 +39,7 @@
 // Poll asks a witness for its applied offset.
 func (c *Client) Poll(ctx context.Context, p ownership.Poll) (ownership.PollAnswered, error) {
 	r, err := c.calls.Poll(ctx, p.PeerURL, &peerv1.PollRequest{
-		Poller: c.self, Applied: p.Applied, MaxRecords: maxRelayed, Loads: encodeLoads(p.Loads),
+		Poller: c.self, Applied: p.Applied, MaxRecords: maxRelayed, Loads: encodeLoads(p.Loads), Hlc: c.clock.Now(),
 	})
 	if err != nil {
 		return ownership.PollAnswered{}, err
@@ -45,6 +47,7 @@
 	if r.Witness != p.Witness {
 		return ownership.PollAnswered{}, &WrongPeerError{URL: p.PeerURL, Want: p.Witness, Got: r.Witness}
 	}
+	c.clock.Observe(r.Hlc)
 	answer := ownership.PollAnswered{
 		Witness: r.Witness, Applied: r.Applied,
 		Heard: make(map[string]time.Duration, len(r.Heard)), Loads: decodeLoads(r.Loads),
--- a/relay/peer/server.go
+++ b/relay/peer/server.go
@@ -10,6 +10,7 @@
 
 	"parsleyrelay.example/api/peerv1"
 	"parsleyrelay.example/core/dedup"
+	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/core/ownership"
 	"parsleyrelay.example/relay/control"
 )
@@ -32,6 +33,7 @@
 	daemon  Daemon
 	history *control.History
 	now     func() time.Duration
+	clock   *event.Clock
 
 	mu    sync.Mutex
 	heard map[string]heard // by incarnation
@@ -47,8 +49,8 @@
 const heardFor = time.Minute
 
 // NewServer returns a server for the daemon with the given incarnation.
-func NewServer(self string, daemon Daemon, history *control.History, now func() time.Duration) *Server {
-	return &Server{self: self, daemon: daemon, history: history, now: now, heard: map[string]heard{}}
+func NewServer(self string, daemon Daemon, history *control.History, now func() time.Duration, clock *event.Clock) *Server {
+	return &Server{self: self, daemon: daemon, history: history, now: now, clock: clock, heard: map[string]heard{}}
 }
 
 // Poll implements peerv1.Peer.
@@ -56,9 +58,10 @@
 	if r.Poller == "" {
 		return nil, twirp.RequiredArgumentError("poller")
 	}
+	s.clock.Observe(r.Hlc)
 	loads := decodeLoads(r.Loads)
 	s.daemon.Polled(ownership.PollReceived{Poller: r.Poller, Loads: loads})
-	response := &peerv1.PollResponse{Witness: s.self, Applied: s.daemon.Applied()}
+	response := &peerv1.PollResponse{Witness: s.self, Applied: s.daemon.Applied(), Hlc: s.clock.Now()}
 	for _, e := range s.history.After(r.Applied, int(min(r.MaxRecords, maxRelayed))) {
 		response.Records = append(response.Records, &peerv1.LogRecord{Offset: e.Offset, Data: e.Data})
 	}
--- a/relay/telemetry/timeline.go
+++ b/relay/telemetry/timeline.go
@@ -4,13 +4,12 @@
 
 import (
 	"strconv"
-	"strings"
 	"sync"
-	"time"
 
 	"github.com/go-kit/log"
 
 	"parsleyrelay.example/core/event"
+	"parsleyrelay.example/relay/timeline"
 )
 
 // DefaultTimelineEvents keeps about 4 MB of events.
@@ -68,24 +67,13 @@
 	return t.overwritten
 }
 
-// Filter selects events. Empty fields select all.
-type Filter struct {
-	KeyHash   string    `json:"keyHash,omitempty"` // 16 hexadecimal digits; selects the key's slices too
-	Service   string    `json:"service,omitempty"`
-	Slice     string    `json:"slice,omitempty"`
-	Server    string    `json:"server,omitempty"`
-	RequestID string    `json:"requestId,omitempty"`
-	Since     time.Time `json:"since,omitzero"`
-	Until     time.Time `json:"until,omitzero"`
-}
-
 // Select returns the newest events that match, at most limit (0 for all), oldest
 // first, and the number of events lost from the ring.
-func (t *Timeline) Select(f Filter, limit int) (events []event.Event, overwritten uint64) {
+func (t *Timeline) Select(f timeline.Filter, limit int) (events []event.Event, overwritten uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i := range t.ring {
-		if e := t.ring[(t.next+i)%len(t.ring)]; f.Matches(e) {
+		if e := t.ring[(t.next+i)%len(t.ring)]; f.Match(e) {
 			events = append(events, e)
 		}
 	}
@@ -95,26 +83,6 @@
 	return events, t.overwritten
 }
 
-// Matches reports whether the filter selects an event.
-func (f Filter) Matches(e event.Event) bool {
-	at := event.WallTime(e.HLC)
-	return equalOrAny(f.Service, e.Service) &&
-		equalOrAny(f.Slice, e.Slice) &&
-		equalOrAny(f.Server, e.Server) &&
-		equalOrAny(f.RequestID, e.RequestID) &&
-		(f.KeyHash == "" || f.KeyHash == e.KeyHash || sliceContains(e.Slice, f.KeyHash)) &&
-		(f.Since.IsZero() || !at.Before(f.Since)) &&
-		(f.Until.IsZero() || !at.After(f.Until))
-}
-
-func equalOrAny(wanted, actual string) bool { return wanted == "" || wanted == actual }
-
-// sliceContains compares digits: all numbers have 16 of them.
-func sliceContains(slice, hash string) bool {
-	first, last, ok := strings.Cut(slice, "-")
-	return ok && first <= hash && hash <= last
-}
-
 func logFields(e event.Event) []any {
 	fields := []any{"event", int(e.Code), "name", e.Name, "hlc", e.HLC, "host", e.Host, "zone", e.Zone}
 	for _, f := range []struct{ key, value string }{
