Keep refused changes refused

TestFold compares the state without this memory where it asserts that a refused record alters nothing, since the memory is the one thing that it must alter; all comparisons of whole folds include it. Conclusion: a change id is decided once.

--- a/core/state/checkpoint.go
+++ b/core/state/checkpoint.go
@@ -37,6 +37,7 @@
 	Changes   []checkpointChange    `json:"changes"`
 	Members   []Member              `json:"members"`
 	Departed  []departure           `json:"departed"`
+	Refusals  []string              `json:"refusals"`
 	Witnesses map[string]WitnessSet `json:"witnesses"`
 	Homes     map[string]Home       `json:"homes"`
 	Servers   []string              `json:"servers"` // referred to by the rows
@@ -80,6 +81,7 @@
 		Witnesses: s.witnesses,
 		Homes:     s.homes,
 		Departed:  append([]departure(nil), s.departed.queue...), // nil when empty
+		Refusals:  append([]string(nil), s.refusals.queue...),
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(s.resources), compareKeys) {
 		header.Resources = append(header.Resources, s.resources[key])
@@ -196,6 +198,9 @@
 	for _, x := range h.Departed {
 		s.departed.add(x)
 	}
+	for _, id := range h.Refusals {
+		s.refusals.add(id)
+	}
 	maps.Copy(s.witnesses, h.Witnesses)
 	maps.Copy(s.homes, h.Homes)
 	reader := rowReader{rows: rows}
--- a/core/state/fold_test.go
+++ b/core/state/fold_test.go
@@ -186,10 +186,12 @@
 	return list
 }
 
-// content is the state without its offset.
+// content is the state without its offset and without the memory of refused
+// changes, which is all that a refused change may alter.
 func content(s *State) string {
 	c := *s
 	c.applied = 0
+	c.refusals = newRefusals()
 	return string(c.encode())
 }
 
--- /dev/null
+++ b/core/state/refusals_test.go
@@ -0,0 +1,42 @@
+package state
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/core/resource"
+)
+
+// Guards against a change that takes effect after its operator was told that it
+// was refused: a late copy of the record arrives when the missing reference exists.
+func TestRefusedChangeStaysRefused(t *testing.T) {
+	s := New()
+	offset := uint64(0)
+	put := func(id, name string, spec resource.Spec) Outcome {
+		offset++
+		out, err := s.Apply(record.Positioned{Offset: offset, Record: record.Record{
+			ID:   id,
+			Body: record.ResourcePut{Resource: resource.Resource{Name: name, Spec: spec}, ChangeID: id},
+		}})
+		require.NoError(t, err)
+		return out
+	}
+	service := &resource.Service{Ranks: []string{"urgent"}, DefaultRank: "urgent"}
+	require.False(t, put("a", "almacen", service).Applied)
+	require.True(t, put("b", "urgent", &resource.Rank{}).Applied)
+
+	parts, digest := EncodeCheckpoint(s)
+	restored, err := Restore(parts, digest)
+	require.NoError(t, err)
+	for name, st := range map[string]*State{"state": s, "restored": restored} {
+		out, err := st.Apply(record.Positioned{Offset: offset + 1, Record: record.Record{
+			ID: "a", Body: record.ResourcePut{Resource: resource.Resource{Name: "almacen", Spec: service}, ChangeID: "a"},
+		}})
+		require.NoError(t, err)
+		require.False(t, out.Applied, name)
+	}
+	offset++
+	require.True(t, put("c", "almacen", service).Applied, "a new change")
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -68,6 +68,7 @@
 	tables    map[string]*Table
 	owned     map[string]*hashSet // first hashes of the slices of each server
 	departed  *departures
+	refusals  *refusals
 	edit      *edit
 	intern    *intern
 }
@@ -90,6 +91,7 @@
 		tables:    map[string]*Table{},
 		owned:     map[string]*hashSet{},
 		departed:  newDepartures(),
+		refusals:  newRefusals(),
 		intern:    newIntern(),
 	}
 }
@@ -218,9 +220,9 @@
 func (s *State) apply(p record.Positioned) Outcome {
 	switch b := p.Record.Body.(type) {
 	case record.ResourcePut:
-		return s.putResource(p, b)
+		return s.changeOnce(p.Record, b.ChangeID, func() Outcome { return s.putResource(p, b) })
 	case record.ResourceDelete:
-		return s.deleteResource(p, b)
+		return s.changeOnce(p.Record, b.ChangeID, func() Outcome { return s.deleteResource(p, b) })
 	case record.HostJoined:
 		return s.joinHost(p.Offset, b)
 	case record.HostLeft:
