--- a/cmd/internal/e2e/path_test.go
+++ b/cmd/internal/e2e/path_test.go
@@ -129,15 +129,25 @@
 	for _, p := range f.daemons {
 		f.awaitServing(p, startBound)
 	}
-	f.platform.UpdateFaults(func(x *platform.Faults) { x.Outage = platform.OutageHang })
+	f.outage(true)
 	time.Sleep(3 * time.Second) // longer than every lease
 	for _, p := range f.daemons {
 		f.awaitServing(p, servedAgain())
 	}
-	f.platform.UpdateFaults(func(x *platform.Faults) { x.Outage = platform.OutageNone })
+	f.outage(false)
 	f.awaitServing(f.daemons[0], servedAgain())
 }
 
+// outage makes the platform's log hang or answer again.
+func (f *fixture) outage(on bool) {
+	f.platform.UpdateFaults(func(x *platform.Faults) {
+		x.Outage = platform.OutageNone
+		if on {
+			x.Outage = platform.OutageHang
+		}
+	})
+}
+
 // Guards against requests that a planned stop cuts.
 func TestRollingReplacement(t *testing.T) {
 	f := newFixture(t, 3, 3)
--- a/cmd/internal/e2e/process_test.go
+++ b/cmd/internal/e2e/process_test.go
@@ -63,6 +63,7 @@
 	name     string
 	caller   string
 	operator string
+	metrics  string
 	cmd      *exec.Cmd
 	output   *lockedBuffer
 	done     chan struct{}
@@ -119,7 +120,7 @@
 
 func (f *fixture) put(name string, spec resource.Spec) {
 	data, err := record.Marshal(record.Record{
-		ID: uuid.NewString(), Proposer: "test",
+		ID: uuid.NewString(), Proposer: "test", WallMS: time.Now().UnixMilli(),
 		Body: record.ResourcePut{Resource: resource.Resource{Name: name, Spec: spec}, ChangeID: uuid.NewString()},
 	})
 	require.NoError(f.t, err)
@@ -147,11 +148,11 @@
 
 func (f *fixture) startDaemon(name string) *process {
 	p := &process{name: name, output: &lockedBuffer{}, done: make(chan struct{})}
-	caller, operator := freeAddress(f.t), freeAddress(f.t)
-	p.caller, p.operator = "http://"+caller, "http://"+operator
+	caller, operator, metrics := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	p.caller, p.operator, p.metrics = "http://"+caller, "http://"+operator, "http://"+metrics+"/metrics"
 	p.cmd = exec.Command(binary, "run", "--host", name, "--availability-zone", "ate",
 		"--caller-address", caller, "--operator-address", operator,
-		"--peer-address", freeAddress(f.t), "--metrics-address", freeAddress(f.t))
+		"--peer-address", freeAddress(f.t), "--metrics-address", metrics)
 	p.cmd.Env = append(os.Environ(), "PARSLEYRELAY_PLATFORM_URL="+f.log.URL(), "PARSLEYRELAY_OPERATOR_TOKEN="+token)
 	p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
 	require.NoError(f.t, p.cmd.Start())
--- a/relay/daemon/assemble.go
+++ b/relay/daemon/assemble.go
@@ -36,7 +36,7 @@
 	views := control.NewViews()
 	d.homes = home.NewManager(home.Config{
 		Views: views, Backend: d.servers, Now: d.now, Wall: time.Now,
-		Dropped: d.sink.Dropped, PolicyOff: d.opts.PolicyOff,
+		Dropped: d.sink.Dropped, Queued: d.sink.queued, PolicyOff: d.opts.PolicyOff,
 	})
 	d.loop = control.NewLoop(control.Config{
 		Machine: ownership.New(ownership.Config{
@@ -91,7 +91,11 @@
 type controlPeers struct{ d *Daemon }
 
 func (p controlPeers) Poll(ctx context.Context, poll ownership.Poll) (ownership.PollAnswered, error) {
-	return p.d.peers.calls.Poll(ctx, poll)
+	answer, err := p.d.peers.calls.Poll(ctx, poll)
+	if err == nil {
+		p.d.loads.note(p.d.now(), answer.Loads)
+	}
+	return answer, err
 }
 
 // TransferIDs exports the window of a slice and gives it to the next home.
--- a/relay/daemon/daemon.go
+++ b/relay/daemon/daemon.go
@@ -64,6 +64,8 @@
 	homes    *home.Manager
 	frontend *frontend.Handler
 	sink     *sink
+	loads    serverLoads
+	traffic  trafficCount
 	draining atomic.Bool
 	wasReady atomic.Bool
 	// drainStarted is closed when the daemon begins to drain.
--- a/relay/daemon/duties.go
+++ b/relay/daemon/duties.go
@@ -111,7 +111,9 @@
 			return
 		case <-ticker.C:
 			view, _ := d.loop.Views().Current()
-			d.loop.Submit(ctx, d.homes.Loads(view))
+			measured := d.homes.Loads(view)
+			d.loads.note(d.now(), measured.Servers)
+			d.loop.Submit(ctx, measured)
 		}
 	}
 }
--- a/relay/daemon/operators.go
+++ b/relay/daemon/operators.go
@@ -150,11 +150,20 @@
 		}
 	}
 	d.sink.record(telemetry.MetricHomes, float64(homes))
+	d.recordImbalance(view)
+	d.recordTraffic()
 	for service, n := range serving {
 		d.sink.record(telemetry.MetricSlices, float64(n), service, "serving")
 	}
 }
 
+// recordImbalance reports the load of the hottest server over the mean.
+func (d *Daemon) recordImbalance(view *ownership.View) {
+	for service, ratio := range d.loads.imbalance(d.now(), view) {
+		d.sink.record(telemetry.MetricImbalance, ratio, service)
+	}
+}
+
 func indicator(b bool) float64 {
 	if b {
 		return 1
--- a/relay/daemon/servers.go
+++ b/relay/daemon/servers.go
@@ -28,6 +28,8 @@
 
 	mu      sync.Mutex
 	clients map[string]*client
+	// Bytes of control calls by clients that were dropped.
+	formerSent, formerReceived uint64
 }
 
 type client struct {
@@ -57,19 +59,38 @@
 		return nil, err
 	}
 	if c != nil {
-		c.Close()
+		s.drop(c)
 	}
 	s.clients[name] = &client{address: address, connections: connections, Server: server}
 	return server, nil
 }
 
+// traffic returns the bytes of control calls so far.
+func (s *servers) traffic() (sent, received uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sent, received = s.formerSent, s.formerReceived
+	for _, c := range s.clients {
+		sent += c.Traffic().Sent.Load()
+		received += c.Traffic().Received.Load()
+	}
+	return sent, received
+}
+
+// drop closes a client and keeps its byte counts.
+func (s *servers) drop(c *client) {
+	s.formerSent += c.Traffic().Sent.Load()
+	s.formerReceived += c.Traffic().Received.Load()
+	c.Close()
+}
+
 // follow drops the clients of servers that are not served here any more.
 func (s *servers) follow(view *ownership.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, c := range s.clients {
 		if server, ok := view.Servers[name]; !ok || !server.Local {
-			c.Close()
+			s.drop(c)
 			delete(s.clients, name)
 		}
 	}
--- a/relay/daemon/sink.go
+++ b/relay/daemon/sink.go
@@ -180,6 +180,16 @@
 	})
 }
 
+// RouteWaited implements frontend.Observer.
+func (s *sink) RouteWaited(req *frontend.Request, waited time.Duration) {
+	s.record(telemetry.MetricUnavailable, waited.Seconds(), req.Service, req.RankName)
+}
+
+// queued counts the time that a request waited in a rank queue.
+func (s *sink) queued(req *frontend.Request, waited time.Duration) {
+	s.record(telemetry.MetricQueueTime, waited.Seconds(), req.Service, req.RankName)
+}
+
 // timeline answers a peer's question.
 func (d *Daemon) timeline(r *peerv1.TimelineRequest) (*peerv1.TimelineResponse, error) {
 	var filter timeline.Filter
--- a/relay/frontend/handler.go
+++ b/relay/frontend/handler.go
@@ -44,6 +44,8 @@
 type Observer interface {
 	RequestEnded(req *Request, outcome callerapi.Outcome, reason callerapi.Reason, took time.Duration)
 	RequestRetried(req *Request, reason callerapi.Reason)
+	// RouteWaited is told how long a request waited for a serving owner of its key.
+	RouteWaited(req *Request, waited time.Duration)
 }
 
 // Config holds what a Handler needs.
@@ -187,6 +189,12 @@
 
 // tryOnce waits until the key has a serving owner and runs the request there.
 func (h *Handler) tryOnce(ctx context.Context, req *Request) (*Answer, *RequestError) {
+	waited := time.Duration(0)
+	defer func() {
+		if waited > 0 {
+			h.cfg.Observer.RouteWaited(req, waited)
+		}
+	}()
 	for {
 		view, changed := h.cfg.Views.Current()
 		route, ok := view.Lookup(req.Service, req.Hash, h.cfg.Now())
@@ -201,7 +209,10 @@
 		case ok && !route.View.Local && route.HomeURL != "":
 			return h.cfg.Forwarder.Forward(ctx, req, route.HomeURL)
 		}
-		if err := waitForChange(ctx, changed); err != nil {
+		began := h.cfg.Now()
+		err := waitForChange(ctx, changed)
+		waited += h.cfg.Now() - began
+		if err != nil {
 			return nil, refusal(ctx, req, route, ok)
 		}
 	}
--- a/relay/home/home.go
+++ b/relay/home/home.go
@@ -62,6 +62,8 @@
 	// Dropped counts a request that was refused because the ring to a server's
 	// queue was full.
 	Dropped func(ring string)
+	// Queued is told how long a request waited before it was dispatched.
+	Queued func(req *frontend.Request, waited time.Duration)
 	// PolicyOff replaces ranks and floors by one FIFO queue. It exists as a
 	// baseline for measurements.
 	PolicyOff bool
--- a/relay/home/queue.go
+++ b/relay/home/queue.go
@@ -217,6 +217,7 @@
 
 // execute waits for a slot and sends the request.
 func (q *queue) execute(ctx context.Context, req *frontend.Request) (*frontend.Answer, *frontend.RequestError) {
+	submitted := q.cfg.Now()
 	t := q.submit(req)
 	if t == nil {
 		return nil, frontend.Refuse(callerapi.ReasonQueueFull, time.Second, "the ring to Server/%s is full", q.server)
@@ -231,6 +232,7 @@
 	case d := <-t.decision:
 		switch d.Action {
 		case admission.Dispatch:
+			q.cfg.Queued(req, q.cfg.Now()-submitted)
 			return q.dispatch(ctx, req, t)
 		case admission.Reroute:
 			return nil, frontend.Rerouted()
--- a/relay/peer/transport.go
+++ b/relay/peer/transport.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"parsleyrelay.example/api/peerv1"
@@ -86,6 +87,11 @@
 	http    *boundedClient
 }
 
+// Traffic returns the bytes of message bodies sent and received so far.
+func (t *Transport) Traffic() (sent, received uint64) {
+	return t.http.sent.Load(), t.http.received.Load()
+}
+
 // NewTransport returns a transport over inner, which carries the TLS settings.
 func NewTransport(inner http.RoundTripper, o Options) *Transport {
 	o = o.withDefaults()
@@ -144,15 +150,18 @@
 type boundedClient struct {
 	inner    *http.Client
 	maxBytes int64
+	sent     atomic.Uint64
+	received atomic.Uint64
 }
 
 // Do implements twirp's HTTPClient.
 func (c *boundedClient) Do(r *http.Request) (*http.Response, error) {
+	c.sent.Add(uint64(max(0, r.ContentLength)))
 	response, err := c.inner.Do(r)
 	if err != nil {
 		return nil, err
 	}
-	response.Body = &boundedBody{ReadCloser: response.Body, left: c.maxBytes, maxBytes: c.maxBytes}
+	response.Body = &boundedBody{ReadCloser: response.Body, left: c.maxBytes, maxBytes: c.maxBytes, received: &c.received}
 	return response, nil
 }
 
@@ -160,12 +169,14 @@
 	io.ReadCloser
 	left     int64
 	maxBytes int64
+	received *atomic.Uint64
 }
 
 // Read fails once more than the bound has arrived; a cut message could decode.
 func (b *boundedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.left -= int64(n)
+	b.received.Add(uint64(n))
 	if b.left < 0 {
 		return 0, &SizeError{MaxBytes: b.maxBytes}
 	}
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -7,7 +7,6 @@
 	MetricQueueTime       = "parsleyrelay_queue_seconds"
 	MetricQueued          = "parsleyrelay_queued_requests"
 	MetricLimit           = "parsleyrelay_concurrency_limit"
-	MetricConnections     = "parsleyrelay_server_connections"
 	MetricRetries         = "parsleyrelay_retries_total"
 	MetricReplays         = "parsleyrelay_replays_total"
 	MetricImbalance       = "parsleyrelay_key_imbalance_ratio"
@@ -33,12 +32,11 @@
 	{MetricQueueTime, Histogram, "s", []string{"service", "rank"}, "Time that a request waited in the rank queue of its home."},
 	{MetricQueued, Gauge, "1", []string{"server", "rank"}, "Requests in the rank queues of a server whose home this host is."},
 	{MetricLimit, Gauge, "1", []string{"server"}, "Concurrency limit of a server whose home this host is."},
-	{MetricConnections, Gauge, "1", []string{"server"}, "Open connections for requests to a server."},
 	{MetricRetries, Counter, "1", []string{"service", "rank"}, "Requests that were tried again."},
 	{MetricReplays, Counter, "1", []string{"service"}, "Repeated requests that got the response of the first one."},
 	{MetricImbalance, Gauge, "1", []string{"service"}, "Load of the hottest server divided by the mean."},
 	{MetricMovedShare, Counter, "1", []string{"service", "cause"}, "Share of the key space that changed its owner, summed up."},
-	{MetricUnavailable, Histogram, "s", []string{"service", "cause"}, "Time for which a slice had no serving owner."},
+	{MetricUnavailable, Histogram, "s", []string{"service", "rank"}, "Time that a request waited at its entry host because its key had no serving owner."},
 	{MetricSlices, Gauge, "1", []string{"service", "state"}, "Slices by state."},
 	{MetricHomes, Gauge, "1", nil, "Servers whose home this host is."},
 	{MetricLeaseValid, Gauge, "1", nil, "1 while the host holds its prefix lease."},
