Add parsleyctl load

Cause: the load generator had no command, so that measurements needed code.

Reports have phases, separated by the starts and ends of floods, since bounds of floods hold during them and after them.

Result: go test ./cmd/internal/ctl/... ./cmd/internal/load passes. It was not run against a daemon yet.

--- a/cmd/internal/ctl/session/session.go
+++ b/cmd/internal/ctl/session/session.go
@@ -77,7 +77,7 @@
 			findings.Add("--"+name, "%v is not positive", cmd.Duration(name))
 		}
 	}
-	hosts := readHosts(cmd, &findings)
+	hosts := URLs(cmd, flagHosts, &findings)
 	tlsConfig := readTLS(cmd, &findings)
 	if len(findings) > 0 {
 		return nil, exit.Findings(findings)
@@ -91,22 +91,23 @@
 	return s, nil
 }
 
-func readHosts(cmd *cli.Command, findings *finding.List) []string {
+// URLs reads a flag with one or more http or https URLs.
+func URLs(cmd *cli.Command, flag string, findings *finding.List) []string {
 	var hosts []string
-	for _, host := range cmd.StringSlice(flagHosts) {
+	for _, host := range cmd.StringSlice(flag) {
 		host = strings.TrimRight(strings.TrimSpace(host), "/")
 		if !strings.Contains(host, "://") {
 			host = "http://" + host
 		}
 		u, err := url.Parse(host)
 		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-			findings.Add("--"+flagHosts, "%q is not an http or https URL", host)
+			findings.Add("--"+flag, "%q is not an http or https URL", host)
 			continue
 		}
 		hosts = append(hosts, host)
 	}
-	if len(cmd.StringSlice(flagHosts)) == 0 {
-		findings.Add("--"+flagHosts, "at least one entry host is required (variable PARSLEYRELAY_ENTRY_HOSTS)")
+	if len(cmd.StringSlice(flag)) == 0 {
+		findings.Add("--"+flag, "at least one URL is required")
 	}
 	return hosts
 }
--- a/cmd/internal/load/profile.go
+++ b/cmd/internal/load/profile.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"parsleyrelay.example/core/finding"
@@ -43,6 +44,10 @@
 	MaxInFlight int `json:"maxInFlight"`
 	BodyBytes   int `json:"bodyBytes"` // of requests that are not repeatable, default 64
 
+	// Direct means that the addresses are backend servers, whose responses carry
+	// no outcome: a 2xx response counts as done.
+	Direct bool `json:"direct,omitempty"`
+
 	// Client sends the requests; nil means one with pooled connections.
 	Client *http.Client `json:"-"`
 }
@@ -120,6 +125,9 @@
 		if f.From >= f.To || f.Factor < 0 {
 			findings.Add(fmt.Sprintf("floods[%d]", i), "needs from before to and a factor of 0 or more")
 		}
+		if !slices.ContainsFunc(c.Streams, func(s Stream) bool { return s.Rank == f.Rank }) {
+			findings.Add(fmt.Sprintf("floods[%d].rank", i), "no stream has rank %q", f.Rank)
+		}
 	}
 	c.Keys.validate(&findings)
 	return findings
--- a/cmd/internal/load/report.go
+++ b/cmd/internal/load/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"sync"
 	"text/tabwriter"
@@ -35,6 +36,22 @@
 	Max  float64 `json:"maxMs"`
 	// Seconds holds one entry per second of the run, by intended time.
 	Seconds []Second `json:"seconds"`
+	// Phases holds one entry per phase of the report, by intended time.
+	Phases []PhaseCount `json:"phases"`
+}
+
+// PhaseCount is what happened to the requests of a rank in a phase.
+type PhaseCount struct {
+	Offered int     `json:"offered"`
+	InTime  int     `json:"inTime"`
+	P50     float64 `json:"p50Ms"` // of done requests
+	P99     float64 `json:"p99Ms"`
+}
+
+// Phase is a part of the run with constant rates.
+type Phase struct {
+	From time.Duration `json:"fromNs"`
+	To   time.Duration `json:"toNs"`
 }
 
 // Second counts the requests that were intended for one second.
@@ -48,34 +65,61 @@
 	Seed     uint64        `json:"seed"`
 	Duration time.Duration `json:"durationNs"`
 	Floods   []Flood       `json:"floods,omitempty"`
-	Ranks    []RankReport  `json:"ranks"` // in order of first appearance in the streams
+	Phases   []Phase       `json:"phases"` // separated by the starts and ends of floods
+	Ranks    []RankReport  `json:"ranks"`  // in order of first appearance in the streams
 }
 
 type rankRecord struct {
 	RankReport
 	latency *hdrhistogram.Histogram
+	phases  []*hdrhistogram.Histogram
 }
 
 // recorder collects outcomes; it is safe for concurrent use.
 type recorder struct {
-	mu    sync.Mutex
-	cfg   Config
-	ranks []*rankRecord
+	mu     sync.Mutex
+	cfg    Config
+	phases []Phase
+	ranks  []*rankRecord
+}
+
+// phasesOf divides a run at the starts and ends of its floods.
+func phasesOf(cfg Config) []Phase {
+	changes := []time.Duration{0, cfg.Duration}
+	for _, f := range cfg.Floods {
+		changes = append(changes, min(f.From, cfg.Duration), min(f.To, cfg.Duration))
+	}
+	slices.Sort(changes)
+	changes = slices.Compact(changes)
+	var phases []Phase
+	for i, from := range changes[:len(changes)-1] {
+		phases = append(phases, Phase{From: from, To: changes[i+1]})
+	}
+	return phases
+}
+
+func (rec *recorder) phase(at time.Duration) int {
+	return max(0, slices.IndexFunc(rec.phases, func(p Phase) bool { return at < p.To }))
 }
 
 func newRecorder(cfg Config) *recorder {
-	rec := &recorder{cfg: cfg}
+	rec := &recorder{cfg: cfg, phases: phasesOf(cfg)}
 	for _, s := range cfg.Streams {
 		if rec.find(s.Rank) == nil {
-			rec.ranks = append(rec.ranks, &rankRecord{
+			r := &rankRecord{
 				RankReport: RankReport{
 					Rank:     s.Rank,
 					Outcomes: map[string]int{},
 					Reasons:  map[string]int{},
 					Seconds:  make([]Second, int((cfg.Duration+time.Second-1)/time.Second)),
+					Phases:   make([]PhaseCount, len(rec.phases)),
 				},
 				latency: hdrhistogram.New(minLatency, maxLatency, 3),
-			})
+			}
+			for range rec.phases {
+				r.phases = append(r.phases, hdrhistogram.New(minLatency, maxLatency, 3))
+			}
+			rec.ranks = append(rec.ranks, r)
 		}
 	}
 	return rec
@@ -96,8 +140,11 @@
 	defer rec.mu.Unlock()
 	r := rec.find(req.stream.Rank)
 	second := &r.Seconds[int(req.at/time.Second)]
+	index := rec.phase(req.at)
+	phase := &r.Phases[index]
 	r.Offered++
 	second.Offered++
+	phase.Offered++
 	r.Outcomes[outcome]++
 	if reason != "" {
 		r.Reasons[outcome+" "+reason]++
@@ -108,24 +155,42 @@
 	if latency <= req.stream.Deadline {
 		r.InTime++
 		second.InTime++
+		phase.InTime++
 	}
 	// Cannot fail: the value is clamped to the range of the histogram.
-	_ = r.latency.RecordValue(min(max(latency.Microseconds(), minLatency), maxLatency))
+	value := min(max(latency.Microseconds(), minLatency), maxLatency)
+	_ = r.latency.RecordValue(value)
+	_ = r.phases[index].RecordValue(value)
 }
 
 func (rec *recorder) report() *Report {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	out := &Report{Seed: rec.cfg.Seed, Duration: rec.cfg.Duration, Floods: rec.cfg.Floods}
+	out := &Report{Seed: rec.cfg.Seed, Duration: rec.cfg.Duration, Floods: rec.cfg.Floods, Phases: rec.phases}
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 	for _, r := range rec.ranks {
-		ms := func(q float64) float64 { return float64(r.latency.ValueAtQuantile(q)) / 1000 }
-		r.P50, r.P90, r.P99, r.P999 = ms(50), ms(90), ms(99), ms(99.9)
+		r.P50, r.P90, r.P99, r.P999 = ms(r.latency, 50), ms(r.latency, 90), ms(r.latency, 99), ms(r.latency, 99.9)
+		for i, h := range r.phases {
+			r.Phases[i].P50, r.Phases[i].P99 = ms(h, 50), ms(h, 99)
+		}
 		r.Max = float64(r.latency.Max()) / 1000
 		out.Ranks = append(out.Ranks, r.RankReport)
 	}
 	return out
 }
 
+// Answered reports whether any request had a complete response of an entry host.
+func (r *Report) Answered() bool {
+	for _, k := range r.Ranks {
+		for outcome, n := range k.Outcomes {
+			if n > 0 && outcome != outcomeTransport && outcome != outcomeNotSent {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // WriteJSON writes the report as indented JSON.
 func (r *Report) WriteJSON(w io.Writer) error {
 	enc := json.NewEncoder(w)
@@ -133,7 +198,7 @@
 	return enc.Encode(r)
 }
 
-// WriteTable writes one line per rank and one per reason.
+// WriteTable writes one line per rank, per rank and phase, and per reason.
 func (r *Report) WriteTable(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, "RANK\tOFFERED\tIN TIME\tDONE\tNOT RUN\tUNKNOWN\tTRANSPORT\tNOT SENT\tP50 MS\tP99 MS\tP99.9 MS\tMAX MS")
@@ -144,6 +209,16 @@
 			k.Outcomes[outcomeTransport], k.Outcomes[outcomeNotSent], k.P50, k.P99, k.P999, k.Max)
 	}
 	fmt.Fprintln(tw)
+	fmt.Fprintln(tw, "FROM\tTO\tRANK\tOFFERED/S\tIN TIME/S\tIN TIME\tP50 MS\tP99 MS")
+	for i, p := range r.Phases {
+		seconds := (p.To - p.From).Seconds()
+		for _, k := range r.Ranks {
+			c := k.Phases[i]
+			fmt.Fprintf(tw, "%v\t%v\t%s\t%.1f\t%.1f\t%.2f%%\t%.2f\t%.2f\n", p.From, p.To, k.Rank,
+				float64(c.Offered)/seconds, float64(c.InTime)/seconds, 100*float64(c.InTime)/float64(max(c.Offered, 1)), c.P50, c.P99)
+		}
+	}
+	fmt.Fprintln(tw)
 	for _, k := range r.Ranks {
 		reasons := make([]string, 0, len(k.Reasons))
 		for reason := range k.Reasons {
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -155,7 +155,10 @@
 		return
 	}
 	outcome := resp.Header.Get(callerapi.HeaderOutcome)
-	if outcome == "" {
+	switch {
+	case g.Direct && resp.StatusCode/100 == 2:
+		outcome = string(callerapi.Done)
+	case outcome == "":
 		outcome = outcomeTransport
 	}
 	g.results.add(r, outcome, resp.Header.Get(callerapi.HeaderReason), time.Since(g.start)-r.at)
--- a/cmd/parsleyctl/main.go
+++ b/cmd/parsleyctl/main.go
@@ -1,4 +1,4 @@
-// Command parsleyctl lets operators declare and watch resources.
+// Command parsleyctl lets operators declare and watch resources, and generates load.
 package main
 
 import (
@@ -6,8 +6,9 @@
 	"os"
 
 	"parsleyrelay.example/cmd/internal/ctl"
+	"parsleyrelay.example/cmd/internal/ctl/loadcmd"
 )
 
 func main() {
-	os.Exit(ctl.Run(context.Background(), os.Args, os.Stdin, os.Stdout, os.Stderr))
+	os.Exit(ctl.Run(context.Background(), os.Args, os.Stdin, os.Stdout, os.Stderr, loadcmd.Command()))
 }
