Let the development deployment be a test bed of parsleyctl load

Cause: parsleyrelayd dev had one small shape and only its built-in load.

The addresses and the command for parsleyctl load are printed.

In a flood of 10 times capacity the single process runs out of file descriptors.

--- a/cmd/internal/dev/deployment.go
+++ b/cmd/internal/dev/deployment.go
@@ -24,20 +24,10 @@
 	"parsleyrelay.example/standin/server"
 )
 
-// The deployment.
-const (
-	hostsPerZone   = 2
-	serversPerZone = 3
-	slotsPerServer = 6
-	connections    = 110
-	serviceName    = "almacen"
-	operatorToken  = "dev"
-)
-
-var zones = []string{"ate", "callao"}
-
 // deployment is a running set of processes' worth of goroutines.
 type deployment struct {
+	site     site
+	opts     Options
 	platform *platformstandin.Platform
 	listener *listen.Server
 	hosts    []*entryHost
@@ -57,28 +47,39 @@
 
 type backendServer struct {
 	name     string
+	service  string
 	zone     string
 	listener *listen.Server
 	server   *server.Server
 }
 
-func start(ctx context.Context, logger log.Logger) (*deployment, error) {
+func start(ctx context.Context, opts Options) (*deployment, error) {
+	chosen, err := opts.site()
+	if err != nil {
+		return nil, err
+	}
 	d := &deployment{
+		site: chosen, opts: opts,
 		platform: platformstandin.New(time.Now), journal: server.NewJournal(),
-		failed: make(chan error, len(zones)*hostsPerZone),
+		failed: make(chan error, len(chosen.zones)*chosen.hostsPerZone),
 	}
-	var err error
 	if d.listener, err = d.platform.Start("127.0.0.1:0"); err != nil {
 		return nil, err
 	}
-	for _, zone := range zones {
-		for i := 1; i <= serversPerZone; i++ {
-			if err := d.startServer(fmt.Sprintf("%s-%s-%d", serviceName, zone, i), zone, uint64(i)); err != nil {
+	for _, service := range chosen.services {
+		for i := range service.servers {
+			zone := chosen.zones[i%len(chosen.zones)]
+			name := fmt.Sprintf("%s-%s-%d", service.name, zone, i/len(chosen.zones)+1)
+			s, err := d.startServer(name, service.name, zone, uint64(i), true)
+			if err != nil {
 				return d, err
 			}
+			d.servers = append(d.servers, s)
 		}
-		for i := 1; i <= hostsPerZone; i++ {
-			if err := d.startHost(ctx, fmt.Sprintf("entry-%s-%d", zone, i), zone, logger); err != nil {
+	}
+	for _, zone := range chosen.zones {
+		for i := 1; i <= chosen.hostsPerZone && !opts.ExternalHosts; i++ {
+			if err := d.startHost(ctx, hostName(zone, i), zone, opts.Logger); err != nil {
 				return d, err
 			}
 		}
@@ -87,18 +88,19 @@
 	return d, nil
 }
 
-func (d *deployment) startServer(name, zone string, seed uint64) error {
+func hostName(zone string, i int) string { return fmt.Sprintf("entry-%s-%d", zone, i) }
+
+func (d *deployment) startServer(name, service, zone string, seed uint64, checks bool) (*backendServer, error) {
 	s := server.New(server.Options{
-		Name: name, Service: serviceName, ChecksGrants: true, Slots: slotsPerServer,
-		ServiceTime: server.Exponential(5 * time.Millisecond), Seed: seed, Journal: d.journal,
-		Listen: listen.Options{MaxConnections: connections, AcceptDelay: time.Millisecond},
+		Name: name, Service: service, ChecksGrants: checks, Slots: d.site.slots,
+		ServiceTime: server.Exponential(d.site.serviceTime), Seed: seed, Journal: d.journal,
+		Listen: listen.Options{MaxConnections: d.site.connections, AcceptDelay: time.Millisecond},
 	})
 	l, err := s.Start("127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	d.servers = append(d.servers, &backendServer{name: name, zone: zone, listener: l, server: s})
-	return nil
+	return &backendServer{name: name, service: service, zone: zone, listener: l, server: s}, nil
 }
 
 func (d *deployment) startHost(ctx context.Context, name, zone string, logger log.Logger) error {
@@ -115,7 +117,7 @@
 		Listeners: listeners, Platform: platform.Options{BaseURL: d.listener.URL()},
 		Logger: log.With(logger, "host", name), Retention: time.Hour,
 		MaxRequests: 4096, MaxHeader: 64 << 10, DrainTimeout: 30 * time.Second,
-		OperatorToken: operatorToken,
+		OperatorToken: operatorToken, PolicyOff: d.opts.PolicyOff,
 	})
 	if err != nil {
 		return err
@@ -136,8 +138,10 @@
 
 func (d *deployment) listHosts() {
 	var list []platformapi.Host
-	for _, h := range d.hosts {
-		list = append(list, platformapi.Host{Name: h.name, State: platformapi.HostLive})
+	for _, zone := range d.site.zones {
+		for i := 1; i <= d.site.hostsPerZone; i++ {
+			list = append(list, platformapi.Host{Name: hostName(zone, i), State: platformapi.HostLive})
+		}
 	}
 	for _, s := range d.servers {
 		list = append(list, platformapi.Host{Name: s.name, State: platformapi.HostLive})
@@ -147,16 +151,19 @@
 
 // resources returns what an operator would apply.
 func (d *deployment) resources() []resource.Resource {
-	list := []resource.Resource{
-		{Name: "urgent", Spec: &resource.Rank{Level: 0}},
-		{Name: "normal", Spec: &resource.Rank{Level: 1, FloorPercent: 10}},
-		{Name: "casual", Spec: &resource.Rank{Level: 2, FloorPercent: 5}},
-		{Name: serviceName, Spec: &resource.Service{Ranks: []string{"urgent", "normal", "casual"}, DefaultRank: "casual"}},
+	var list []resource.Resource
+	for level, name := range d.site.ranks {
+		list = append(list, resource.Resource{Name: name, Spec: &resource.Rank{Level: level, FloorPercent: floors[level]}})
+	}
+	for _, s := range d.site.services {
+		list = append(list, resource.Resource{Name: s.name, Spec: &resource.Service{
+			Ranks: d.site.ranks, DefaultRank: d.site.ranks[len(d.site.ranks)-1],
+		}})
 	}
 	for _, s := range d.servers {
 		list = append(list, resource.Resource{Name: s.name, Spec: &resource.Server{
-			Service: serviceName, Zone: s.zone, Address: s.listener.URL(),
-			Slots: slotsPerServer, Connections: connections, ChecksGrants: true,
+			Service: s.service, Zone: s.zone, Address: s.listener.URL(),
+			Slots: d.site.slots, Connections: d.site.connections, ChecksGrants: true,
 		}})
 	}
 	return list
--- a/cmd/internal/dev/dev.go
+++ b/cmd/internal/dev/dev.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"text/tabwriter"
 	"time"
 
@@ -23,6 +26,21 @@
 	Seed       uint64
 	Out        io.Writer
 	Logger     log.Logger
+
+	Profile       string        // a site of design 2.1, empty for the small demonstration
+	ServerDivisor int           // divides the numbers of servers, for small machines
+	HostsPerZone  int           // 0 for that of the profile
+	ServiceTime   time.Duration // mean, 0 for that of the profile
+	PolicyOff     bool          // baseline: one FIFO queue per server
+	// ExternalHosts leaves the entry hosts to be started as processes of their own.
+	ExternalHosts bool
+	// LoseServerAfter stops a backend server of the first service this long
+	// after the deployment serves, or after its start with ExternalHosts.
+	// 0 means never; it applies without Duration.
+	LoseServerAfter time.Duration
+	// DirectServer starts one more server, which the router does not know and
+	// which takes requests without grants, to compare direct calls with.
+	DirectServer bool
 }
 
 // InvariantError reports a broken invariant.
@@ -41,7 +59,7 @@
 
 // Run starts the deployment and, with a duration, sends the load and reports.
 func Run(ctx context.Context, opts Options) error {
-	d, err := start(context.WithoutCancel(ctx), opts.Logger)
+	d, err := start(context.WithoutCancel(ctx), opts)
 	if d != nil {
 		defer d.stop()
 	}
@@ -51,33 +69,73 @@
 	if err := d.apply(); err != nil {
 		return err
 	}
+	if opts.DirectServer {
+		direct, err := d.startServer("direct", d.site.services[0].name, d.site.zones[0], 0, false)
+		if err != nil {
+			return err
+		}
+		defer direct.listener.Close()
+		fmt.Fprintf(opts.Out, "direct server: %s\n", direct.listener.URL())
+	}
 	l := newLoad(d.hosts)
-	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	began := time.Now()
-	if err := d.awaitServing(startCtx, l.probe); err != nil {
-		return err
+	if !opts.ExternalHosts {
+		startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+		defer cancel()
+		began := time.Now()
+		if err := d.awaitServing(startCtx, func(ctx context.Context, h *entryHost) bool { return l.probe(ctx, h, d.site) }); err != nil {
+			return err
+		}
+		fmt.Fprintf(opts.Out, "%d entry hosts and %d backend servers in zones %v serve after %d ms\n",
+			len(d.hosts), len(d.servers), d.site.zones, time.Since(began).Milliseconds())
 	}
-	fmt.Fprintf(opts.Out, "%d entry hosts and %d backend servers in zones %v serve after %d ms\n",
-		len(d.hosts), len(d.servers), zones, time.Since(began).Milliseconds())
 	if opts.Duration == 0 {
 		d.printAddresses(opts.Out)
-		<-ctx.Done()
-		return nil
+		d.await(ctx)
+		return d.verdict(l, opts.Out)
 	}
 	d.drive(ctx, l, opts)
 	l.printTable(opts.Out)
 	return d.verdict(l, opts.Out)
 }
 
-// probe asks for one key per server through a host.
-func (l *load) probe(ctx context.Context, host *entryHost) bool {
-	for i := range 3 * len(zones) * serversPerZone {
-		if l.request(ctx, host, "casual", fmt.Sprintf("key-%d", i)) != callerapi.Done {
-			return false
+// await waits for the end of ctx and loses a server on the way if asked to.
+func (d *deployment) await(ctx context.Context) {
+	var lose <-chan time.Time
+	if d.opts.LoseServerAfter > 0 {
+		lose = time.After(d.opts.LoseServerAfter)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-lose:
+			d.loseServer()
+		}
+	}
+}
+
+func (d *deployment) loseServer() {
+	lost := d.servers[0]
+	fmt.Fprintf(d.opts.Out, "stopping backend server %s\n", lost.name)
+	lost.server.Freeze()
+	lost.listener.Close()
+}
+
+// probe asks for a few keys per server of each service through a host.
+func (l *load) probe(ctx context.Context, host *entryHost, of site) bool {
+	var failed atomic.Bool
+	var pending sync.WaitGroup
+	for _, service := range of.services {
+		for i := range 3 * service.servers {
+			pending.Go(func() {
+				if l.request(ctx, host, service.name, "", fmt.Sprintf("key-%d", i)) != callerapi.Done {
+					failed.Store(true)
+				}
+			})
 		}
 	}
-	return true
+	pending.Wait()
+	return !failed.Load()
 }
 
 func (d *deployment) drive(ctx context.Context, l *load, opts Options) {
@@ -99,10 +157,7 @@
 			l.printProgress(opts.Out)
 		case <-lose:
 			if opts.LoseServer {
-				lost := d.servers[0]
-				fmt.Fprintf(opts.Out, "stopping backend server %s\n", lost.name)
-				lost.server.Freeze()
-				lost.listener.Close()
+				d.loseServer()
 			}
 		}
 	}
@@ -151,9 +206,22 @@
 	return nil
 }
 
+// printAddresses ends with what parsleyctl load needs.
 func (d *deployment) printAddresses(w io.Writer) {
+	var callers []string
 	for _, h := range d.hosts {
 		fmt.Fprintf(w, "%s (zone %s): callers %s operators %s\n", h.name, h.zone, h.caller, h.operator)
+		callers = append(callers, h.caller)
+	}
+	fmt.Fprintf(w, "operator token: %s\nplatform: %s\n", operatorToken, d.listener.URL())
+	for _, s := range d.site.services {
+		fmt.Fprintf(w, "service %s: %d servers with %d slots of %v, %.0f requests/s\n", s.name, s.servers, d.site.slots, d.site.serviceTime, d.site.capacity(s))
+	}
+	if d.opts.ServerDivisor > 1 {
+		fmt.Fprintf(w, "the numbers of servers are those of the site divided by %d\n", d.opts.ServerDivisor)
+	}
+	if d.opts.Profile != "" && len(callers) > 0 {
+		fmt.Fprintf(w, "parsleyctl load --profile %s --capacity %.0f --caller-hosts %s\n",
+			d.opts.Profile, d.site.capacity(d.site.services[0]), strings.Join(callers, ","))
 	}
-	fmt.Fprintf(w, "operator token: %s\n", operatorToken)
 }
--- a/cmd/internal/dev/load.go
+++ b/cmd/internal/dev/load.go
@@ -93,7 +93,7 @@
 }
 
 func (l *load) send(host *entryHost, rank, key string, intended time.Time) {
-	outcome := l.request(context.Background(), host, rank, key)
+	outcome := l.request(context.Background(), host, sites[""].services[0].name, rank, key)
 	ended := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -130,17 +130,19 @@
 }
 
 // request sends one request. Urgent ones are orders that must not run twice.
-func (l *load) request(ctx context.Context, host *entryHost, rank, key string) callerapi.Outcome {
+func (l *load) request(ctx context.Context, host *entryHost, service, rank, key string) callerapi.Outcome {
 	method, body := http.MethodGet, ""
 	if rank == "urgent" {
 		method, body = http.MethodPost, "order"
 	}
-	url := fmt.Sprintf("%s/v1/%s/%s/item", host.caller, serviceName, key)
+	url := fmt.Sprintf("%s/v1/%s/%s/item", host.caller, service, key)
 	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return callerapi.NotRun
 	}
-	r.Header.Set(callerapi.HeaderRank, rank)
+	if rank != "" {
+		r.Header.Set(callerapi.HeaderRank, rank)
+	}
 	r.Header.Set(callerapi.HeaderDeadlineMS, fmt.Sprint(requestDeadline.Milliseconds()))
 	if method == http.MethodPost {
 		id, err := uuid.NewV7()
--- a/cmd/parsleyrelayd/main.go
+++ b/cmd/parsleyrelayd/main.go
@@ -79,6 +79,14 @@
 			&cli.DurationFlag{Name: "duration", Usage: "send load for this long; 0 keeps the deployment running until a signal", Value: 0},
 			&cli.BoolFlag{Name: "lose-server", Usage: "stop a backend server at half of the duration", Value: true},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the load", Value: 1},
+			&cli.StringFlag{Name: "profile", Usage: "huaman or kandyan: the numbers of servers, slots and connections of that site, for parsleyctl load; empty for the small demonstration"},
+			&cli.IntFlag{Name: "server-divisor", Usage: "divides the profile's numbers of servers, for small machines", Value: 1},
+			&cli.IntFlag{Name: "hosts-per-zone", Usage: "entry hosts; 0 for those of the profile"},
+			&cli.DurationFlag{Name: "service-time", Usage: "mean service time of backend servers; 0 for that of the profile"},
+			&cli.BoolFlag{Name: "policy-off", Usage: "baseline: one FIFO queue per server without ranks"},
+			&cli.BoolFlag{Name: "external-hosts", Usage: "start no entry hosts; they are run as processes with the printed platform address"},
+			&cli.DurationFlag{Name: "lose-server-after", Usage: "without duration: stop a backend server after this time; 0 for never"},
+			&cli.BoolFlag{Name: "direct-server", Usage: "start one more server, outside the router, for parsleyctl load --direct"},
 			&cli.BoolFlag{Name: "verbose", Usage: "write the events of all hosts to standard error"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -88,7 +96,9 @@
 			}
 			return dev.Run(ctx, dev.Options{
 				Duration: c.Duration("duration"), LoseServer: c.Bool("lose-server"), Seed: c.Uint64("seed"),
-				Out: os.Stdout, Logger: logger,
+				Out: os.Stdout, Logger: logger, Profile: c.String("profile"), ServerDivisor: c.Int("server-divisor"),
+				HostsPerZone: c.Int("hosts-per-zone"), ServiceTime: c.Duration("service-time"), PolicyOff: c.Bool("policy-off"),
+				ExternalHosts: c.Bool("external-hosts"), LoseServerAfter: c.Duration("lose-server-after"), DirectServer: c.Bool("direct-server"),
 			})
 		},
 	}
