Let the load generator flatten the head of its key distribution

Cause: with an exponent of 1.1 over 100000 keys the hottest key has 13.5% of all requests (computed), more than one server of a site can run, so that runs measure that key and not the flood.

With 100 the hottest key has 0.2%.

--- a/cmd/internal/ctl/loadcmd/loadcmd.go
+++ b/cmd/internal/ctl/loadcmd/loadcmd.go
@@ -27,6 +27,7 @@
 	flagFlood     = "flood"
 	flagKeys      = "keys"
 	flagExponent  = "key-exponent"
+	flagOffset    = "key-offset"
 	flagMove      = "hot-keys-move"
 	flagSeed      = "seed"
 	flagCallers   = "callers"
@@ -57,6 +58,7 @@
 			&cli.StringSliceFlag{Name: flagFlood, Sources: env(flagFlood), Usage: "RANK:FROM:TO:FACTOR, where FACTOR is a multiple of the capacity; may be repeated"},
 			&cli.Uint64Flag{Name: flagKeys, Sources: env(flagKeys), Value: keys.Count, Usage: "number of keys"},
 			&cli.FloatFlag{Name: flagExponent, Sources: env(flagExponent), Value: keys.Exponent, Usage: "exponent of the Zipf distribution of keys, greater than 1"},
+			&cli.FloatFlag{Name: flagOffset, Sources: env(flagOffset), Value: 1, Usage: "flattens the head of the distribution of keys: popularity is (offset+n)^-exponent"},
 			&cli.DurationFlag{Name: flagMove, Sources: env(flagMove), Value: keys.MoveEvery, Usage: "time after which other keys become hot; 0 for never"},
 			&cli.Uint64Flag{Name: flagSeed, Sources: env(flagSeed), Value: 1, Usage: "seed of arrivals, keys, callers and hosts"},
 			&cli.IntFlag{Name: flagCallers, Sources: env(flagCallers), Value: 20, Usage: "number of caller names"},
@@ -105,7 +107,7 @@
 	}
 	cfg.Addresses = session.URLs(cmd, flagHosts, &findings)
 	cfg.Duration, cfg.Seed = cmd.Duration(flagDuration), cmd.Uint64(flagSeed)
-	cfg.Keys = load.Keys{Count: cmd.Uint64(flagKeys), Exponent: cmd.Float(flagExponent), MoveEvery: cmd.Duration(flagMove)}
+	cfg.Keys = load.Keys{Count: cmd.Uint64(flagKeys), Exponent: cmd.Float(flagExponent), Offset: cmd.Float(flagOffset), MoveEvery: cmd.Duration(flagMove)}
 	cfg.Callers, cfg.MaxInFlight, cfg.Direct = cmd.Int(flagCallers), cmd.Int(flagInFlight), cmd.Bool(flagDirect)
 	for _, text := range cmd.StringSlice(flagFlood) {
 		flood, err := load.ParseFlood(text)
--- a/cmd/internal/load/keys.go
+++ b/cmd/internal/load/keys.go
@@ -12,6 +12,10 @@
 type Keys struct {
 	Count    uint64  `json:"count"`
 	Exponent float64 `json:"exponent"` // greater than 1
+	// Offset flattens the head of the distribution: the popularity of the n-th key
+	// is (Offset+n)^-Exponent. At least 1, 0 means 1. With 1 and an exponent of 1.1
+	// the hottest key has about a seventh of all requests, more than a server can run.
+	Offset float64 `json:"offset,omitempty"`
 	// MoveEvery is the time after which other keys become the hot ones; 0 means never.
 	MoveEvery time.Duration `json:"moveEveryNs"`
 }
@@ -27,6 +31,9 @@
 	if k.Exponent <= 1 {
 		findings.Add("keys.exponent", "%v is not greater than 1", k.Exponent)
 	}
+	if k.Offset != 0 && k.Offset < 1 {
+		findings.Add("keys.offset", "%v is less than 1", k.Offset)
+	}
 }
 
 type keySource struct {
@@ -35,7 +42,7 @@
 }
 
 func newKeySource(keys Keys, rng *rand.Rand) *keySource {
-	return &keySource{keys: keys, zipf: rand.NewZipf(rng, keys.Exponent, 1, keys.Count-1)}
+	return &keySource{keys: keys, zipf: rand.NewZipf(rng, keys.Exponent, max(keys.Offset, 1), keys.Count-1)}
 }
 
 // next draws a key. Each move shifts the popularity ranks by a third of the keys
