Let parsleyctl load send to one service of a profile

Cause: floors hold per server, and a rank's figures over two services hide them when only one service is flooded.

Result: tests of loadcmd pass.

--- a/cmd/internal/ctl/loadcmd/loadcmd.go
+++ b/cmd/internal/ctl/loadcmd/loadcmd.go
@@ -19,6 +19,7 @@
 // Names of the flags.
 const (
 	flagProfile   = "profile"
+	flagService   = "service"
 	flagHosts     = "caller-hosts"
 	flagDuration  = "duration"
 	flagCapacity  = "capacity"
@@ -50,6 +51,7 @@
 		Name: "load", Usage: "send an open-loop load to the caller addresses of entry hosts and report it by rank",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagProfile, Sources: env(flagProfile), Value: "huaman", Usage: "huaman or kandyan"},
+			&cli.StringFlag{Name: flagService, Sources: env(flagService), Usage: "only the streams of this service of the profile"},
 			&cli.StringSliceFlag{Name: flagHosts, Sources: env(flagHosts), Usage: "caller URLs of entry hosts"},
 			&cli.DurationFlag{Name: flagDuration, Sources: env(flagDuration), Value: defaultLength, Usage: "length of the run"},
 			&cli.FloatFlag{Name: flagCapacity, Sources: env(flagCapacity), Value: 1000, Usage: "capacity of the larger service in requests per second"},
@@ -96,6 +98,9 @@
 	if err != nil {
 		findings.Add("--"+flagProfile, "%v", err)
 	}
+	if service := cmd.String(flagService); service != "" {
+		cfg.Streams = slices.DeleteFunc(cfg.Streams, func(s load.Stream) bool { return s.Service != service })
+	}
 	if cmd.Float(flagCapacity) <= 0 {
 		findings.Add("--"+flagCapacity, "%v is not positive", cmd.Float(flagCapacity))
 	}
