Measure the slopes of control work

docs/CAPACITY.md needs costs per record, poll, grant, event, request and host, and only those of state and placement had benchmarks.

--- /dev/null
+++ b/relay/peer/bench_test.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"parsleyrelay.example/api/peerv1"
+	"parsleyrelay.example/core/keyspace"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/relay/control"
+)
+
+type quietDaemon struct {
+	fakeDaemon
+	Daemon
+	applied uint64
+}
+
+func (q *quietDaemon) Applied() uint64               { return q.applied }
+func (q *quietDaemon) Polled(ownership.PollReceived) {}
+func (q *quietDaemon) Status(context.Context) *peerv1.StatusResponse {
+	return &peerv1.StatusResponse{}
+}
+func (q *quietDaemon) Timeline(context.Context, *peerv1.TimelineRequest) (*peerv1.TimelineResponse, error) {
+	return &peerv1.TimelineResponse{}, nil
+}
+
+func hostID(i int) string { return fmt.Sprintf("0190b6f0-0000-7000-8000-%012d", i) }
+
+// witnessOf returns a witness that hosts with two servers each have polled, and
+// whose history holds records of one move each.
+func witnessOf(hosts, records int) *Server {
+	history := control.NewHistory()
+	for i := range records {
+		history.Add(record.Positioned{Offset: uint64(i + 1), Record: record.Record{
+			ID: hostID(i), Proposer: hostID(1), WallMS: 1_700_000_000_000,
+			Body: record.SlicesMoved{Service: "orders", Moves: []record.Move{{
+				Range: keyspace.Divide(1024)[7], Generation: 1_000_000, From: "server-12345", To: "server-23456", FromTerm: 999_999,
+			}}},
+		}})
+	}
+	s := NewServer("witness", &quietDaemon{applied: uint64(records)}, history, func() time.Duration { return time.Second })
+	for i := range hosts {
+		_, _ = s.Poll(context.Background(), &peerv1.PollRequest{Poller: hostID(i), Applied: uint64(records), Loads: loadsOf(i)})
+	}
+	return s
+}
+
+func loadsOf(host int) []*peerv1.ServerLoad {
+	var list []*peerv1.ServerLoad
+	for i := range 2 {
+		list = append(list, &peerv1.ServerLoad{Server: fmt.Sprintf("server-%05d", 2*host+i), Busy: 1.25, RequestsPerSecond: 1437.5, AgeMs: 100})
+	}
+	return list
+}
+
+// bodyCounter notes the body lengths of the last call in bytes.
+type bodyCounter struct {
+	http.Transport
+	request, response int64
+}
+
+func (c *bodyCounter) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := c.Transport.RoundTrip(r)
+	if err == nil {
+		c.request, c.response = r.ContentLength, response.ContentLength
+	}
+	return response, err
+}
+
+// BenchmarkPoll makes witness polls over loopback, by hosts that poll the witness
+// and by records that a response relays. Client and witness share the process,
+// so the time is that of both.
+func BenchmarkPoll(b *testing.B) {
+	for _, size := range []struct{ hosts, records int }{{8, 0}, {32, 0}, {320, 0}, {1800, 0}, {32, 1}, {32, 16}, {32, 256}} {
+		b.Run(fmt.Sprintf("hosts%d/records%d", size.hosts, size.records), func(b *testing.B) {
+			witness := witnessOf(size.hosts, size.records)
+			server := httptest.NewServer(NewHandler(Service{witness, witness, witness, witness}, Options{}))
+			defer server.Close()
+			counter := &bodyCounter{}
+			transport := NewTransport(counter, Options{})
+			defer transport.Close()
+			client := NewClient(hostID(1), transport)
+			poll := ownership.Poll{Witness: "witness", PeerURL: server.URL, Loads: decodeLoads(loadsOf(1))}
+			for b.Loop() {
+				answer, err := client.Poll(b.Context(), poll)
+				if err != nil || len(answer.Records) != size.records {
+					b.Fatal(len(answer.Records), err)
+				}
+			}
+			b.ReportMetric(float64(counter.request), "B/request")
+			b.ReportMetric(float64(counter.response), "B/response")
+		})
+	}
+}
