Measure load per slice and hot keys at the home

Cause: relay/home/loads.go was a stub, so no load was reported and no planner had anything to work with. Change: busy time per slice and key and requests per server are summed with the decay of core/balance. A rate is corrected for the time since the measurement began, since a decayed average is too low by half after one half life. The load goes with a slice that is split or moves to another server of the same home; a piece gets its hot keys and a part of the rest by width.

--- a/core/balance/load.go
+++ b/core/balance/load.go
@@ -30,6 +30,21 @@
 	return l.sum * decay(now-l.at) * math.Ln2 / HalfLife.Seconds()
 }
 
+// minMeasured keeps the first few requests of a short measurement from being
+// taken for a high rate.
+const minMeasured = 2 * time.Second
+
+// RateSince returns the average of busy slots at now of a load that was measured
+// from since on. Rate alone is too low by half after one HalfLife.
+func (l *Load) RateSince(now, since time.Duration) float64 {
+	return l.Rate(now) / (1 - decay(max(now-since, minMeasured)))
+}
+
+// Scaled returns the given share of a load.
+func (l *Load) Scaled(share float64) Load {
+	return Load{sum: l.sum * share, at: l.at}
+}
+
 func decay(age time.Duration) float64 {
 	return math.Exp2(-age.Seconds() / HalfLife.Seconds())
 }
