Plan moves for load in the daemon

Cause: ownership.Config.Planner was never set, so no slice moved for load. Change: an adapter in relay/daemon joins core/balance to the interface of core/ownership, so that neither imports the other. A server with another home counts as one slice that cannot move. The time since a move is taken from the activation of the slice, so a new home knows it. A server that can take no slices no longer counts as the hottest one.

--- a/core/ownership/messages.go
+++ b/core/ownership/messages.go
@@ -237,6 +237,9 @@
 	Slice   HeldSlice
 	Server  string
 	Load    float64 // busy slots
+	// MovedAt is when a move brought the slice to this home, 0 if none did. The
+	// machine sets it for the planner.
+	MovedAt time.Duration
 }
 
 // HotKey is a key hash with much load.
--- a/core/ownership/planner.go
+++ b/core/ownership/planner.go
@@ -16,8 +16,7 @@
 	slowAppend = 250 * time.Millisecond
 )
 
-// Planner decides which slices to move or split to even the load out. It keeps
-// its own memory of recent moves. Plans are hints: the machine starts only what
+// Planner decides which slices to move or split to even the load out. Plans are hints: the machine starts only what
 // the protocol allows.
 type Planner interface {
 	Plan(now time.Duration, in PlanInput) Plan
@@ -34,6 +33,7 @@
 // PlanServer is a server with its load.
 type PlanServer struct {
 	Load   ServerLoad
+	Zone   string
 	Weight int
 	Local  bool // its home is this daemon
 	Target bool // it may take slices
@@ -94,7 +94,8 @@
 }
 
 // planInput collects the loads of a service. It reports whether the home of the
-// hottest server, by load per weight, is this daemon.
+// hottest server, by load per weight, is this daemon. A server that can take no
+// slices does not count, since a leaving one is emptied without a plan.
 func (m *Machine) planInput(service string) (PlanInput, bool) {
 	in := PlanInput{Service: service}
 	targets := map[string]bool{}
@@ -111,13 +112,14 @@
 		load := m.loads[name].load
 		load.Server = name
 		local := m.local[name] != nil
-		in.Servers = append(in.Servers, PlanServer{Load: load, Weight: spec.EffectiveWeight(), Local: local, Target: targets[name]})
-		if heat := load.Busy / float64(spec.EffectiveWeight()); heat > hottest {
+		in.Servers = append(in.Servers, PlanServer{Load: load, Zone: spec.Zone, Weight: spec.EffectiveWeight(), Local: local, Target: targets[name]})
+		if heat := load.Busy / float64(spec.EffectiveWeight()); targets[name] && heat > hottest {
 			hottest, hottestLocal = heat, local
 		}
 	}
 	for _, s := range m.planning.measured.Slices {
 		if s.Service == service && m.local[s.Server] != nil {
+			s.MovedAt = m.movedAt(s)
 			in.Slices = append(in.Slices, s)
 		}
 	}
@@ -129,6 +131,16 @@
 	return in, hottestLocal && hottest > 0
 }
 
+// movedAt returns since when a slice is served here if it came from another server.
+func (m *Machine) movedAt(s SliceLoad) time.Duration {
+	owned := exactOwned(m.local[s.Server], s.Slice)
+	slice := m.st.Table(s.Service).Lookup(s.Slice.Range.First)
+	if owned == nil || slice == nil || slice.Former == "" || slice.Former == s.Server {
+		return 0
+	}
+	return owned.activation.Since
+}
+
 func exactOwned(h *home, slice HeldSlice) *ownedSlice {
 	if h == nil {
 		return nil
--- a/relay/daemon/assemble.go
+++ b/relay/daemon/assemble.go
@@ -38,7 +38,7 @@
 		Machine: ownership.New(ownership.Config{
 			Host: d.opts.Host, Incarnation: d.incarnation, Zone: d.opts.Zone, PeerURL: d.opts.PeerURL,
 			NewID: uuid.NewString, WallMS: func() int64 { return time.Now().UnixMilli() },
-			Retention: d.opts.Retention,
+			Retention: d.opts.Retention, Planner: planner{},
 		}),
 		Views: views, Log: logAppender{platform.NewPublisher(d.client), d.sink.appended},
 		Peers: controlPeers{d}, Servers: d.servers, Homes: homesFollower{d},
--- /dev/null
+++ b/relay/daemon/planner.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"time"
+
+	"parsleyrelay.example/core/balance"
+	"parsleyrelay.example/core/ownership"
+)
+
+// planner implements ownership.Planner with the planner of package balance.
+// Neither package of core imports the other.
+type planner struct{}
+
+// Plan implements ownership.Planner. Of servers with another home only the whole
+// load is known; it stands as one slice that has just moved and so stays.
+func (planner) Plan(now time.Duration, in ownership.PlanInput) ownership.Plan {
+	input := balance.Input{Now: now}
+	local := map[string]bool{}
+	for _, s := range in.Servers {
+		if !s.Target {
+			continue
+		}
+		input.Servers = append(input.Servers, balance.Server{Name: s.Load.Server, Zone: s.Zone, Weight: s.Weight})
+		if s.Local {
+			local[s.Load.Server] = true
+			continue
+		}
+		input.Slices = append(input.Slices, balance.Slice{Server: s.Load.Server, Load: s.Load.Busy, Moved: now})
+	}
+	held := map[uint64]ownership.HeldSlice{}
+	for _, s := range in.Slices {
+		if !local[s.Server] {
+			continue
+		}
+		held[s.Slice.Range.First] = s.Slice
+		input.Slices = append(input.Slices, balance.Slice{
+			Range: s.Slice.Range, Server: s.Server, Load: s.Load, Moved: s.MovedAt, Fresh: s.MovedAt == 0,
+		})
+	}
+	for _, k := range in.HotKeys {
+		input.HotKeys = append(input.HotKeys, balance.HotKey{Hash: k.Hash, Load: k.Load})
+	}
+	plan := balance.Make(input)
+	var out ownership.Plan
+	for _, m := range plan.Moves {
+		out.Moves = append(out.Moves, ownership.PlannedMove{Slice: held[m.Range.First], From: m.From, To: m.To})
+	}
+	for _, s := range plan.Splits {
+		out.Splits = append(out.Splits, ownership.PlannedSplit{Slice: held[s.Range.First], Server: s.Server, Cuts: s.Cuts})
+	}
+	return out
+}
