--- a/relay/peer/bench_test.go
+++ b/relay/peer/bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"parsleyrelay.example/api/peerv1"
+	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/core/keyspace"
 	"parsleyrelay.example/core/ownership"
 	"parsleyrelay.example/core/record"
@@ -44,7 +45,8 @@
 			}}},
 		}})
 	}
-	s := NewServer("witness", &quietDaemon{applied: uint64(records)}, history, func() time.Duration { return time.Second })
+	s := NewServer("witness", &quietDaemon{applied: uint64(records)}, history, func() time.Duration { return time.Second },
+		event.NewClock(time.Now))
 	for i := range hosts {
 		_, _ = s.Poll(context.Background(), &peerv1.PollRequest{Poller: hostID(i), Applied: uint64(records), Loads: loadsOf(i)})
 	}
