--- a/relay/peer/bench_test.go
+++ b/relay/peer/bench_test.go
@@ -87,7 +87,7 @@
 			counter := &bodyCounter{}
 			transport := NewTransport(counter, Options{})
 			defer transport.Close()
-			client := NewClient(hostID(1), transport)
+			client := NewClient(hostID(1), transport, event.NewClock(time.Now))
 			poll := ownership.Poll{Witness: "witness", PeerURL: server.URL, Loads: decodeLoads(loadsOf(1))}
 			for b.Loop() {
 				answer, err := client.Poll(b.Context(), poll)
