--- a/api/callerapi/callerapi.go
+++ b/api/callerapi/callerapi.go
@@ -8,7 +8,7 @@
 	HeaderRank       = "Parsleyrelay-Rank"
 	HeaderDeadlineMS = "Parsleyrelay-Deadline-Ms" // milliseconds from the arrival of the request
 	HeaderRepeatable = "Parsleyrelay-Repeatable"  // "true" or "false"
-	HeaderAttempt    = "Parsleyrelay-Attempt"     // "1": this id was never sent before
+	HeaderAttempt    = "Parsleyrelay-Attempt"     // "1": sent for the first time, and not again before the deadline
 	HeaderID         = "Idempotency-Key"          // UUIDv7
 	HeaderCaller     = "Parsleyrelay-Caller"      // name for fairness between callers; default: the remote IP
 )
--- a/cmd/internal/e2e/operators_test.go
+++ b/cmd/internal/e2e/operators_test.go
@@ -22,8 +22,7 @@
 	r, err := http.NewRequest(method, p.operator+path, strings.NewReader(body))
 	require.NoError(t, err)
 	r.Header.Set("Authorization", "Bearer "+token)
-	client := &http.Client{Timeout: 20 * time.Second}
-	resp, err := client.Do(r)
+	resp, err := p.client.Do(r)
 	require.NoError(t, err)
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
--- a/cmd/internal/e2e/process_test.go
+++ b/cmd/internal/e2e/process_test.go
@@ -57,6 +57,9 @@
 	servers  []*server.Server
 	sockets  []*listen.Server
 	daemons  []*process
+	env      []string // of all daemons
+	scheme   string   // of callers and operators
+	client   *http.Client
 }
 
 type process struct {
@@ -64,9 +67,11 @@
 	caller   string
 	operator string
 	metrics  string
+	peer     string
 	cmd      *exec.Cmd
 	output   *lockedBuffer
 	done     chan struct{}
+	client   *http.Client
 }
 
 type lockedBuffer struct {
@@ -88,8 +93,14 @@
 
 // newFixture starts hosts daemons and servers servers in one availability zone
 // and applies their resources.
-func newFixture(t *testing.T, hosts, servers int) *fixture {
-	f := &fixture{t: t, platform: platform.New(time.Now), journal: server.NewJournal()}
+func newFixture(t *testing.T, hosts, servers int, options ...func(*fixture)) *fixture {
+	f := &fixture{
+		t: t, platform: platform.New(time.Now), journal: server.NewJournal(), scheme: "http",
+		client: &http.Client{Timeout: 10 * time.Second},
+	}
+	for _, option := range options {
+		option(f)
+	}
 	var err error
 	f.log, err = f.platform.Start("127.0.0.1:0")
 	require.NoError(t, err)
@@ -147,13 +158,15 @@
 }
 
 func (f *fixture) startDaemon(name string) *process {
-	p := &process{name: name, output: &lockedBuffer{}, done: make(chan struct{})}
-	caller, operator, metrics := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
-	p.caller, p.operator, p.metrics = "http://"+caller, "http://"+operator, "http://"+metrics+"/metrics"
+	p := &process{name: name, output: &lockedBuffer{}, done: make(chan struct{}), client: f.client}
+	caller, operator, metrics, peer := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	p.peer = "http://" + peer
+	p.caller, p.operator, p.metrics = f.scheme+"://"+caller, f.scheme+"://"+operator, "http://"+metrics+"/metrics"
 	p.cmd = exec.Command(binary, "run", "--host", name, "--availability-zone", "ate",
 		"--caller-address", caller, "--operator-address", operator,
-		"--peer-address", freeAddress(f.t), "--metrics-address", metrics)
+		"--peer-address", peer, "--metrics-address", metrics)
 	p.cmd.Env = append(os.Environ(), "PARSLEYRELAY_PLATFORM_URL="+f.log.URL(), "PARSLEYRELAY_OPERATOR_TOKEN="+token)
+	p.cmd.Env = append(p.cmd.Env, f.env...)
 	p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
 	require.NoError(f.t, p.cmd.Start())
 	go func() {
@@ -202,8 +215,7 @@
 	for name, value := range c.header {
 		r.Header.Set(name, value)
 	}
-	client := &http.Client{Timeout: 10 * time.Second}
-	resp, err := client.Do(r)
+	resp, err := p.client.Do(r)
 	if err != nil {
 		return answer{err: err, outcome: callerapi.Unknown}
 	}
