Let process tests survive a port that another process takes

Cause: one of three runs of TestRequestThroughEveryHost failed after 30 s: entry-2 ended with 'bind: address already in use', since the test chooses free ports before the daemon opens them and other tests ran beside it. Change: a daemon that ends with that message is started again on others. Conclusion: a fault of the test, not of the daemon.

--- a/cmd/internal/e2e/process_test.go
+++ b/cmd/internal/e2e/process_test.go
@@ -157,7 +157,37 @@
 	return l.Addr().String()
 }
 
+// startDaemon starts a daemon and waits until it listens. Another process can
+// take an address between its choice and its use; then others are tried.
 func (f *fixture) startDaemon(name string) *process {
+	for range 10 {
+		p := f.launch(name)
+		if p.listens() {
+			f.daemons = append(f.daemons, p)
+			return p
+		}
+		require.Contains(f.t, p.output.String(), "address already in use")
+	}
+	require.FailNow(f.t, "no free addresses for "+name)
+	return nil
+}
+
+// listens waits until the daemon reports its start (true) or ends (false).
+func (p *process) listens() bool {
+	for {
+		select {
+		case <-p.done:
+			return false
+		case <-time.After(5 * time.Millisecond):
+			if strings.Contains(p.output.String(), "name=process_started") {
+				return true
+			}
+		}
+	}
+}
+
+// launch starts a daemon on addresses that were free a moment ago.
+func (f *fixture) launch(name string) *process {
 	p := &process{name: name, output: &lockedBuffer{}, done: make(chan struct{}), client: f.client}
 	caller, operator, metrics, peer := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
 	p.peer = "http://" + peer
@@ -173,7 +203,6 @@
 		_ = p.cmd.Wait()
 		close(p.done)
 	}()
-	f.daemons = append(f.daemons, p)
 	return p
 }
 
