Refuse oversized headers with a reason

Cause: net/http answered 431 without outcome and reason. Change: the handler checks the size of request line and headers; the server's own limit is twice as high. Forwarded requests are not checked again, since forwarding adds headers. Measured: TestBadInputReachesNoServer with 80 KiB of headers passes.

--- a/cmd/internal/e2e/path_test.go
+++ b/cmd/internal/e2e/path_test.go
@@ -57,6 +57,8 @@
 	f.awaitServing(p, startBound)
 	before := len(f.journal.Work())
 	head := func(name, value string) map[string]string { return map[string]string{name: value} }
+	large := p.send(call{key: "a", header: head("X-Large", strings.Repeat("h", 80<<10))})
+	require.Equal(t, callerapi.ReasonHeaderTooLarge, large.reason, "%+v", large)
 	for reason, c := range map[callerapi.Reason]call{
 		callerapi.ReasonUnknownService: {path: "/v1/none/key/x"},
 		callerapi.ReasonMissingKey:     {path: "/v1/almacen//x"},
--- a/relay/daemon/assemble.go
+++ b/relay/daemon/assemble.go
@@ -50,7 +50,7 @@
 	})
 	d.frontend = frontend.NewHandler(frontend.Config{
 		Views: views, Home: d.homes, Forwarder: frontend.NewPeerForwarder(d.peers, d.now),
-		Retrier: newRetrier(d.now), Observer: d.sink, Now: d.now, MaxRequests: d.opts.MaxRequests,
+		Retrier: newRetrier(d.now), Observer: d.sink, Now: d.now, MaxRequests: d.opts.MaxRequests, MaxHeader: d.opts.MaxHeader,
 		Ready: d.ready, Draining: d.draining.Load,
 	})
 	return nil
--- a/relay/daemon/daemon.go
+++ b/relay/daemon/daemon.go
@@ -173,7 +173,9 @@
 			return
 		}
 		server := &http.Server{
-			Handler: h, MaxHeaderBytes: d.opts.MaxHeader,
+			// Twice the limit, so that the handler can refuse with a reason what is
+			// somewhat too large; beyond that net/http answers 431 by itself.
+			Handler: h, MaxHeaderBytes: 2 * d.opts.MaxHeader,
 			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		}
 		d.listeners = append(d.listeners, server)
--- a/relay/frontend/handler.go
+++ b/relay/frontend/handler.go
@@ -57,6 +57,7 @@
 	Observer    Observer
 	Now         func() time.Duration // process time
 	MaxRequests int64                // requests at a time over both listeners
+	MaxHeader   int                  // bytes of request headers
 	// Ready is false until the daemon has read the log up to its own start, so
 	// that an existing service is never reported as unknown.
 	Ready    func() bool
@@ -121,6 +122,11 @@
 		return
 	}
 	defer h.active.Add(-1)
+	if size := headerBytes(r); !forwarded && size > h.cfg.MaxHeader {
+		writeError(w, badRequest(http.StatusRequestHeaderFieldsTooLarge, callerapi.ReasonHeaderTooLarge,
+			"the request line and headers have %d bytes, %d are allowed", size, h.cfg.MaxHeader), requestID(r))
+		return
+	}
 	view, _ := h.cfg.Views.Current()
 	if !h.cfg.Ready() {
 		writeError(w, Refuse(callerapi.ReasonNotReady, time.Second, "the host has no complete state yet"), requestID(r))
@@ -144,6 +150,17 @@
 	writeAnswer(w, answer, req.ID)
 }
 
+// headerBytes is the size of the request line and the header fields.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
 // run tries a request until it has an answer, its outcome is final, or the
 // deadline passes. Only the entry host that the caller reached retries, so that
 // retries never multiply over hops.
