--- a/core/ownership/faultmatrix/platform_test.go
+++ b/core/ownership/faultmatrix/platform_test.go
@@ -28,7 +28,6 @@
 	loseResponse func(record.Record) bool
 	lateAppend   func(record.Record) time.Duration
 	short        bool // reads stop short of the head
-	onAppend     func(record.Positioned, state.Outcome)
 }
 
 const logName = "log"
@@ -46,9 +45,6 @@
 		panic(err)
 	}
 	p.sim.note("log %d %s by %s applied=%v %s %+v", offset, r.Body.Kind(), r.Proposer, outcome.Applied, outcome.Reason, r.Body)
-	if p.onAppend != nil {
-		p.onAppend(positioned, outcome)
-	}
 	return offset
 }
 
