ownership: let hosts that start together join before the first witness set

Cause: the first host proposed a set of itself alone; when it was killed before the next set was active, its zone had no quorum until the reset after 10 s. Change: the first set waits 300 ms after the need was seen. Conclusion: a host that starts more than 300 ms before its peers still forms a set of one, which is replaced after 2 s.

--- a/core/ownership/witnesses.go
+++ b/core/ownership/witnesses.go
@@ -14,6 +14,10 @@
 const (
 	// witnessChangeInterval bounds how often a scope's witness set is changed.
 	witnessChangeInterval = 2 * time.Second
+	// firstSetDelay lets the hosts that start together join before the first set
+	// is chosen. A first set of one host stops the scope if that host is lost
+	// before the next set is active.
+	firstSetDelay = 300 * time.Millisecond
 	// replaceWitnessAfter is the length of a suspicion after which a witness is
 	// replaced; shorter pauses do not change the set.
 	replaceWitnessAfter = 2 * time.Second
@@ -79,7 +83,7 @@
 	}
 	hold := witnessChangeInterval
 	if set.Epoch == 0 {
-		hold = 0
+		hold = firstSetDelay
 	}
 	key := fmt.Sprintf("witnesses:%s:%d", scope, set.Epoch+1)
 	if !m.proposing(key) && !m.myTurn(key, m.scopeMembers(scope), m.now-first-hold) {
