--- a/core/ownership/faultmatrix/world_test.go
+++ b/core/ownership/faultmatrix/world_test.go
@@ -61,6 +61,9 @@
 	injectAt int
 	inject   func()
 	busy     int // faults that have not healed
+	// quorumLost is set when a majority of witnesses may be gone for good, so
+	// that service waits for the reset of the set.
+	quorumLost bool
 
 	keys   []uint64
 	served map[uint64]time.Duration // last success by key
