ownership: use the checkpoint codec of core/state

Cause: encodeState and restoreState were stand-ins, so no checkpoint was written. Change: call state.EncodeCheckpoint and state.Restore.

--- a/core/ownership/checkpoints.go
+++ b/core/ownership/checkpoints.go
@@ -1,7 +1,6 @@
 package ownership
 
 import (
-	"errors"
 	"time"
 
 	"parsleyrelay.example/core/event"
@@ -77,7 +76,7 @@
 		return
 	}
 	k.wroteAt = m.now
-	parts, digest := encodeState(m.st)
+	parts, digest := state.EncodeCheckpoint(m.st)
 	for i, payload := range parts {
 		m.emit(Append{Record: m.newRecord(record.CheckpointPart{
 			Base: m.st.Applied(), Part: i, Parts: len(parts), Digest: digest, Payload: payload,
@@ -87,11 +86,3 @@
 		m.report(event.Event{Code: event.CheckpointWritten, Offset: m.st.Applied()})
 	}
 }
-
-// errNoCodec is returned until the checkpoint codec of core/state is merged.
-var errNoCodec = errors.New("checkpoint codec is not available")
-
-// encodeState and restoreState stand in for state.EncodeCheckpoint and state.Restore.
-func encodeState(*state.State) (parts [][]byte, digest string) { return nil, "" }
-
-func restoreState([][]byte, string) (*state.State, error) { return nil, errNoCodec }
--- a/core/ownership/intake.go
+++ b/core/ownership/intake.go
@@ -102,7 +102,7 @@
 	for i := range payloads {
 		payloads[i] = have[i]
 	}
-	st, err := restoreState(payloads, key.digest)
+	st, err := state.Restore(payloads, key.digest)
 	if err != nil || st.Applied() != key.base {
 		m.report(event.Event{Code: event.RecordIgnored, Offset: key.base, Detail: "checkpoint cannot be restored"})
 		return
