--- a/core/ownership/faultmatrix/world_test.go
+++ b/core/ownership/faultmatrix/world_test.go
@@ -69,8 +69,10 @@
 	served map[uint64]time.Duration // last success by key
 	gaps   map[uint64]time.Duration // longest time without success
 	orders int                      // finished as done
-	hot    string                   // server that reports much load
-	next   int
+	// failures counts lookups that were not done.
+	failures int
+	hot      string // server that reports much load
+	next     int
 }
 
 func newWorld(o options) *world {
@@ -244,6 +246,8 @@
 		w.send(attempt{label: w.id(), hash: key}, func(outcome string) {
 			if outcome == done {
 				w.success(key)
+			} else {
+				w.failures++
 			}
 		})
 	}
