--- a/core/ownership/faultmatrix/daemon_test.go
+++ b/core/ownership/faultmatrix/daemon_test.go
@@ -38,7 +38,6 @@
 	records      []record.Positioned      // folded, to relay
 	heard        map[string]time.Duration // last poll by incarnation, own clock
 	drained      bool
-	ticks        int
 	dispatcher
 }
 
--- a/core/ownership/faultmatrix/dispatch_test.go
+++ b/core/ownership/faultmatrix/dispatch_test.go
@@ -27,7 +27,6 @@
 	hash    uint64
 	order   bool
 	stamped time.Duration // time in the id by the caller's wall clock
-	from    string        // caller
 }
 
 type flight struct {
@@ -243,7 +242,7 @@
 			busy = busy || f.server == q.Server && q.Slice.Range.Contains(f.hash)
 		}
 		if !busy {
-			d.w.after(0, func() { d.step(ownership.Quiesced{Server: q.Server, Slice: q.Slice}) })
+			d.w.after(0, func() { d.step(ownership.Quiesced(q)) })
 		}
 	}
 }
--- a/core/ownership/faultmatrix/matrix_test.go
+++ b/core/ownership/faultmatrix/matrix_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -225,4 +226,24 @@
 
 const pageIntro = `# Fault matrix
 
+Written by go test -run TestFaultMatrix -args -update in core/ownership/faultmatrix.
+Each cell gives the number of steps of the protocol at which the fault was injected
+and the longest time that a key was not served, on the virtual clock with one seed
+per step. The checker found no violation in any of them. The bound is 4 s; in cells
+marked with * it does not apply, because a quorum is lost or the log, which decides
+about owners, is not available; there the keys must be served again after the fault.
+The numbers depend on the times of the machine; a test compares the rest of the page
+with the faults and columns of the code.
+
 `
+
+var numbers = regexp.MustCompile(`\d+: \d+\.\d s`)
+
+// TestPageIsCurrent guards docs/fault-matrix.md against faults, columns and
+// bounds that changed since it was written.
+func TestPageIsCurrent(t *testing.T) {
+	written, err := os.ReadFile(page)
+	require.NoError(t, err)
+	want := numbers.ReplaceAllString(render(nil), "")
+	require.Equal(t, want, numbers.ReplaceAllString(string(written), ""), "run TestFaultMatrix with -update")
+}
