--- a/core/ownership/failover_test.go
+++ b/core/ownership/failover_test.go
@@ -13,9 +13,14 @@
 const recoveryBound = 4 * time.Second
 
 func servingWorld(t *testing.T, daemons int, servers ...string) *world {
+	return servingWorldWithout(t, nil, daemons, servers...)
+}
+
+func servingWorldWithout(t *testing.T, disabled []Rule, daemons int, servers ...string) *world {
 	w := newWorld(t)
+	w.count = disabled != nil
 	for _, name := range []string{"d1", "d2", "d3", "d4", "d5"}[:daemons] {
-		w.start(name, "z")
+		w.start(name, "z", disabled...)
 	}
 	w.service(resource.ScopeZone, 16, servers...)
 	w.until(6*time.Second, w.allServing(16))
@@ -62,7 +67,7 @@
 				took := w.until(recoveryBound, w.allServing(16))
 				t.Log("serving again after", took+SuspicionTime/2)
 				require.Less(t, took+SuspicionTime/2, recoveryBound)
-				w.nodes[old].paused = false
+				w.resume(old)
 				w.servers[a].down = false
 				w.run(5 * time.Second)
 				require.Equal(t, 16, w.serving(16))
@@ -140,7 +145,7 @@
 	t.Log("provisional after", w.until(recoveryBound, w.allServing(16)))
 	w.run(5 * time.Second)
 	require.Equal(t, 16, w.serving(16))
-	w.nodes[old].paused = false
+	w.resume(old)
 	w.run(3 * time.Second)
 	require.Equal(t, 16, w.serving(16))
 	w.logDown = false
--- a/core/ownership/fold.go
+++ b/core/ownership/fold.go
@@ -64,6 +64,12 @@
 		m.viewDirty.members = true
 	case record.HostLeft:
 		delete(m.suspects, b.Incarnation)
+		if b.Incarnation == m.cfg.Incarnation {
+			m.removed = true
+			if !m.draining {
+				m.emit(Removed{})
+			}
+		}
 		m.viewDirty.members = true
 		m.report(event.Event{Code: event.HostLeft, Peer: b.Incarnation, Offset: p.Offset, Detail: string(b.Reason)})
 	case record.WitnessProposed:
@@ -186,6 +192,7 @@
 		served := m.dropSlice(move)
 		if h := m.local[move.To]; h != nil {
 			s := m.adopt(h, slice)
+			s.origin = IDOrigin{Server: move.From, Term: move.FromTerm, Generation: move.Generation}
 			if move.From == move.To {
 				s.activation = served // the window of ids is still here
 			}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -104,6 +104,7 @@
 	subTerms    map[string]uint64 // highest sub-term seen by server
 	appendDelay time.Duration     // of the last own record, from proposal to fold
 	drained     bool
+	removed     bool // this incarnation left the members
 	leftAt      time.Duration
 
 	view      *View
--- a/core/ownership/messages.go
+++ b/core/ownership/messages.go
@@ -182,10 +182,12 @@
 		Slice  HeldSlice
 	}
 
-	// TransferIDs sends the idempotency window of a slice to its next home.
+	// TransferIDs sends the idempotency window of a slice to its next home, which
+	// can be this daemon itself.
 	TransferIDs struct {
 		Service string
-		Server  string
+		Server  string // present owner
+		Target  string // next owner
 		Slice   HeldSlice
 		Term    uint64
 		To      string // incarnation
@@ -206,6 +208,11 @@
 	// Emit reports an event for log, timeline and metrics.
 	Emit struct{ Event event.Event }
 
+	// Removed reports that peers removed this daemon from the members after a
+	// long silence. An incarnation joins only once, so the process must end; its
+	// successor joins anew.
+	Removed struct{}
+
 	// Drained reports that the daemon is home of no server any more.
 	Drained struct{}
 )
@@ -266,4 +273,5 @@
 func (PublishView) effect()  {}
 func (RecordFolded) effect() {}
 func (Emit) effect()         {}
+func (Removed) effect()      {}
 func (Drained) effect()      {}
--- a/core/state/fold_slices.go
+++ b/core/state/fold_slices.go
@@ -24,7 +24,7 @@
 		if !s.serves(p.Server, b.Service) {
 			return refused("Server/%s is not a server of Service/%s", p.Server, b.Service)
 		}
-		list[i] = Slice{Range: p.Range, Server: p.Server, Generation: offset}
+		list[i] = Slice{Range: p.Range, Generation: offset, Owner: s.intern.owner(p.Server), Origin: s.intern.origin(Origin{})}
 		next = p.Range.Last + 1
 	}
 	if len(list) == 0 || list[len(list)-1].Range.Last != math.MaxUint64 {
@@ -74,10 +74,10 @@
 	if from, ok := s.Server(m.From); ok {
 		zone = from.Zone
 	}
-	s.tables[b.Service] = table.with(m.Range.First, 1, []Slice{{
-		Range: m.Range, Server: m.To, Generation: offset,
-		Former: m.From, FormerScope: scope, FormerZone: zone, Released: b.Released,
-	}})
+	s.tables[b.Service] = table.set(s.editing(), Slice{
+		Range: m.Range, Generation: offset, Owner: s.intern.owner(m.To),
+		Origin: s.intern.origin(Origin{Former: m.From, FormerScope: scope, FormerZone: zone, Released: b.Released}),
+	})
 	s.owned[m.From]--
 	s.owned[m.To]++
 	return true
@@ -111,7 +111,7 @@
 	last := *current
 	last.Range = keyspace.Range{First: first, Last: b.Range.Last}
 	pieces = append(pieces, last)
-	s.tables[b.Service] = table.with(b.Range.First, 1, pieces)
+	s.tables[b.Service] = table.replace(s.editing(), b.Range.First, 1, pieces)
 	s.owned[current.Server] += len(pieces) - 1
 	return Outcome{Applied: true}
 }
@@ -126,7 +126,7 @@
 	count := 0
 	for next := b.Range.First; ; {
 		part := table.Lookup(next)
-		if part.Server != first.Server || part.Generation != b.Generation || part.Former != first.Former {
+		if part.Server != first.Server || part.Generation != b.Generation || part.Origin != first.Origin {
 			return refused("slices of %s do not share owner and generation", b.Range)
 		}
 		count++
@@ -139,7 +139,7 @@
 	if merged.Range != b.Range || count < 2 {
 		return refused("%s is not a run of two or more whole slices", b.Range)
 	}
-	s.tables[b.Service] = table.with(b.Range.First, count, []Slice{merged})
+	s.tables[b.Service] = table.replace(s.editing(), b.Range.First, count, []Slice{merged})
 	s.owned[first.Server] -= count - 1
 	return Outcome{Applied: true}
 }
