ownership: accept a release only from the instance that holds the slice

Cause: a server was replaced while its old instance was frozen. Its home learned the new instance after it had asked for a release and before the answer came, and took the confirmation of the new instance for that of the old one. The slice was granted to another server while the old instance still held it. Change: a move remembers the instance at its start and accepts no other's answer. Conclusion: nothing else in the protocol compares with the newest instance only.

--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -38,6 +38,7 @@
 	since     time.Duration // start of the phase
 	idsDone   bool
 	confirmed bool   // the server released the slice
+	instance  string // of the server that holds the slice
 	batch     string // key of the record that carries the move
 }
 
@@ -57,7 +58,7 @@
 	if !ready || h.moves[s.held] != nil || to == h.name || m.st.Home(to).Term == 0 {
 		return false
 	}
-	mv := &move{slice: s.held, to: to, since: m.now}
+	mv := &move{slice: s.held, to: to, since: m.now, instance: h.instance}
 	h.moves[s.held] = mv
 	s.quiescing, h.servingDirty = true, true
 	m.dirty[h.name] = struct{}{}
@@ -138,7 +139,9 @@
 	if mv.phase != moveReleasing {
 		return
 	}
-	if !in.Done || in.Instance != h.instance {
+	// The confirmation of a new instance says nothing about the grants of the
+	// instance that held the slice.
+	if !in.Done || in.Instance != mv.instance {
 		m.abort(h, mv, "release was not confirmed")
 		return
 	}
