--- a/core/ownership/faultmatrix/faults_test.go
+++ b/core/ownership/faultmatrix/faults_test.go
@@ -120,6 +120,11 @@
 		w.note("server %s freezes", b.name)
 		return b.resume
 	}},
+	{name: "server replaced, old instance frozen", lasts: 3 * time.Second, inject: func(w *world) func() {
+		// The old instance may still resume, so the checker keeps its grants.
+		w.targetServer().start()
+		return func() {}
+	}},
 	{name: "server restarted empty", lasts: 50 * time.Millisecond, inject: func(w *world) func() {
 		b := w.targetServer()
 		b.kill()
