ownership: a provisional home is never the first home of a slice

Cause: a provisional home has the term of the first home, so its activation said that the slice was fresh, and ids that had run at the home ran again. Change: activation is fresh only at the home that the log assigned.

--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -342,7 +342,7 @@
 	slice := m.st.Table(h.spec.Service).Lookup(s.held.Range.First)
 	switch {
 	case s.activation.Since != 0: // carried over from the same home
-	case slice.Former == "" && h.assigned.PreviousTerm == 0:
+	case slice.Former == "" && h.assigned.PreviousTerm == 0 && !h.provisional:
 		s.activation = Activation{Since: m.now, Fresh: true}
 	case slice.Former != "" && slice.Former != h.name && slice.Released && slice.Generation > h.assigned.Term:
 		s.activation = Activation{Since: m.now, IDs: s.origin}
