ownership: the assigned home returns after it served provisionally

Cause: a daemon that was home by the log, had been displaced by a provisional home and closed its own provisional home had no local home, and no daemon proposed one because the assigned home was alive; its keys stayed unserved. Change: such a daemon counts as displaced and proposes a new term.

--- a/core/ownership/homes.go
+++ b/core/ownership/homes.go
@@ -186,11 +186,14 @@
 	return member && !m.suspected(assigned.Incarnation)
 }
 
-// displaced reports whether this daemon is the home by the log but gave up its
-// rights under that term.
+// displaced reports whether this daemon is the home by the log but does not act
+// under that term any more: it gave its rights up, or served provisionally since.
 func (m *Machine) displaced(server string) bool {
+	if m.st.Home(server).Incarnation != m.cfg.Incarnation {
+		return false
+	}
 	h := m.local[server]
-	return h != nil && !h.provisional && h.stopped
+	return h == nil || h.provisional || h.stopped
 }
 
 func (m *Machine) proposeHome(name string, assigned state.Home, since time.Duration) {
