Report "not run" only when no attempt may have run

Change: the outcome covers all attempts. An earlier unknown outcome stands when the last attempt has not run.

--- a/relay/frontend/handler.go
+++ b/relay/frontend/handler.go
@@ -147,24 +147,40 @@
 // retries never multiply over hops.
 func (h *Handler) run(ctx context.Context, req *Request) (*Answer, *RequestError) {
 	h.cfg.Retrier.Sent(req)
+	var unknown *RequestError // of an earlier attempt
 	for attempt := 1; ; attempt++ {
 		answer, err := h.tryOnce(ctx, req)
-		if err == nil || req.Forwarded || !mayTryAgain(req, err) {
-			return answer, err
+		if err == nil {
+			return answer, nil
+		}
+		if req.Forwarded || !mayTryAgain(req, err) {
+			return nil, overAttempts(unknown, err)
 		}
 		delay, ok := h.cfg.Retrier.Retry(req, attempt, err, h.cfg.Now())
 		if !ok {
-			return nil, err
+			return nil, overAttempts(unknown, err)
+		}
+		if err.Outcome == callerapi.Unknown {
+			unknown = err
 		}
 		select {
 		case <-time.After(delay):
 			h.cfg.Observer.RequestRetried(req, err.Reason)
 		case <-ctx.Done():
-			return nil, err
+			return nil, overAttempts(unknown, err)
 		}
 	}
 }
 
+// overAttempts returns the error for all attempts of a request: it has not run
+// only if no attempt may have run.
+func overAttempts(unknown, last *RequestError) *RequestError {
+	if unknown != nil && last.Outcome == callerapi.NotRun {
+		return unknown
+	}
+	return last
+}
+
 // mayTryAgain allows another attempt after a failure of the route or of the
 // server. A request that may have run is sent again only when it is repeatable.
 func mayTryAgain(req *Request, err *RequestError) bool {
