Search a leaf from where equal widths put the hash

At 1.4 million slices a binary search reads about four cache lines of a leaf that are not in the cache. Slices are of similar width, so the search now starts at the index that equal widths would give and doubles its steps from there.

--- a/core/state/hardening_test.go
+++ b/core/state/hardening_test.go
@@ -1,10 +1,13 @@
 package state
 
 import (
+	"math"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"parsleyrelay.example/core/keyspace"
 	"parsleyrelay.example/core/record"
 	"parsleyrelay.example/core/resource"
 )
@@ -64,3 +67,32 @@
 	fold(t, s, record.WitnessProposed{Scope: "zone:a", Epoch: 1, Members: []string{"inc"}}, record.WitnessActivated{Scope: "zone:a", Epoch: 1})
 	require.Equal(t, s.Applied(), s.Witnesses("zone:a").Since)
 }
+
+// Guards against a search that starts from the width of a leaf and goes wrong
+// where slices differ much in width, hold a single hash, or end at the last hash.
+func TestLookupOfUnevenSlices(t *testing.T) {
+	firsts := []uint64{0}
+	for shift := range 64 {
+		firsts = append(firsts, 1<<shift)
+	}
+	for i := range uint64(200) {
+		firsts = append(firsts, 1<<63+1+i, math.MaxUint64-i)
+	}
+	slices.Sort(firsts)
+	var list []Slice
+	for i, first := range firsts {
+		last := uint64(math.MaxUint64)
+		if i+1 < len(firsts) {
+			last = firsts[i+1] - 1
+		}
+		list = append(list, NewSlice(keyspace.Range{First: first, Last: last}, "s", 1))
+	}
+	for n := 1; n <= len(list); n++ {
+		table := NewTable(append(slices.Clone(list[:n-1]), NewSlice(keyspace.Range{First: firsts[n-1], Last: math.MaxUint64}, "s", 1)))
+		for _, slice := range list[:n] {
+			require.Equal(t, slice.Range.First, table.Lookup(slice.Range.First).Range.First)
+			require.Equal(t, slice.Range.First, table.Lookup(slice.Range.Last).Range.First)
+		}
+		require.Equal(t, firsts[n-1], table.Lookup(math.MaxUint64).Range.First)
+	}
+}
--- a/core/state/table.go
+++ b/core/state/table.go
@@ -155,9 +155,11 @@
 	if t == nil || t.count == 0 {
 		return nil
 	}
-	n := t.nodes[floor(t.firsts, hash)]
-	l := n.leaves[floor(n.firsts, hash)]
-	return &l.slices[l.floor(hash)]
+	a := floor(t.firsts, hash)
+	n := t.nodes[a]
+	b := floor(n.firsts, hash)
+	l := n.leaves[b]
+	return &l.slices[l.floor(hash, n.firsts[b], t.end(a, b))]
 }
 
 // floor returns the index of the last element of sorted that is at most hash; the
@@ -174,14 +176,42 @@
 	return low
 }
 
-// floor is the function floor over the first hashes of the slices.
-func (l *leaf) floor(hash uint64) int {
-	low, high := 0, len(l.slices)
+// end returns the first hash after leaf b of node a, 0 after the last leaf.
+func (t *Table) end(a, b int) uint64 {
+	switch n := t.nodes[a]; {
+	case b+1 < len(n.firsts):
+		return n.firsts[b+1]
+	case a+1 < len(t.firsts):
+		return t.firsts[a+1]
+	}
+	return 0
+}
+
+// floor is the function floor over the first hashes of the slices of a leaf that
+// covers the hashes from first to end. It searches outwards from where equal widths
+// would put the hash: a binary search reads about four cache lines of a leaf,
+// which are not in the cache at 1.4 million slices.
+func (l *leaf) floor(hash, first, end uint64) int {
+	n := len(l.slices)
+	after := func(i int) bool { return l.slices[i].Range.First > hash }
+	low, high, step := 0, n, 1
+	guess := min(n-1, int(float64(hash-first)/(float64(end-1-first)+1)*float64(n)))
+	if after(guess) {
+		for high = guess; high > step && after(high-step); step *= 2 {
+			high -= step
+		}
+		low = max(0, high-step)
+	} else {
+		for low = guess; low+step < n && !after(low+step); step *= 2 {
+			low += step
+		}
+		high = min(n, low+step)
+	}
 	for high-low > 1 {
-		if middle := int(uint(low+high) >> 1); l.slices[middle].Range.First <= hash {
-			low = middle
-		} else {
+		if middle := (low + high) / 2; after(middle) {
 			high = middle
+		} else {
+			low = middle
 		}
 	}
 	return low
@@ -221,7 +251,7 @@
 		l = &leaf{owner: owner, slices: slices.Clone(l.slices)}
 		n.leaves[b] = l
 	}
-	l.slices[l.floor(x.Range.First)] = x
+	l.slices[l.floor(x.Range.First, n.firsts[b], t.end(a, b))] = x
 	return t
 }
 
@@ -231,7 +261,7 @@
 func (t *Table) replace(owner *edit, first uint64, count int, replacement []Slice) *Table {
 	a := floor(t.firsts, first)
 	b := floor(t.nodes[a].firsts, first)
-	i := t.nodes[a].leaves[b].floor(first)
+	i := t.nodes[a].leaves[b].floor(first, t.nodes[a].firsts[b], t.end(a, b))
 	endA, endB, rest := a, b, i+count
 	for rest > len(t.nodes[endA].leaves[endB].slices) {
 		rest -= len(t.nodes[endA].leaves[endB].slices)
