--- a/cmd/internal/e2e/process_test.go
+++ b/cmd/internal/e2e/process_test.go
@@ -88,6 +88,10 @@
 // newFixture starts hosts daemons and servers servers in one availability zone
 // and applies their resources.
 func newFixture(t *testing.T, hosts, servers int) *fixture {
+	return newFixtureOf(t, hosts, servers, 32)
+}
+
+func newFixtureOf(t *testing.T, hosts, servers, slices int) *fixture {
 	f := &fixture{t: t, platform: platform.New(time.Now), journal: server.NewJournal()}
 	var err error
 	f.log, err = f.platform.Start("127.0.0.1:0")
@@ -95,7 +99,7 @@
 	t.Cleanup(func() { f.log.Close() })
 	f.put("urgent", &resource.Rank{Level: 0})
 	f.put("casual", &resource.Rank{Level: 1, FloorPercent: 10})
-	f.put("almacen", &resource.Service{Ranks: []string{"urgent", "casual"}, DefaultRank: "casual", Slices: 32, MaxBodyBytes: 1 << 20})
+	f.put("almacen", &resource.Service{Ranks: []string{"urgent", "casual"}, DefaultRank: "casual", Slices: slices, MaxBodyBytes: 1 << 20})
 	for i := range servers {
 		f.startServer(fmt.Sprintf("almacen-%d", i))
 	}
--- a/standin/server/journal.go
+++ b/standin/server/journal.go
@@ -38,6 +38,9 @@
 	return &Journal{start: time.Now(), executions: map[string]int{}}
 }
 
+// Now returns the time since the journal was made, the clock of its work.
+func (j *Journal) Now() time.Duration { return time.Since(j.start) }
+
 func (j *Journal) begin(w Work) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
