Let unwritten requests wait for a new owner

Cause: a request that met the closed port of a lost server counted its attempts like one that a server refused. Four attempts with delays of at most 5, 10 and 20 ms were over long before the key had a new owner (about 2.5 s), and the budget of 20% was spent on them too. Change: a request of which nothing was written puts no load on a server. Its retries are bounded by the deadline and the backoff of up to 500 ms alone; count and budget apply to what a server refused or what may have run. A new case bounds the tries of a waiting request, and a test of handler and policy together fails without this change. Conclusion: the loss of a server costs time but no refusals within 5 s deadlines.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -20,7 +20,10 @@
 
 // Attempt describes a failed attempt and the time that is left.
 type Attempt struct {
-	Number     int // of this attempt, from 1
+	Number int // of this attempt, from 1
+	// Written counts the attempts so far, this one included, that were or may
+	// have been written to a server.
+	Written    int
 	Proof      Proof
 	Repeatable bool
 	// BodyKept says that the body is still available from its start. A streamed
@@ -45,9 +48,10 @@
 
 // Constants of the policy.
 const (
+	// MaxAttempts bounds the attempts that are written to a server.
 	MaxAttempts = 4
 	// BudgetShare is the greatest share of recent requests that may be added as
-	// retries. It bounds the load that retries add during an outage to 20%.
+	// retries of requests that were written. It bounds the load that retries add during an outage to 20%.
 	BudgetShare = 0.2
 	// BudgetReserve allows retries when there is little traffic, in retries per
 	// BudgetHalfLife.
@@ -70,20 +74,26 @@
 }
 
 // Retry decides about another attempt and returns the delay before it. random
-// is uniform in [0, 1). A granted retry is charged to the budget.
+// is uniform in [0, 1). A granted retry of a request that was written to a
+// server is charged to the budget. One that was not written put no load on a
+// server, so only the deadline bounds its retries: it waits until its key has a
+// new owner.
 func (p *Policy) Retry(now time.Duration, a Attempt, random float64) (time.Duration, Refusal) {
 	switch {
 	case !mayRepeat(a):
 		return 0, RefusedRepeat
 	case !a.BodyKept:
 		return 0, RefusedBody
-	case a.Number >= MaxAttempts:
+	case a.Proof != NotWritten && a.Written >= MaxAttempts:
 		return 0, RefusedAttempts
 	}
 	delay := Backoff(a.Number, random)
 	if delay+a.ServiceTime >= a.Remaining {
 		return 0, RefusedDeadline
 	}
+	if a.Proof == NotWritten {
+		return delay, ""
+	}
 	if p.retries.at(now)+1 > BudgetShare*p.requests.at(now)+BudgetReserve {
 		return 0, RefusedBudget
 	}
--- a/relay/daemon/assemble.go
+++ b/relay/daemon/assemble.go
@@ -210,11 +210,11 @@
 }
 
 // Retry implements frontend.Retrier.
-func (r *retrier) Retry(req *frontend.Request, attempt int, err *frontend.RequestError, now time.Duration) (time.Duration, bool) {
+func (r *retrier) Retry(req *frontend.Request, tries frontend.Tries, err *frontend.RequestError, now time.Duration) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delay, refusal := r.policy(req.Service).Retry(now, retry.Attempt{
-		Number: attempt, Proof: proofOf(err), Repeatable: req.Repeatable,
+		Number: tries.All, Written: tries.Written, Proof: proofOf(err), Repeatable: req.Repeatable,
 		BodyKept: req.Body.Replayable(), Remaining: req.Deadline - now,
 	}, rand.Float64())
 	return delay, refusal == ""
@@ -222,10 +222,10 @@
 
 func proofOf(err *frontend.RequestError) retry.Proof {
 	switch {
-	case err.Outcome != callerapi.NotRun:
-		return retry.MayHaveRun
-	case err.Reason == callerapi.ReasonServerRefused:
+	case err.Unwritten():
+		return retry.NotWritten
+	case err.Outcome == callerapi.NotRun:
 		return retry.Rejected
 	}
-	return retry.NotWritten
+	return retry.MayHaveRun
 }
--- /dev/null
+++ b/relay/daemon/retrier_test.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/api/callerapi"
+	"parsleyrelay.example/core/keyspace"
+	"parsleyrelay.example/core/ownership"
+	"parsleyrelay.example/core/resource"
+	"parsleyrelay.example/core/state"
+	"parsleyrelay.example/relay/frontend"
+)
+
+// failingHome fails every request with reason until it heals.
+type failingHome struct {
+	reason   callerapi.Reason
+	heals    time.Time
+	attempts int
+}
+
+func (h *failingHome) Execute(context.Context, *frontend.Request, ownership.Route) (*frontend.Answer, *frontend.RequestError) {
+	if h.attempts++; time.Now().Before(h.heals) {
+		return nil, frontend.Refuse(h.reason, time.Second, "failed")
+	}
+	return &frontend.Answer{Status: http.StatusOK, Outcome: callerapi.Done, Reason: callerapi.ReasonOK}, nil
+}
+
+type fixedView struct{ view *ownership.View }
+
+func (v fixedView) Current() (*ownership.View, <-chan struct{}) { return v.view, nil }
+
+type ignore struct{}
+
+func (ignore) RequestEnded(*frontend.Request, callerapi.Outcome, callerapi.Reason, time.Duration) {}
+func (ignore) RequestRetried(*frontend.Request, callerapi.Reason)                                 {}
+
+func oneServerView() *ownership.View {
+	slice := ownership.HeldSlice{Range: keyspace.Range{Last: math.MaxUint64}, Generation: 1}
+	return &ownership.View{
+		Resources: map[resource.Key]resource.Resource{
+			{Kind: resource.KindService, Name: "almacen"}: {Spec: &resource.Service{Ranks: []string{"casual"}, DefaultRank: "casual"}},
+			{Kind: resource.KindRank, Name: "casual"}:     {Spec: &resource.Rank{}},
+		},
+		Tables: map[string]*state.Table{"almacen": state.NewTable([]state.Slice{state.NewSlice(slice.Range, "a", 1)})},
+		Servers: map[string]ownership.ServerView{"a": {
+			Spec: &resource.Server{Service: "almacen"}, Local: true, Until: math.MaxInt64,
+			Serving: ownership.NewServingSet(map[ownership.HeldSlice]ownership.Activation{slice: {}}),
+		}},
+	}
+}
+
+// Guards against the refusal of requests that meet the closed port of a lost
+// server before the key has a new owner (45 of 3,900 in one run), against more
+// than four attempts at a server that refuses, and against waiting past the deadline.
+func TestRetriesUntilTheServerIsReplaced(t *testing.T) {
+	for _, c := range []struct {
+		reason      callerapi.Reason
+		healsAfter  time.Duration
+		outcome     callerapi.Outcome
+		maxAttempts int
+	}{
+		{callerapi.ReasonConnectFailed, 4 * time.Second, callerapi.Done, 60},
+		{callerapi.ReasonConnectFailed, time.Minute, callerapi.NotRun, 60},
+		{callerapi.ReasonServerRefused, 4 * time.Second, callerapi.NotRun, 4},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			now := func() time.Duration { return time.Since(began) }
+			home := &failingHome{reason: c.reason, heals: began.Add(c.healsAfter)}
+			h := frontend.NewHandler(frontend.Config{
+				Views: fixedView{oneServerView()}, Home: home, Retrier: newRetrier(now), Observer: ignore{},
+				Now: now, MaxRequests: 10, Ready: func() bool { return true },
+			})
+			r := httptest.NewRequest(http.MethodGet, "/v1/almacen/key/item", nil)
+			r.Header.Set(callerapi.HeaderDeadlineMS, "5000")
+			w := httptest.NewRecorder()
+			h.CallerRoutes().ServeHTTP(w, r)
+			require.Equal(t, string(c.outcome), w.Header().Get(callerapi.HeaderOutcome))
+			require.LessOrEqual(t, home.attempts, c.maxAttempts)
+			require.LessOrEqual(t, now(), 5*time.Second)
+		})
+	}
+}
--- a/relay/frontend/handler.go
+++ b/relay/frontend/handler.go
@@ -37,7 +37,13 @@
 type Retrier interface {
 	// Sent notes a first attempt.
 	Sent(req *Request)
-	Retry(req *Request, attempt int, err *RequestError, now time.Duration) (delay time.Duration, ok bool)
+	Retry(req *Request, tries Tries, err *RequestError, now time.Duration) (delay time.Duration, ok bool)
+}
+
+// Tries counts the attempts of a request so far.
+type Tries struct {
+	All     int
+	Written int // were or may have been written to a server
 }
 
 // Observer is told how requests ended.
@@ -147,12 +153,15 @@
 // retries never multiply over hops.
 func (h *Handler) run(ctx context.Context, req *Request) (*Answer, *RequestError) {
 	h.cfg.Retrier.Sent(req)
-	for attempt := 1; ; attempt++ {
+	for tries := (Tries{All: 1}); ; tries.All++ {
 		answer, err := h.tryOnce(ctx, req)
 		if err == nil || req.Forwarded || !mayTryAgain(req, err) {
 			return answer, err
 		}
-		delay, ok := h.cfg.Retrier.Retry(req, attempt, err, h.cfg.Now())
+		if !err.Unwritten() {
+			tries.Written++
+		}
+		delay, ok := h.cfg.Retrier.Retry(req, tries, err, h.cfg.Now())
 		if !ok {
 			return nil, err
 		}
--- a/relay/frontend/request.go
+++ b/relay/frontend/request.go
@@ -60,6 +60,12 @@
 	return fmt.Sprintf("%s (%s): %s", e.Outcome, e.Reason, e.Message)
 }
 
+// Unwritten reports whether it is certain that nothing of the request was
+// written to a server.
+func (e *RequestError) Unwritten() bool {
+	return e.Outcome == callerapi.NotRun && e.Reason != callerapi.ReasonServerRefused
+}
+
 func badRequest(status int, reason callerapi.Reason, format string, args ...any) *RequestError {
 	return &RequestError{Status: status, Outcome: callerapi.NotRun, Reason: reason, Message: fmt.Sprintf(format, args...)}
 }
