Merge branch 'balancer': load from home to planner, patient retries, drains

Conflicts: fixture options and slice count both stay; the retry loop keeps the tries of the balancer branch and the memory of unknown outcomes.

--- a/cmd/internal/e2e/process_test.go
+++ b/cmd/internal/e2e/process_test.go
@@ -94,6 +94,10 @@
 // newFixture starts hosts daemons and servers servers in one availability zone
 // and applies their resources.
 func newFixture(t *testing.T, hosts, servers int, options ...func(*fixture)) *fixture {
+	return newFixtureOf(t, hosts, servers, 32, options...)
+}
+
+func newFixtureOf(t *testing.T, hosts, servers, slices int, options ...func(*fixture)) *fixture {
 	f := &fixture{
 		t: t, platform: platform.New(time.Now), journal: server.NewJournal(), scheme: "http",
 		client: &http.Client{Timeout: 10 * time.Second},
@@ -107,7 +111,7 @@
 	t.Cleanup(func() { f.log.Close() })
 	f.put("urgent", &resource.Rank{Level: 0})
 	f.put("casual", &resource.Rank{Level: 1, FloorPercent: 10})
-	f.put("almacen", &resource.Service{Ranks: []string{"urgent", "casual"}, DefaultRank: "casual", Slices: 32, MaxBodyBytes: 1 << 20})
+	f.put("almacen", &resource.Service{Ranks: []string{"urgent", "casual"}, DefaultRank: "casual", Slices: slices, MaxBodyBytes: 1 << 20})
 	for i := range servers {
 		f.startServer(fmt.Sprintf("almacen-%d", i))
 	}
--- a/relay/frontend/handler.go
+++ b/relay/frontend/handler.go
@@ -37,7 +37,13 @@
 type Retrier interface {
 	// Sent notes a first attempt.
 	Sent(req *Request)
-	Retry(req *Request, attempt int, err *RequestError, now time.Duration) (delay time.Duration, ok bool)
+	Retry(req *Request, tries Tries, err *RequestError, now time.Duration) (delay time.Duration, ok bool)
+}
+
+// Tries counts the attempts of a request so far.
+type Tries struct {
+	All     int
+	Written int // were or may have been written to a server
 }
 
 // Observer is told how requests ended.
@@ -167,7 +173,7 @@
 func (h *Handler) run(ctx context.Context, req *Request) (*Answer, *RequestError) {
 	h.cfg.Retrier.Sent(req)
 	var unknown *RequestError // of an earlier attempt
-	for attempt := 1; ; attempt++ {
+	for tries := (Tries{All: 1}); ; tries.All++ {
 		answer, err := h.tryOnce(ctx, req)
 		if err == nil {
 			return answer, nil
@@ -175,7 +181,10 @@
 		if req.Forwarded || !mayTryAgain(req, err) {
 			return nil, overAttempts(unknown, err)
 		}
-		delay, ok := h.cfg.Retrier.Retry(req, attempt, err, h.cfg.Now())
+		if !err.Unwritten() {
+			tries.Written++
+		}
+		delay, ok := h.cfg.Retrier.Retry(req, tries, err, h.cfg.Now())
 		if !ok {
 			return nil, overAttempts(unknown, err)
 		}
