End the drain of a daemon that nobody can succeed

Cause: the dev command took 30 s to end, since hosts that drain together find no peer to hand their homes to and wait for the whole bound. Change: a draining daemon without an heir for 2 s is drained; what remains is taken over as after a loss.

--- a/core/ownership/drain.go
+++ b/core/ownership/drain.go
@@ -17,6 +17,10 @@
 	// leaveTimeout is how long a daemon that left goes on as a witness if no
 	// new set replaces it.
 	leaveTimeout = 6 * time.Second
+	// noHeirTimeout is how long a draining daemon waits for a peer that can take
+	// its homes. Without it the last host of a zone would use up the whole bound
+	// of the drain, although nobody can come.
+	noHeirTimeout = 2 * time.Second
 )
 
 // handover is the preparation of giving a home to a peer.
@@ -45,6 +49,7 @@
 		m.handOver(m.local[name])
 	}
 	if len(m.local) > 0 {
+		m.endWithoutHeir()
 		return
 	}
 	if member, ok := m.st.Member(m.cfg.Incarnation); ok {
@@ -61,6 +66,24 @@
 	}
 }
 
+// endWithoutHeir ends the drain when no peer can take the remaining homes.
+// Peers that join later take over as after a loss.
+func (m *Machine) endWithoutHeir() {
+	for _, name := range sortedKeys(m.local) {
+		if m.heir(m.local[name]) != "" {
+			m.noHeirSince = 0
+			return
+		}
+	}
+	if m.noHeirSince == 0 {
+		m.noHeirSince = m.now
+	}
+	if m.now-m.noHeirSince >= noHeirTimeout {
+		m.drained = true
+		m.emit(Drained{})
+	}
+}
+
 func (m *Machine) isWitness() bool {
 	for _, scope := range []string{m.zoneScope(), state.ScopeAll} {
 		set := m.st.Witnesses(scope)
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -104,7 +104,8 @@
 	subTerms    map[string]uint64 // highest sub-term seen by server
 	appendDelay time.Duration     // of the last own record, from proposal to fold
 	drained     bool
-	removed     bool // this incarnation left the members
+	removed     bool          // this incarnation left the members
+	noHeirSince time.Duration // since when a draining daemon has had no heir
 	leftAt      time.Duration
 
 	view      *View
--- a/core/ownership/moves_test.go
+++ b/core/ownership/moves_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -138,6 +139,16 @@
 	}
 }
 
+// Guards against a last host that uses up the whole bound of its drain waiting
+// for a peer that does not exist.
+func TestDrainWithoutHeir(t *testing.T) {
+	w := servingWorld(t, 1, "checka")
+	only := w.homeOf("checka")
+	w.effects = nil
+	w.step(only, DrainRequested{})
+	w.until(noHeirTimeout+time.Second, func() bool { return slices.Contains(w.effects, Effect(Drained{})) })
+}
+
 // Guards against handing a home over before its own wait has completed: the
 // next home would act while the home before both still does.
 func TestHandoverBeforeOpenHasNoFlag(t *testing.T) {
--- a/relay/daemon/retrier_test.go
+++ b/relay/daemon/retrier_test.go
@@ -40,6 +40,7 @@
 type ignore struct{}
 
 func (ignore) RequestEnded(*frontend.Request, callerapi.Outcome, callerapi.Reason, time.Duration) {}
+func (ignore) RouteWaited(*frontend.Request, time.Duration)                                       {}
 func (ignore) RequestRetried(*frontend.Request, callerapi.Reason)                                 {}
 
 func oneServerView() *ownership.View {
@@ -77,7 +78,7 @@
 			home := &failingHome{reason: c.reason, heals: began.Add(c.healsAfter)}
 			h := frontend.NewHandler(frontend.Config{
 				Views: fixedView{oneServerView()}, Home: home, Retrier: newRetrier(now), Observer: ignore{},
-				Now: now, MaxRequests: 10, Ready: func() bool { return true },
+				Now: now, MaxRequests: 10, MaxHeader: 64 << 10, Ready: func() bool { return true },
 			})
 			r := httptest.NewRequest(http.MethodGet, "/v1/almacen/key/item", nil)
 			r.Header.Set(callerapi.HeaderDeadlineMS, "5000")
--- a/relay/frontend/handler_test.go
+++ b/relay/frontend/handler_test.go
@@ -20,9 +20,10 @@
 type always struct{}
 
 func (always) Sent(*Request) {}
-func (always) Retry(_ *Request, attempt int, _ *RequestError, _ time.Duration) (time.Duration, bool) {
-	return 0, attempt < 3
+func (always) Retry(_ *Request, attempt Tries, _ *RequestError, _ time.Duration) (time.Duration, bool) {
+	return 0, attempt.All < 3
 }
+func (always) RouteWaited(*Request, time.Duration)                                       {}
 func (always) RequestRetried(*Request, callerapi.Reason)                                 {}
 func (always) RequestEnded(*Request, callerapi.Outcome, callerapi.Reason, time.Duration) {}
 
