Pace the parts of a checkpoint

Change: 4 parts per tick, 80 per second. Measured: TestLargeCheckpointIsPaced (100,000 slices) completes in the log with at most 4 parts per tick. Conclusion: 329 parts for 1.4 million slices take about 4 s.

--- a/core/ownership/checkpoints.go
+++ b/core/ownership/checkpoints.go
@@ -16,6 +16,12 @@
 // before it publishes again.
 const checkpointRetry = 30 * time.Second
 
+// checkpointPartsPerTick spreads the parts over time: 80 per second leave most
+// of the several hundred appends per second to others. All at once they overran
+// the ring of 256 appends, which drops the rest, and checkpoints of more parts
+// never became complete.
+const checkpointPartsPerTick = 4
+
 // checkpointKeeper knows the newest complete checkpoint in the log.
 type checkpointKeeper struct {
 	base    uint64        // of the newest complete checkpoint, 0 for none
@@ -24,6 +30,7 @@
 	due     time.Duration // since when a new one has been due, 0 if it is not
 	oldest  uint64
 	wroteAt time.Duration
+	pending []record.Record // parts of the own checkpoint that are not appended yet
 	parts   map[partKey]map[int]bool
 }
 
@@ -64,6 +71,10 @@
 	old := m.cfg.Retention > 0 && age > m.cfg.Retention/4 && k.folded > 0
 	// Retention has dropped records that the newest checkpoint does not replace.
 	uncovered := k.oldest > k.base+1
+	if len(k.pending) > 0 {
+		m.appendCheckpointParts()
+		return
+	}
 	if !m.logReachable || m.draining || !(old || uncovered || k.folded > checkpointRecords) {
 		k.due = 0
 		return
@@ -75,14 +86,29 @@
 	if !m.myTurn("checkpoint", m.st.Members(), (m.now-k.due)/20) || m.now-k.wroteAt < checkpointRetry && k.wroteAt > 0 {
 		return
 	}
-	k.wroteAt = m.now
 	parts, digest := state.EncodeCheckpoint(m.st)
 	for i, payload := range parts {
-		m.emit(Append{Record: m.newRecord(record.CheckpointPart{
+		k.pending = append(k.pending, m.newRecord(record.CheckpointPart{
 			Base: m.st.Applied(), Part: i, Parts: len(parts), Digest: digest, Payload: payload,
-		})})
+		}))
 	}
-	if len(parts) > 0 {
+	m.appendCheckpointParts()
+}
+
+// appendCheckpointParts appends the next parts of the own checkpoint.
+func (m *Machine) appendCheckpointParts() {
+	k := &m.keeper
+	if !m.logReachable {
+		return
+	}
+	n := min(checkpointPartsPerTick, len(k.pending))
+	for _, part := range k.pending[:n] {
+		m.emit(Append{Record: part})
+	}
+	k.pending = k.pending[n:]
+	k.wroteAt = m.now
+	if len(k.pending) == 0 {
+		k.pending = nil
 		m.report(event.Event{Code: event.CheckpointWritten, Offset: m.st.Applied()})
 	}
 }
--- /dev/null
+++ b/core/ownership/checkpoints_test.go
@@ -0,0 +1,43 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/core/keyspace"
+	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/core/resource"
+)
+
+// Guards against a checkpoint whose parts are appended all at once: the driver's
+// ring of 256 appends dropped the rest, so a large checkpoint never became whole.
+func TestLargeCheckpointIsPaced(t *testing.T) {
+	w := servingWorld(t, 1, "checka")
+	w.put("large", &resource.Service{Ranks: []string{"normal"}, DefaultRank: "normal"})
+	w.put("owner", &resource.Server{Service: "large", Zone: "other", Address: "http://127.0.0.1:1", Slots: 1, Connections: 1})
+	placed := record.SlicesPlaced{Service: "large"}
+	for _, r := range keyspace.Divide(100_000) {
+		placed.Slices = append(placed.Slices, record.Placement{Range: r, Server: "owner"})
+	}
+	w.append(placed)
+	w.run(time.Second)
+	keeper := &w.nodes[w.order[0]].m.keeper
+	keeper.folded = checkpointRecords + 1
+	w.effects = nil
+	most, total := 0, 0
+	w.until(20*time.Second, func() bool {
+		parts := 0
+		for _, e := range w.effects {
+			if a, ok := e.(Append); ok && a.Record.Body.Kind() == record.KindCheckpointPart {
+				parts++
+			}
+		}
+		w.effects = nil
+		total, most = total+parts, max(most, parts)
+		return keeper.base > 0
+	})
+	require.Greater(t, total, 4*checkpointPartsPerTick)
+	require.LessOrEqual(t, most, checkpointPartsPerTick)
+}
