Let a displaced daemon leave a provisional home to its peer

Cause: in a log outage two daemons that were each displaced once took a server from one another every 2 s, since the check for a peer's report was skipped when a stopped local home existed (found by the fault matrix). The same check had no bound on the age of the report, so a provisional home that died was not replaced until the log returned.

--- a/core/ownership/provisional.go
+++ b/core/ownership/provisional.go
@@ -22,8 +22,8 @@
 	if !spec.ChecksGrants || spec.Gone || assigned.Term == 0 {
 		return
 	}
-	if info, ok := m.loads[name]; ok && info.at > m.homeless[name] && m.local[name] == nil {
-		return // a peer serves it already
+	if m.servedByPeer(name) {
+		return
 	}
 	if h := m.local[name]; h != nil {
 		if !h.stopped || m.now-h.stoppedAt < provisionalBackoff {
@@ -39,6 +39,18 @@
 	m.openHome(name, spec, assigned, round<<subTermHostBits|member.JoinedAt&(1<<subTermHostBits-1))
 }
 
+// servedByPeer reports whether a peer has lately reported the server as
+// responsive. Without this, two daemons that were each displaced once took the
+// server from one another every provisionalBackoff.
+func (m *Machine) servedByPeer(name string) bool {
+	info, ok := m.loads[name]
+	if !ok || info.at <= m.homeless[name] || m.now-info.at > 2*SuspicionTime {
+		return false
+	}
+	h := m.local[name]
+	return h == nil || (h.stopped && info.at > h.stoppedAt)
+}
+
 // endProvisional closes a provisional home that never took effect once the
 // server's home is heard again.
 func (m *Machine) endProvisional(name string) {
