--- a/relay/frontend/body.go
+++ b/relay/frontend/body.go
@@ -74,3 +74,8 @@
 
 // Length returns the length of the body in bytes.
 func (b *Body) Length() int64 { return b.length }
+
+// BodyOf returns a body that is kept in memory.
+func BodyOf(data []byte) *Body {
+	return &Body{prefix: data, length: int64(len(data)), whole: true}
+}
