--- a/relay/daemon/sink.go
+++ b/relay/daemon/sink.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"parsleyrelay.example/api/callerapi"
@@ -19,8 +20,6 @@
 	"parsleyrelay.example/relay/queries"
 	"parsleyrelay.example/relay/telemetry"
 	"parsleyrelay.example/relay/timeline"
-
-	"github.com/go-kit/log"
 )
 
 // timelineEvents is the capacity of a daemon's timeline: about 3 MB.
