Log only numbered events

Cause: watermill, net/http and failures of adapters wrote lines without a number. Change: event 106 adapter_failed; errors of libraries go through it, what they say below that level is dropped. Measured: go test ./relay/telemetry (catalogue equals code) and two process tests pass. Conclusion: every line of the daemon has a number of docs/events.md.

--- a/cmd/parsleyrelayd/main.go
+++ b/cmd/parsleyrelayd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"parsleyrelay.example/cmd/internal/dev"
+	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/core/finding"
 	"parsleyrelay.example/relay/daemon"
 	"parsleyrelay.example/relay/settings"
@@ -47,8 +49,12 @@
 	return exitFailure
 }
 
+// newLogger returns the logger of the process. net/http's clients write to the
+// standard logger; their lines become numbered events, too.
 func newLogger() log.Logger {
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.NewStdlibAdapter(log.With(logger, "event", int(event.AdapterFailed), "name", "adapter_failed")))
 	return log.With(logger, "ts", log.TimestampFormat(time.Now, time.RFC3339Nano))
 }
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -40,6 +40,7 @@
 	ProcessStopped     Code = 103
 	InsecureMode       Code = 104
 	RingOverflow       Code = 105
+	AdapterFailed      Code = 106
 	LogUnreachable     Code = 201
 	LogReachable       Code = 202
 	StateComplete      Code = 203
@@ -87,6 +88,7 @@
 	{ProcessStopped, "process_stopped", "The daemon ends."},
 	{InsecureMode, "insecure_mode", "A listener runs without TLS."},
 	{RingOverflow, "ring_overflow", "A bounded ring between two goroutines was full."},
+	{AdapterFailed, "adapter_failed", "A library or an adapter met an error; the daemon goes on."},
 	{LogUnreachable, "log_unreachable", "The platform log cannot be read; serving goes on."},
 	{LogReachable, "log_reachable", "The platform log can be read again."},
 	{StateComplete, "state_complete", "The state is whole; the daemon takes part."},
--- a/relay/daemon/daemon.go
+++ b/relay/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 
 	"parsleyrelay.example/core/event"
@@ -177,6 +179,7 @@
 			// somewhat too large; beyond that net/http answers 431 by itself.
 			Handler: h, MaxHeaderBytes: 2 * d.opts.MaxHeader,
 			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+			ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Error(libraryLogger(d.opts.Logger))), "", 0),
 		}
 		d.listeners = append(d.listeners, server)
 		d.duties.Go(func() {
--- a/relay/daemon/duties.go
+++ b/relay/daemon/duties.go
@@ -44,7 +44,7 @@
 func (d *Daemon) readLog(ctx context.Context) {
 	ring := make(chan platform.Item, readRing)
 	reader := &platform.Reader{
-		Client: d.client, From: 1, Observer: logObserver{d, ctx}, Out: ring, Logger: d.opts.Logger,
+		Client: d.client, From: 1, Observer: logObserver{d, ctx}, Out: ring, Logger: libraryLogger(d.opts.Logger),
 	}
 	d.duties.Go(func() { d.passRecords(ctx, ring) })
 	if err := reader.Run(ctx); err != nil && ctx.Err() == nil {
--- a/relay/daemon/sink.go
+++ b/relay/daemon/sink.go
@@ -54,6 +54,12 @@
 	return s, err
 }
 
+// libraryLogger takes the errors of libraries as numbered events; what they say
+// below that level is dropped.
+func libraryLogger(logger log.Logger) log.Logger {
+	return log.With(level.NewFilter(logger, level.AllowError()), "event", int(event.AdapterFailed), "name", "adapter_failed")
+}
+
 // cpuSeconds returns the user and system time of the process.
 func cpuSeconds() float64 {
 	var usage syscall.Rusage
@@ -126,7 +132,7 @@
 
 // failure reports an error of an adapter that goes on.
 func (s *sink) failure(what string, err error) {
-	_ = level.Error(s.logger).Log("msg", what, "err", err)
+	s.Emit(event.Event{Code: event.AdapterFailed, Detail: what + ": " + err.Error()})
 }
 
 func (s *sink) appended(_ int, err error) {
