--- a/core/resource/specs.go
+++ b/core/resource/specs.go
@@ -147,7 +147,8 @@
 	// Level orders the ranks; 0 is the most urgent.
 	Level int `json:"level"`
 	// FloorPercent is the share of a server's slots that the rank keeps in a
-	// flood of more urgent ranks, in percent.
+	// flood of more urgent ranks, in percent. 0 means the default (see
+	// DefaultFloorPercent), NoFloor means none.
 	FloorPercent int `json:"floorPercent,omitempty"`
 	// MaxQueueLength bounds the requests that wait per server, default DefaultMaxQueueLength.
 	MaxQueueLength int `json:"maxQueueLength,omitempty"`
@@ -164,8 +165,21 @@
 	DefaultDeadlineMS     = 5000
 	MaxLevel              = 15
 	MaxFloorPercent       = 50
+	NoFloor               = -1
 )
 
+// DefaultFloorPercent is the floor of a rank that declares none: nothing for the
+// most urgent rank of a service, 5% for the least urgent and 10% between.
+func DefaultFloorPercent(position, ranks int) int {
+	switch {
+	case position == 0:
+		return 0
+	case position == ranks-1:
+		return 5
+	}
+	return 10
+}
+
 // Kind returns KindRank.
 func (*Rank) Kind() Kind { return KindRank }
 
@@ -174,8 +188,8 @@
 	if r.Level < 0 || r.Level > MaxLevel {
 		findings.Add(place+": spec.level", "%d is not between 0 and %d", r.Level, MaxLevel)
 	}
-	if r.FloorPercent < 0 || r.FloorPercent > MaxFloorPercent {
-		findings.Add(place+": spec.floorPercent", "%d is not between 0 and %d", r.FloorPercent, MaxFloorPercent)
+	if r.FloorPercent < NoFloor || r.FloorPercent > MaxFloorPercent {
+		findings.Add(place+": spec.floorPercent", "%d is not between %d and %d", r.FloorPercent, NoFloor, MaxFloorPercent)
 	}
 	if r.MaxQueueLength < 0 {
 		findings.Add(place+": spec.maxQueueLength", "%d is negative", r.MaxQueueLength)
--- a/relay/home/home.go
+++ b/relay/home/home.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -207,9 +208,24 @@
 	if policyOff {
 		return withoutPolicy(cfg)
 	}
+	setFloors(cfg.Ranks)
 	return cfg
 }
 
+// setFloors orders the ranks by urgency and fills in the floors that operators
+// left to the defaults.
+func setFloors(ranks []admission.Rank) {
+	slices.SortStableFunc(ranks, func(a, b admission.Rank) int { return a.Level - b.Level })
+	for i := range ranks {
+		switch ranks[i].FloorPercent {
+		case 0:
+			ranks[i].FloorPercent = resource.DefaultFloorPercent(i, len(ranks))
+		case resource.NoFloor:
+			ranks[i].FloorPercent = 0
+		}
+	}
+}
+
 // fifoRank is the only rank of a queue without policy.
 const fifoRank = "fifo"
 
--- a/relay/home/home_test.go
+++ b/relay/home/home_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"parsleyrelay.example/api/callerapi"
+	"parsleyrelay.example/core/admission"
 	"parsleyrelay.example/core/keyspace"
 	"parsleyrelay.example/core/ownership"
 	"parsleyrelay.example/core/resource"
@@ -178,3 +179,14 @@
 type errReader struct{}
 
 func (errReader) Read([]byte) (int, error) { return 0, errors.New("cut") }
+
+// Guards against lower ranks without a floor when operators declare none.
+func TestDefaultFloors(t *testing.T) {
+	ranks := []admission.Rank{{Name: "low", Level: 5}, {Name: "mid", Level: 2}, {Name: "off", Level: 3, FloorPercent: resource.NoFloor}, {Name: "top"}}
+	setFloors(ranks)
+	floors := map[string]int{}
+	for _, r := range ranks {
+		floors[r.Name] = r.FloorPercent
+	}
+	require.Equal(t, map[string]int{"top": 0, "mid": 10, "off": 0, "low": 5}, floors)
+}
