Send releases past the ring of control calls

Cause: the ring to a server holds 8 calls. A drained server starts 16 moves at once, so up to 7 releases were dropped; such a move was aborted after 1 s ('no response to the release') and its slice was unavailable that long. Change: a release gets its own goroutine at once, as it did behind the ring. It is not repeated when dropped and must not wait for a grant; the machine bounds the moves per server to 16. A grant that it overtakes cannot give the slice back, since a server does not accept a released generation again.

--- a/relay/control/loop.go
+++ b/relay/control/loop.go
@@ -175,7 +175,10 @@
 	case ownership.SendGrant:
 		l.toServer(e.Server, e)
 	case ownership.SendRelease:
-		l.toServer(e.Server, e)
+		// Not through the server's ring: a release is not repeated when it is
+		// dropped, so its slice would be unavailable until the move is aborted, and
+		// it must not wait for a grant. The machine bounds the moves per server.
+		l.workers.Go(func() { l.release(e) })
 	case ownership.Probe:
 		l.toServer(e.Server, e)
 	case ownership.Quiesce:
--- /dev/null
+++ b/relay/control/release_test.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/core/ownership"
+)
+
+// slowGrants answers releases at once and grants only when it is too late.
+type slowGrants struct {
+	Servers
+	released chan struct{}
+}
+
+func (s slowGrants) Grant(ctx context.Context, _ ownership.SendGrant) (ownership.GrantAnswered, error) {
+	<-ctx.Done()
+	return ownership.GrantAnswered{}, ctx.Err()
+}
+
+func (s slowGrants) Release(context.Context, ownership.SendRelease) (ownership.ReleaseAnswered, error) {
+	s.released <- struct{}{}
+	return ownership.ReleaseAnswered{Done: true}, nil
+}
+
+// Guards against releases that are dropped when many slices of a server move at
+// once, or that wait for a grant: their slices were unavailable for 1 s.
+func TestReleasesAreNotDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const moves = 2 * serverRing
+		servers := slowGrants{released: make(chan struct{}, moves)}
+		l := NewLoop(Config{Servers: servers, Now: func() time.Duration { return 0 }})
+		ctx, stop := context.WithCancel(t.Context())
+		l.ctx = ctx
+		l.perform(ownership.SendGrant{Server: "a"})
+		for range moves {
+			l.perform(ownership.SendRelease{Server: "a"})
+		}
+		synctest.Wait()
+		require.Len(t, servers.released, moves)
+		stop()
+		l.workers.Wait()
+	})
+}
--- a/relay/control/workers.go
+++ b/relay/control/workers.go
@@ -115,9 +115,6 @@
 		defer cancel()
 		answer, err := l.cfg.Servers.Probe(ctx, e)
 		l.reportGrant(e.Server, e.Seq, answer, err)
-	case ownership.SendRelease:
-		// A release waits for running requests, so it must not delay renewals.
-		l.workers.Go(func() { l.release(e) })
 	}
 }
 
