Follow a moving key without refusals between hosts

Cause: while a key moves, the entry host and the home have applied different prefixes of the log. A home that was behind, or no longer the home, refused at once, and the entry host tried again after growing delays: a request took up to 153 ms although each of 47 moves took at most 43 ms. Change: a forwarded request carries the applied offset of its entry host, and a home that is behind waits for it. A refusal carries the offset of the home, and an entry host that is behind waits for that instead of a delay.

--- a/cmd/internal/e2e/balance_test.go
+++ b/cmd/internal/e2e/balance_test.go
@@ -91,8 +91,8 @@
 	}
 	samples := tr.stop()
 	changes, longest := longestMove(samples)
-	t.Logf("%d requests, %d changes of a key's server, at most %v", len(samples), changes, longest)
+	t.Logf("%d requests, %d changes of a key's server, at most %v; slowest request %v", len(samples), changes, longest, slowest(samples))
 	require.Empty(t, failures(samples))
 	require.NotZero(t, changes, "nothing moved")
-	require.LessOrEqual(t, longest, moveBound)
+	require.LessOrEqual(t, max(longest, slowest(samples)), moveBound)
 }
--- a/cmd/internal/e2e/process_test.go
+++ b/cmd/internal/e2e/process_test.go
@@ -57,6 +57,8 @@
 	servers  []*server.Server
 	sockets  []*listen.Server
 	daemons  []*process
+	specs    map[string]resource.Server
+	versions map[string]uint64 // of the servers' resources
 }
 
 type process struct {
@@ -92,7 +94,7 @@
 }
 
 func newFixtureOf(t *testing.T, hosts, servers, slices int) *fixture {
-	f := &fixture{t: t, platform: platform.New(time.Now), journal: server.NewJournal()}
+	f := &fixture{t: t, platform: platform.New(time.Now), journal: server.NewJournal(), specs: map[string]resource.Server{}, versions: map[string]uint64{}}
 	var err error
 	f.log, err = f.platform.Start("127.0.0.1:0")
 	require.NoError(t, err)
@@ -121,13 +123,25 @@
 	return f
 }
 
-func (f *fixture) put(name string, spec resource.Spec) {
+func (f *fixture) put(name string, spec resource.Spec) uint64 {
+	return f.replace(name, spec, 0)
+}
+
+// replace puts a resource in the place of a version; 0 means that there is none.
+func (f *fixture) replace(name string, spec resource.Spec, version uint64) uint64 {
 	data, err := record.Marshal(record.Record{
 		ID: uuid.NewString(), Proposer: "test",
-		Body: record.ResourcePut{Resource: resource.Resource{Name: name, Spec: spec}, ChangeID: uuid.NewString()},
+		Body: record.ResourcePut{Resource: resource.Resource{Name: name, Spec: spec}, ExpectedVersion: version, ChangeID: uuid.NewString()},
 	})
 	require.NoError(f.t, err)
-	f.platform.Append(data)
+	return f.platform.Append(data)
+}
+
+// drain sets spec.drain of a server.
+func (f *fixture) drain(name string) {
+	spec := f.specs[name]
+	spec.Drain = true
+	f.versions[name] = f.replace(name, &spec, f.versions[name])
 }
 
 func (f *fixture) startServer(name string) {
@@ -139,7 +153,9 @@
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { s.Thaw(); l.Close() })
 	f.servers, f.sockets = append(f.servers, s), append(f.sockets, l)
-	f.put(name, &resource.Server{Service: "almacen", Zone: "ate", Address: l.URL(), Slots: 6, Connections: 110, ChecksGrants: true})
+	f.specs[name] = resource.Server{Service: "almacen", Zone: "ate", Address: l.URL(), Slots: 6, Connections: 110, ChecksGrants: true}
+	spec := f.specs[name]
+	f.versions[name] = f.put(name, &spec)
 }
 
 func freeAddress(t *testing.T) string {
--- a/cmd/internal/e2e/traffic_test.go
+++ b/cmd/internal/e2e/traffic_test.go
@@ -126,6 +126,15 @@
 	return changes, longest
 }
 
+// slowest returns the longest time to an answer. It also shows a move that held
+// a key up and was then aborted, after which the server is the same.
+func slowest(samples []sample) (longest time.Duration) {
+	for _, s := range samples {
+		longest = max(longest, s.took)
+	}
+	return longest
+}
+
 // busyShares returns the busy time of each server since from as a share of the
 // mean, measured at the servers.
 func (f *fixture) busyShares(from, to time.Duration) map[string]float64 {
--- a/relay/frontend/answer.go
+++ b/relay/frontend/answer.go
@@ -94,6 +94,9 @@
 	h.Set(callerapi.HeaderOutcome, string(e.Outcome))
 	h.Set(callerapi.HeaderReason, string(e.Reason))
 	h.Set(callerapi.HeaderRequestID, requestID)
+	if e.Applied > 0 {
+		h.Set(headerApplied, strconv.FormatUint(e.Applied, 10))
+	}
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(retryAfterSeconds(e.RetryAfter)))
 	}
--- a/relay/frontend/forward.go
+++ b/relay/frontend/forward.go
@@ -11,6 +11,12 @@
 	"parsleyrelay.example/api/callerapi"
 )
 
+// headerApplied is the offset up to which a host has applied the log, decimal.
+// In a forwarded request it lets a home that is behind wait for it instead of
+// refusing a key of which it does not know yet that it moved there; in a refusal
+// it lets the forwarding host wait for the record that moved the key away.
+const headerApplied = "Parsleyrelay-Applied"
+
 // Exchange is an HTTP request to a peer.
 type Exchange struct {
 	Method string
@@ -64,6 +70,7 @@
 	h.Set(callerapi.HeaderRepeatable, strconv.FormatBool(req.Repeatable))
 	h.Set(callerapi.HeaderCaller, req.Caller)
 	h.Set(callerapi.HeaderRequestID, req.ID)
+	h.Set(headerApplied, strconv.FormatUint(req.Applied, 10))
 	return Exchange{Method: req.Method, Path: ForwardPrefix + req.Path, Header: h, Body: body, Length: length}
 }
 
@@ -100,6 +107,7 @@
 	if e.Reason == "" {
 		e.Status, e.Reason = http.StatusBadGateway, callerapi.ReasonPeerLost
 	}
+	e.Applied, _ = strconv.ParseUint(a.Header.Get(headerApplied), 10, 64)
 	if seconds, err := strconv.Atoi(a.Header.Get("Retry-After")); err == nil {
 		e.RetryAfter = time.Duration(seconds) * time.Second
 	}
--- a/relay/frontend/handler.go
+++ b/relay/frontend/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -135,12 +136,19 @@
 		writeError(w, err, requestID(r))
 		return
 	}
-	req.Forwarded = forwarded
+	if req.Forwarded = forwarded; forwarded {
+		// Without the header 0 remains, and the home refuses at once.
+		req.Applied, _ = strconv.ParseUint(r.Header.Get(headerApplied), 10, 64)
+		r.Header.Del(headerApplied)
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), req.Deadline-arrived)
 	defer cancel()
 	answer, err := h.run(ctx, req)
 	if err != nil {
 		h.cfg.Observer.RequestEnded(req, err.Outcome, err.Reason, h.cfg.Now()-arrived)
+		if !forwarded && err.Applied > 0 {
+			err.Applied = 0 // of no use to callers
+		}
 		writeError(w, err, req.ID)
 		return
 	}
@@ -165,12 +173,36 @@
 		if !ok {
 			return nil, err
 		}
-		select {
-		case <-time.After(delay):
-			h.cfg.Observer.RequestRetried(req, err.Reason)
-		case <-ctx.Done():
+		if h.pause(ctx, delay, err.Applied) != nil {
 			return nil, err
 		}
+		h.cfg.Observer.RequestRetried(req, err.Reason)
+	}
+}
+
+// catchUpTimeout bounds the wait for records that another host has applied.
+const catchUpTimeout = 500 * time.Millisecond
+
+// pause waits before a retry: until this host has applied the log up to the given
+// offset if it is behind, since that brings the new owner, or else for delay.
+func (h *Handler) pause(ctx context.Context, delay time.Duration, applied uint64) error {
+	if view, _ := h.cfg.Views.Current(); view.Applied < applied {
+		ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+		defer cancel()
+		for view, changed := h.cfg.Views.Current(); view.Applied < applied; view, changed = h.cfg.Views.Current() {
+			if waitForChange(ctx, changed) != nil {
+				break
+			}
+		}
+		delay = 0
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
@@ -205,9 +237,12 @@
 			if err == nil || err != errRerouted {
 				return answer, err
 			}
-		case ok && !route.View.Local && req.Forwarded:
-			return nil, Refuse(callerapi.ReasonNoOwner, time.Second, "this host is not the home of Server/%s", route.Server)
-		case ok && !route.View.Local && route.HomeURL != "":
+		case ok && !route.View.Local && req.Forwarded && view.Applied >= req.Applied:
+			err := Refuse(callerapi.ReasonNoOwner, time.Second, "this host is not the home of Server/%s", route.Server)
+			err.Applied = view.Applied
+			return nil, err
+		case ok && !route.View.Local && !req.Forwarded && route.HomeURL != "":
+			req.Applied = view.Applied
 			return h.cfg.Forwarder.Forward(ctx, req, route.HomeURL)
 		}
 		if err := waitForChange(ctx, changed); err != nil {
--- a/relay/frontend/request.go
+++ b/relay/frontend/request.go
@@ -34,6 +34,7 @@
 	First      bool   // the caller states that RepeatID was never sent before
 	Caller     string // for fairness between callers
 	Forwarded  bool   // came from a peer
+	Applied    uint64 // log offset of the view by which it was forwarded
 	Method     string
 	Path       string // for the server, with the query
 	Header     http.Header
@@ -53,6 +54,9 @@
 	Reason     callerapi.Reason
 	Message    string
 	RetryAfter time.Duration // 0 for none
+	// Applied is the log offset of a home that refused because the key is not
+	// its own; 0 otherwise.
+	Applied uint64
 }
 
 // Error implements error.
