Fill a joining server gradually

Cause: the planner moved nothing while the hottest server was at most 1.22 times its share. A server that joins five or more others raises them to at most 1.2, so it could stay empty. Change: a server below 0.6 of its share is filled up to that from servers above theirs, within the 2% of the load per 5 s that a plan may move. Conclusion: joining servers are filled at 2% of the load per plan.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -168,3 +168,32 @@
 	require.Len(t, plan.Moves, 2)
 	require.Equal(t, "near", plan.Moves[0].To)
 }
+
+// Guards against a joining server that stays empty because the others are all
+// below Trigger, and against filling it at once or from servers below their share.
+func TestJoiningServer(t *testing.T) {
+	in := Input{Servers: []Server{{Name: "new", Zone: "a", Weight: 100}}}
+	for i := range 15 {
+		in.Servers = append(in.Servers, Server{Name: fmt.Sprint(i), Zone: "a", Weight: 100})
+	}
+	for i, r := range keyspace.Divide(300) {
+		in.Slices = append(in.Slices, Slice{Range: r, Server: fmt.Sprint(i % 15), Load: 1, Fresh: true})
+	}
+	var received float64
+	for plans := 1; plans <= 12; plans++ {
+		in.Now += Interval
+		moved := 0.0
+		for _, m := range Make(in).Moves {
+			require.Equal(t, "new", m.To)
+			for i := range in.Slices {
+				if in.Slices[i].Range == m.Range {
+					in.Slices[i].Server, in.Slices[i].Fresh, in.Slices[i].Moved = "new", false, in.Now
+					moved += in.Slices[i].Load
+				}
+			}
+		}
+		require.LessOrEqual(t, moved, MaxShare*300)
+		received += moved
+	}
+	require.InDelta(t, Low*300/16, received, 1)
+}
--- a/core/balance/plan.go
+++ b/core/balance/plan.go
@@ -15,10 +15,14 @@
 	// 1.22 instead of the bound of 1.25, since the measured ratio can be below the
 	// true one: with 1.25, 4 of 120 shifts of the hot keys stayed above 60 s.
 	Trigger  = 1.22
-	Goal     = 1.15             // ratio that moves bring it down to
-	Interval = 5 * time.Second  // between plans
-	MaxShare = 0.02             // of the service's load that moves per plan
-	Rest     = 30 * time.Second // in which a slice does not move again
+	Goal     = 1.15            // ratio that moves bring it down to
+	Interval = 5 * time.Second // between plans
+	MaxShare = 0.02            // of the service's load that moves per plan
+	// Low is the ratio up to which a server is filled although no server is above
+	// Trigger. Without it a server that joins five or more others stays empty,
+	// since they are at most 1.2 times their new share.
+	Low  = 0.6
+	Rest = 30 * time.Second // in which a slice does not move again
 	// MaxSplits and MaxMoves bound the records that one plan causes.
 	MaxSplits = 16
 	MaxMoves  = 64
@@ -86,7 +90,7 @@
 }
 
 // Make returns the plan for one service. It moves nothing while the imbalance is
-// under Trigger and no server is leaving.
+// under Trigger, no server is leaving and none is below Low.
 func Make(in Input) Plan {
 	loads, total := sumLoads(in)
 	var plan Plan
@@ -101,14 +105,20 @@
 			plan.Imbalance = max(plan.Imbalance, l.ratio())
 		}
 	}
-	if plan.Imbalance <= Trigger && !leaving {
-		return plan
-	}
+	hot := plan.Imbalance > Trigger || leaving
 	budget := MaxShare * total
 	for len(plan.Moves) < MaxMoves {
-		move, cost, ok := next(in.Now, loads, budget)
+		var move Move
+		var cost float64
+		ok := false
+		if hot {
+			move, cost, ok = next(in.Now, loads, budget)
+			if !ok {
+				move, cost, ok = makeRoom(in.Now, loads, budget)
+			}
+		}
 		if !ok {
-			move, cost, ok = makeRoom(in.Now, loads, budget)
+			move, cost, ok = fill(in.Now, loads, budget)
 		}
 		if !ok {
 			break
@@ -116,7 +126,9 @@
 		budget -= cost
 		plan.Moves = append(plan.Moves, move)
 	}
-	plan.Splits = isolate(in.HotKeys, loads, plan.Moves)
+	if hot {
+		plan.Splits = isolate(in.HotKeys, loads, plan.Moves)
+	}
 	return plan
 }
 
@@ -209,9 +221,43 @@
 	return Move{}, 0, false
 }
 
+// fill moves a slice to the server with the lowest ratio while that is below
+// Low, from the server most above its share, one of the same zone first.
+func fill(now time.Duration, loads []*load, budget float64) (Move, float64, bool) {
+	var to *load
+	for _, l := range loads {
+		low := !l.Leaving && l.Weight > 0 && l.sum < Low*cmp.Or(l.Share, 1)*l.fair
+		if low && (to == nil || l.ratio() < to.ratio()) {
+			to = l
+		}
+	}
+	if to == nil {
+		return Move{}, 0, false
+	}
+	room := Low*cmp.Or(to.Share, 1)*to.fair - to.sum
+	for _, from := range partners(to, loads, -1) {
+		need := from.sum - from.fair
+		if need <= 0 {
+			continue
+		}
+		if i := choose(now, from, need, min(room, budget)); i >= 0 {
+			x := from.slices[i]
+			from.slices = slices.Delete(from.slices, i, i+1)
+			from.sum -= x.Load
+			to.sum += x.Load
+			return Move{Range: x.Range, From: from.Name, To: to.Name}, x.Load, true
+		}
+	}
+	return Move{}, 0, false
+}
+
 // receivers returns the servers that may take slices of from: those of its zone
 // first, in each group the one with the lowest ratio first.
-func receivers(from *load, loads []*load) []*load {
+func receivers(from *load, loads []*load) []*load { return partners(from, loads, 1) }
+
+// partners returns the other servers that stay, those of the same zone first, in
+// each group by ratio in ascending order, or descending with order -1.
+func partners(from *load, loads []*load, order int) []*load {
 	var list []*load
 	for _, l := range loads {
 		if l != from && !l.Leaving && l.Weight > 0 {
@@ -225,7 +271,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(a.ratio(), b.ratio())
+		return order * cmp.Compare(a.ratio(), b.ratio())
 	})
 	return list
 }
