Add constant service times and a CPU profile to the development deployment

Cause: the spread of exponential service times hides the cost of the router, and the daemons have no profile.

--- a/cmd/internal/dev/deployment.go
+++ b/cmd/internal/dev/deployment.go
@@ -91,9 +91,13 @@
 func hostName(zone string, i int) string { return fmt.Sprintf("entry-%s-%d", zone, i) }
 
 func (d *deployment) startServer(name, service, zone string, seed uint64, checks bool) (*backendServer, error) {
+	serviceTime := server.Exponential(d.site.serviceTime)
+	if d.opts.ConstantTime {
+		serviceTime = server.Constant(d.site.serviceTime)
+	}
 	s := server.New(server.Options{
 		Name: name, Service: service, ChecksGrants: checks, Slots: d.site.slots,
-		ServiceTime: server.Exponential(d.site.serviceTime), Seed: seed, Journal: d.journal,
+		ServiceTime: serviceTime, Seed: seed, Journal: d.journal,
 		Listen: listen.Options{MaxConnections: d.site.connections, AcceptDelay: time.Millisecond},
 	})
 	l, err := s.Start("127.0.0.1:0")
--- a/cmd/internal/dev/dev.go
+++ b/cmd/internal/dev/dev.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"runtime/pprof"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,7 +32,12 @@
 	ServerDivisor int           // divides the numbers of servers, for small machines
 	HostsPerZone  int           // 0 for that of the profile
 	ServiceTime   time.Duration // mean, 0 for that of the profile
-	PolicyOff     bool          // baseline: one FIFO queue per server
+	// ConstantTime makes all requests take ServiceTime; otherwise service times
+	// are exponential, whose spread hides the cost of the router.
+	ConstantTime bool
+	// CPUProfile is written until ctx ends, unless it is nil.
+	CPUProfile io.Writer
+	PolicyOff  bool // baseline: one FIFO queue per server
 	// ExternalHosts leaves the entry hosts to be started as processes of their own.
 	ExternalHosts bool
 	// LoseServerAfter stops a backend server of the first service this long
@@ -90,6 +96,12 @@
 	}
 	if opts.Duration == 0 {
 		d.printAddresses(opts.Out)
+		if opts.CPUProfile != nil {
+			if err := pprof.StartCPUProfile(opts.CPUProfile); err != nil {
+				return err
+			}
+			defer pprof.StopCPUProfile()
+		}
 		d.await(ctx)
 		return d.verdict(l, opts.Out)
 	}
--- a/cmd/parsleyrelayd/main.go
+++ b/cmd/parsleyrelayd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -83,6 +84,8 @@
 			&cli.IntFlag{Name: "server-divisor", Usage: "divides the profile's numbers of servers, for small machines", Value: 1},
 			&cli.IntFlag{Name: "hosts-per-zone", Usage: "entry hosts; 0 for those of the profile"},
 			&cli.DurationFlag{Name: "service-time", Usage: "mean service time of backend servers; 0 for that of the profile"},
+			&cli.BoolFlag{Name: "constant-time", Usage: "all requests take the mean service time; otherwise times are exponential"},
+			&cli.StringFlag{Name: "cpu-profile", Usage: "file for a CPU profile of the whole deployment; without duration"},
 			&cli.BoolFlag{Name: "policy-off", Usage: "baseline: one FIFO queue per server without ranks"},
 			&cli.BoolFlag{Name: "external-hosts", Usage: "start no entry hosts; they are run as processes with the printed platform address"},
 			&cli.DurationFlag{Name: "lose-server-after", Usage: "without duration: stop a backend server after this time; 0 for never"},
@@ -94,7 +97,17 @@
 			if c.Bool("verbose") {
 				logger = newLogger()
 			}
+			var profile io.Writer
+			if name := c.String("cpu-profile"); name != "" {
+				file, err := os.Create(name)
+				if err != nil {
+					return err
+				}
+				defer file.Close()
+				profile = file
+			}
 			return dev.Run(ctx, dev.Options{
+				ConstantTime: c.Bool("constant-time"), CPUProfile: profile,
 				Duration: c.Duration("duration"), LoseServer: c.Bool("lose-server"), Seed: c.Uint64("seed"),
 				Out: os.Stdout, Logger: logger, Profile: c.String("profile"), ServerDivisor: c.Int("server-divisor"),
 				HostsPerZone: c.Int("hosts-per-zone"), ServiceTime: c.Duration("service-time"), PolicyOff: c.Bool("policy-off"),
