--- a/relay/frontend/answer.go
+++ b/relay/frontend/answer.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"parsleyrelay.example/api/callerapi"
@@ -61,11 +62,19 @@
 	}
 }
 
+const copyBytes = 32 << 10
+
+// copyBuffers are reused: a new buffer per response was a tenth of the time of
+// the daemon's request path, before the garbage collection that it caused.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
 // copyBody flushes after each read, so that a slowly streamed answer arrives as
 // it is made.
 func copyBody(w http.ResponseWriter, body io.Reader) error {
 	control := http.NewResponseController(w)
-	buf := make([]byte, 32<<10)
+	buffer := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buffer)
+	buf := buffer[:]
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
