Search the states of the ownership machines

Cause: the matrix injects named faults at named steps; orders of messages, pauses and restarts that it does not name were not tried. Change: a search runs two checking servers, three daemons and one slice by choice sequences of faults in steps of 250 ms, breadth first in the number of actions, and continues a course only from states not seen before.

--- a/core/ownership/faultmatrix/rules_test.go
+++ b/core/ownership/faultmatrix/rules_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -53,3 +54,15 @@
 		})
 	}
 }
+
+// TestSearchFindsMissingRules guards against a search whose actions never lead
+// to the states that the waits of the protocol are for.
+func TestSearchFindsMissingRules(t *testing.T) {
+	for _, rule := range []ownership.Rule{ownership.RuleExpiryWait, ownership.RuleInstanceWait} {
+		t.Run(string(rule), func(t *testing.T) {
+			r := search(without(rule), searchRuns, time.Now().Add(time.Minute))
+			t.Logf("after %d courses: %s", r.runs, r.violation)
+			require.Contains(t, r.violation, "two owners")
+		})
+	}
+}
--- a/core/ownership/faultmatrix/sim_test.go
+++ b/core/ownership/faultmatrix/sim_test.go
@@ -100,10 +100,12 @@
 	sim  *sim
 	cut  map[[2]string]bool
 	slow map[[2]string]time.Duration
+	// pending counts the messages under way.
+	pending map[[2]string]int
 }
 
 func newLinks(s *sim) *links {
-	return &links{sim: s, cut: map[[2]string]bool{}, slow: map[[2]string]time.Duration{}}
+	return &links{sim: s, cut: map[[2]string]bool{}, slow: map[[2]string]time.Duration{}, pending: map[[2]string]int{}}
 }
 
 // send delivers after the delay of the path, or never when the path is cut at
@@ -113,7 +115,9 @@
 	if l.cut[path] {
 		return
 	}
+	l.pending[path]++
 	l.sim.after(l.sim.jitter(300*time.Microsecond, time.Millisecond)+l.slow[path], func() {
+		l.pending[path]--
 		if !l.cut[path] {
 			deliver()
 		}
--- a/core/ownership/faultmatrix/world_test.go
+++ b/core/ownership/faultmatrix/world_test.go
@@ -24,6 +24,7 @@
 	nonCheck  bool // servers do not check grants
 	zones     int  // default 1, each with three hosts
 	servers   int  // per zone, default 2
+	slices    int  // default sliceCount
 	scope     resource.Scope
 	slow      []string // clocks of these hosts and servers run 1% slow
 	fast      []string
@@ -82,6 +83,9 @@
 	if o.servers == 0 {
 		o.servers = 2
 	}
+	if o.slices == 0 {
+		o.slices = sliceCount
+	}
 	s := newSim(o.seed)
 	w := &world{
 		sim: s, options: o, links: newLinks(s), hosts: newHostList(s), checker: newChecker(),
@@ -90,11 +94,11 @@
 		lookupPeriod: 100 * time.Millisecond, queuePoll: 25 * time.Millisecond,
 	}
 	w.log = newLog(s, w.links)
-	for _, r := range keyspace.Divide(sliceCount) {
+	for _, r := range keyspace.Divide(o.slices) {
 		w.keys = append(w.keys, r.First+(r.Last-r.First)/2)
 	}
 	w.put("high", &resource.Rank{})
-	w.put(serviceName, &resource.Service{Scope: o.scope, Slices: sliceCount, Ranks: []string{"high"}, DefaultRank: "high"})
+	w.put(serviceName, &resource.Service{Scope: o.scope, Slices: o.slices, Ranks: []string{"high"}, DefaultRank: "high"})
 	for z := 1; z <= o.zones; z++ {
 		for n := 1; n <= o.servers; n++ {
 			w.addServer(fmt.Sprintf("z%d-s%d", z, n))
