--- a/relay/control/loop.go
+++ b/relay/control/loop.go
@@ -205,7 +205,7 @@
 	l.cfg.Homes.Quiesce(e.Server, e.Slice, func() {
 		// Runs on the goroutine of the server's queue, which must not wait for the loop.
 		l.workers.Go(func() {
-			l.Submit(l.ctx, ownership.Quiesced{Server: e.Server, Slice: e.Slice})
+			l.Submit(l.ctx, ownership.Quiesced(e))
 		})
 	})
 }
