Show that confirmation and the fence at the server are needed

Cause: two rules had no course of events that fails without them. Change: a fourth host outside the witness set takes over while the witnesses cannot read the log and keep the former home's lease up; once with a server that it does not reach (majority confirmation), once with lost responses (fence).

--- a/core/ownership/faultmatrix/rules_test.go
+++ b/core/ownership/faultmatrix/rules_test.go
@@ -31,6 +31,8 @@
 			configure: without(ownership.RuleNoRegrant).configure, off: fakeRules{releaseMemory: true},
 		}, "release", "log slow", "two owners"},
 		{"restarted witness", options{off: fakeRules{witnessIncarnation: true}}, "renewal", "witness restarted after confirmation", "two owners"},
+		{"majority confirmation", without(ownership.RuleConfirmation), "host join", "takeover unknown to the witnesses, server unreachable", "two owners"},
+		{"fence at the server", options{off: fakeRules{fence: true}}, "host join", "takeover unknown to the witnesses, responses lost", "ran 2 times"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
