--- a/core/ownership/failover_test.go
+++ b/core/ownership/failover_test.go
@@ -157,3 +157,38 @@
 		}
 	}
 }
+
+// Guards against a provisional home that claims that its slices were never
+// served: it has the term of the first home, and an order that ran there ran
+// again because the claim exempts ids from the rule for an incomplete window.
+func TestProvisionalHomeIsNotFresh(t *testing.T) {
+	w := servingWorld(t, 4, "checka", "checkb")
+	old := w.homeOf("checka")
+	require.Zero(t, w.nodes[old].m.st.Home("checka").PreviousTerm, "the home by the log must be the first")
+	freshness := func(name string) (fresh, served int) {
+		w.nodes[name].m.View().Servers["checka"].Serving.All(func(_ HeldSlice, a Activation) {
+			served++
+			if a.Fresh {
+				fresh++
+			}
+		})
+		return fresh, served
+	}
+	fresh, served := freshness(old)
+	require.Positive(t, served)
+	require.Equal(t, served, fresh, "at the first home")
+	w.logDown = true
+	w.run(time.Second)
+	w.nodes[old].paused = true
+	w.until(recoveryBound, w.allServing(16))
+	provisional := 0
+	for _, name := range w.order {
+		if h := w.nodes[name].m.local["checka"]; name != old && h != nil && h.open {
+			require.True(t, h.provisional)
+			fresh, served := freshness(name)
+			require.Zero(t, fresh, "%s claims fresh slices", name)
+			provisional += served
+		}
+	}
+	require.Positive(t, provisional)
+}
