Publish a checkpoint again when retention passed the last one

Cause: after its checkpoint was complete a daemon still waited for checkpointRetry (30 s). When retention passed that checkpoint too, hosts that had restarted found no state and stayed at offset 0. Change: completion of a checkpoint ends the wait, which is for parts that have not appeared in the log.

--- a/core/ownership/checkpoints.go
+++ b/core/ownership/checkpoints.go
@@ -56,6 +56,7 @@
 	}
 	k.folded = int(p.Offset - part.Base)
 	k.base, k.at, k.due = part.Base, m.now, 0
+	k.wroteAt = 0 // nothing is awaited; retention may pass this checkpoint too
 	for other := range k.parts {
 		if other.base <= part.Base {
 			delete(k.parts, other)
--- a/core/ownership/checkpoints_test.go
+++ b/core/ownership/checkpoints_test.go
@@ -41,3 +41,18 @@
 	require.Greater(t, total, 4*checkpointPartsPerTick)
 	require.LessOrEqual(t, most, checkpointPartsPerTick)
 }
+
+// Guards against a daemon that waits for checkpointRetry although its checkpoint
+// is complete: when retention passed that one as well, hosts that had restarted
+// meanwhile found no state and stayed behind for up to 30 s.
+func TestCheckpointAgainAfterRetention(t *testing.T) {
+	w := servingWorld(t, 1, "checka")
+	keeper := &w.nodes[w.order[0]].m.keeper
+	for range 2 {
+		w.run(time.Second) // lets all records be folded
+		w.oldest = uint64(len(w.log)) + 1
+		base := keeper.base
+		w.put("other", &resource.Rank{})
+		w.until(2*time.Second, func() bool { return keeper.base > base && keeper.base+1 >= w.oldest })
+	}
+}
