Remove hop-by-hop headers in one place

Cause: frontend and backend both removed them. Change: only backend does, on every request that leaves and every response that comes in. Measured: go test ./frontend ./home ./daemon ./backend and two process tests pass. Conclusion: no behaviour changes.

--- a/relay/daemon/servers.go
+++ b/relay/daemon/servers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -192,7 +193,7 @@
 
 func fenced(call home.Call) http.Header {
 	h := http.Header{}
-	frontend.CopyHeader(h, call.Request.Header)
+	maps.Copy(h, call.Request.Header)
 	h.Set(serverapi.HeaderKey, url.PathEscape(call.Request.Key))
 	h.Set(serverapi.HeaderKeyHash, fmt.Sprintf("%016x", call.Request.Hash))
 	h.Set(serverapi.HeaderTerm, strconv.FormatUint(call.Term, 10))
--- a/relay/frontend/answer.go
+++ b/relay/frontend/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -23,29 +24,10 @@
 	Reason  callerapi.Reason
 }
 
-// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// CopyHeader copies end-to-end headers from src to dst.
-func CopyHeader(dst, src http.Header) {
-	for name, values := range src {
-		dst[name] = values
-	}
-	for _, name := range src.Values("Connection") {
-		dst.Del(name)
-	}
-	for _, name := range hopHeaders {
-		dst.Del(name)
-	}
-}
-
 // writeAnswer streams an answer to the caller. When the body ends early it
 // aborts the connection, so that a cut answer never looks complete.
 func writeAnswer(w http.ResponseWriter, a *Answer, requestID string) {
-	CopyHeader(w.Header(), a.Header)
+	maps.Copy(w.Header(), a.Header) // backend has removed what concerns one hop
 	w.Header().Set(callerapi.HeaderOutcome, string(a.Outcome))
 	w.Header().Set(callerapi.HeaderReason, string(a.Reason))
 	w.Header().Set(callerapi.HeaderRequestID, requestID)
--- a/relay/frontend/forward.go
+++ b/relay/frontend/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -62,7 +63,7 @@
 func (f *PeerForwarder) encode(req *Request) Exchange {
 	body, length := req.Body.Open()
 	h := http.Header{}
-	CopyHeader(h, req.Header)
+	maps.Copy(h, req.Header)
 	h.Set(callerapi.HeaderService, req.Service)
 	h.Set(callerapi.HeaderKey, url.QueryEscape(req.Key))
 	h.Set(callerapi.HeaderRank, req.RankName)
--- a/relay/home/once.go
+++ b/relay/home/once.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -182,8 +183,7 @@
 	}
 	body, _ := io.ReadAll(answer.Body)
 	answer.Body = io.NopCloser(bytes.NewReader(body))
-	header := http.Header{}
-	frontend.CopyHeader(header, answer.Header)
+	header := maps.Clone(answer.Header)
 	q.endOnce(key, dedup.Done, &dedup.Response{Status: answer.Status, Header: header, Body: body})
 }
 
