--- a/cmd/internal/e2e/process_test.go
+++ b/cmd/internal/e2e/process_test.go
@@ -29,7 +29,8 @@
 	"parsleyrelay.example/standin/server"
 )
 
-var binary string
+// Paths of the two programs.
+var binary, ctlBinary string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "parsleyrelay")
@@ -37,7 +38,8 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "parsleyrelayd")
-	build := exec.Command("go", "build", "-o", binary, "parsleyrelay.example/cmd/parsleyrelayd")
+	ctlBinary = filepath.Join(dir, "parsleyctl")
+	build := exec.Command("go", "build", "-o", dir, "parsleyrelay.example/cmd/parsleyrelayd", "parsleyrelay.example/cmd/parsleyctl")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s", out)
 		os.Exit(1)
