Leave the poller out of poll responses

Cause: bytes of witness polls are the first limit to break (docs/CAPACITY.md): each response listed the poller itself, which knows its own loads. Change: its entry is left out.

--- a/relay/peer/server.go
+++ b/relay/peer/server.go
@@ -80,6 +80,9 @@
 			delete(s.heard, incarnation)
 			continue
 		}
+		if incarnation == poller {
+			continue // it knows its own loads and that it is alive
+		}
 		ms := uint32(age.Milliseconds())
 		response.Heard = append(response.Heard, &peerv1.Heard{Incarnation: incarnation, AgeMs: ms})
 		for _, l := range encodeLoads(h.loads) {
