Place slices by share at first placement

Cause: plain weighted rendezvous gave six servers 37 to 56 of 256 slices (dev deployment), an imbalance of 1.3 before any load; core/placement has an even placement that was not used. Change: the first placement uses placement.Place. Conclusion: homes and proposers still order by incarnation; see the comment in rendezvous.go.

--- a/core/ownership/place.go
+++ b/core/ownership/place.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"parsleyrelay.example/core/keyspace"
+	"parsleyrelay.example/core/placement"
 	"parsleyrelay.example/core/record"
 	"parsleyrelay.example/core/resource"
 )
@@ -28,11 +29,15 @@
 		if !m.proposing(key) && !m.myTurn(key, m.st.Members(), since) {
 			continue
 		}
-		body := record.SlicesPlaced{Service: service}
-		for _, r := range keyspace.Divide(spec.EffectiveSlices()) {
-			body.Slices = append(body.Slices, record.Placement{Range: r, Server: pickWeighted(service+"/"+r.String(), servers)})
+		// Each server gets its share: with plain rendezvous order six servers got
+		// 37 to 56 of 256 slices.
+		shares := make([]placement.Server, len(servers))
+		for i, s := range servers {
+			shares[i] = placement.Server{Name: s.name, Weight: s.weight}
 		}
-		m.propose(key, body)
+		m.propose(key, record.SlicesPlaced{
+			Service: service, Slices: placement.Place(service, keyspace.Divide(spec.EffectiveSlices()), shares),
+		})
 	}
 }
 
--- a/core/ownership/rendezvous.go
+++ b/core/ownership/rendezvous.go
@@ -8,7 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// The functions of this file stand in for core/placement until it is merged.
+// These functions order incarnations and servers by name. core/placement orders
+// members by host and URL, so that a restarted daemon keeps its place; homes and
+// proposers do not use that yet.
 
 func score(key, candidate string) uint64 {
 	var d xxhash.Digest
