End open moves soon after a change of leader

A new leader waited 18.4 s for ranges whose move was open, since it could not know what the former one had granted; ranges of servers that were only cut off moved away although the servers came back.

Ruled out: lost grants (the map and the servers agreed) and elections (a term began within 2.5 s of the power's return).

Change: the fence of a former holder is raised by a grant of 100 ms before it is asked to release, so that older grants are refused; a range whose release was not answered goes back to a holder that returned; each process writes its incarnation to the store, so that an ended leader is known.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -28,6 +28,9 @@
 	Hold = 8 * time.Second
 	// RenewEvery leaves two further attempts within Hold.
 	RenewEvery = 2500 * time.Millisecond
+	// FenceHold is the duration of a grant that only raises the fence of a holder
+	// before it is asked to release.
+	FenceHold = 100 * time.Millisecond
 	// HoldMargin covers a server clock that runs 2% slow over Hold, and the
 	// delivery of the grant.
 	HoldMargin = 360 * time.Millisecond
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -26,7 +26,8 @@
 	Server   Incarnation
 	From, To uint16
 	Fence    uint64
-	Handover string // from the former holder; empty for none
+	Hold     time.Duration // of a grant
+	Handover string        // from the former holder; empty for none
 }
 
 // Status is how a Call ended.
@@ -64,9 +65,16 @@
 	next      time.Duration // earliest next call
 	fence     uint64        // of the latest grant
 	confirmed bool          // the owner accepted a fence of this term, no older attempt is open
-	heldUntil time.Duration // the holder may hold the range until then
-	handover  string
-	announced bool // the acknowledged map contains the move
+	// The holder may hold the range until the later of the two: by a grant of this
+	// term, or by one of a former leader.
+	ownUntil    time.Duration
+	formerUntil time.Duration
+	// ownerUntil bounds a hold that a former leader may have given to the owner of
+	// a range that was moving when the term began.
+	ownerUntil time.Duration
+	handover   string
+	forced     bool // the former holder left or cannot be reached
+	announced  bool // the acknowledged map contains the move
 }
 
 // Write is a map to append under the condition that the log ends at Map.End.
@@ -202,9 +210,9 @@
 	}
 	for _, service := range sortedKeys(l.acked.Services) {
 		for _, r := range l.acked.Services[service] {
-			t := &tracked{service: service, from: r.From, to: r.To, heldUntil: held, confirmed: resigned, next: now}
+			t := &tracked{service: service, from: r.From, to: r.To, formerUntil: held, confirmed: resigned, next: now}
 			if r.Moving() {
-				t.stage, t.announced = releasing, true
+				t.stage, t.announced, t.ownerUntil = releasing, true, held
 			}
 			l.ranges = append(l.ranges, t)
 		}
@@ -331,15 +339,19 @@
 			usable[IncarnationOf(s)] = true
 		}
 		for _, t := range l.ranges {
-			if t.service != service || t.stage == releasing || t.calling {
+			if t.service != service || t.calling {
 				continue
 			}
 			r := l.newest().Find(service, t.from)
-			if r == nil || r.Moving() && t.stage == settled {
-				continue
-			}
-			if !usable[r.Owner] {
+			switch {
+			case r == nil || r.Moving() && t.stage == settled:
+			case t.stage == releasing:
+				if usable[r.Previous] && (t.forced || !usable[r.Owner]) && t.ownerUntil <= now {
+					l.revert(now, t, counts)
+				}
+			case !usable[r.Owner]:
 				l.move(now, t, leastLoaded(ready, counts), counts)
+				t.forced = true
 			}
 		}
 		l.fill(now, service, ready, counts, slots)
@@ -390,7 +402,16 @@
 	counts[r.Owner.ID]--
 	counts[to.ID]++
 	r.Previous, r.Owner = r.Owner, IncarnationOf(to)
-	t.stage, t.announced, t.handover, t.next = releasing, false, "", now
+	t.stage, t.announced, t.forced, t.handover, t.next = releasing, false, false, "", now
+}
+
+// revert gives a range back to a holder that returned before it released.
+func (l *Leader) revert(now time.Duration, t *tracked, counts map[string]int) {
+	r := l.edit().Find(t.service, t.from)
+	counts[r.Owner.ID]--
+	counts[r.Previous.ID]++
+	r.Owner, r.Previous = r.Previous, Incarnation{}
+	t.stage, t.confirmed, t.next = settled, false, now
 }
 
 // due returns the call that a range needs now.
@@ -404,21 +425,25 @@
 		if r.Moving() {
 			return Call{}, false // the move's end is being written
 		}
-		return l.call(now, t, Grant, r.Owner, ""), true
+		return l.call(now, t, Grant, r.Owner, "", Hold), true
 	case releasing:
-		if !t.announced {
+		switch {
+		case !t.announced:
 			return Call{}, false
-		}
-		if now >= t.heldUntil || l.ended(t.service, r.Previous) {
-			t.stage, t.confirmed, t.next = granting, false, now
-			return l.call(now, t, Grant, r.Owner, t.handover), true
-		}
-		if now < t.next {
+		case now >= t.held() || l.ended(t.service, r.Previous):
+			t.freed(now)
+			return l.call(now, t, Grant, r.Owner, t.handover, Hold), true
+		case now < t.next:
 			return Call{}, false
+		case !t.confirmed && t.held()-now < CallTimeout+FenceHold+HoldMargin:
+			return Call{}, false // an attempt without an answer would only extend the wait
+		case !t.confirmed:
+			// An older grant may still arrive; a higher fence makes the server refuse it.
+			return l.call(now, t, Grant, r.Previous, "", FenceHold), true
 		}
-		return l.call(now, t, Release, r.Previous, ""), true
+		return l.call(now, t, Release, r.Previous, "", 0), true
 	default:
-		return l.call(now, t, Grant, r.Owner, t.handover), true
+		return l.call(now, t, Grant, r.Owner, t.handover, Hold), true
 	}
 }
 
@@ -438,21 +463,18 @@
 	return false
 }
 
-func (l *Leader) call(now time.Duration, t *tracked, kind CallKind, server Incarnation, handover string) Call {
+func (l *Leader) call(now time.Duration, t *tracked, kind CallKind, server Incarnation, handover string, hold time.Duration) Call {
 	if kind == Grant && !t.confirmed || t.fence == 0 {
-		// An older attempt may still arrive; a higher fence makes the server refuse it.
 		l.counter++
+		t.fence = l.acked.Term<<fenceBits | l.counter
 	}
 	l.lastCall++
 	t.calling, t.calledAt = true, now
-	if kind == Grant && !t.confirmed || t.fence == 0 {
-		t.fence = l.acked.Term<<fenceBits | l.counter
-	}
 	if kind == Grant {
-		t.heldUntil = max(t.heldUntil, now+CallTimeout+Hold+HoldMargin)
+		t.ownUntil = max(t.ownUntil, now+CallTimeout+hold+HoldMargin)
 	}
 	l.calls[l.lastCall] = t
-	return Call{ID: l.lastCall, Kind: kind, Service: t.service, Server: server, From: t.from, To: t.to, Fence: t.fence, Handover: handover}
+	return Call{ID: l.lastCall, Kind: kind, Service: t.service, Server: server, From: t.from, To: t.to, Fence: t.fence, Hold: hold, Handover: handover}
 }
 
 // Answered notes the end of a call.
@@ -463,25 +485,31 @@
 		return
 	}
 	t.calling = false
-	if c.Kind == Release {
-		l.released(now, t, a)
-		return
-	}
-	switch a.Status {
-	case Fenced:
+	switch {
+	case a.Status == Fenced:
 		l.stopped = true
-	case Done:
-		l.granted(now, t)
-	default:
+	case c.Kind == Release && a.Status == Done:
+		t.handover = a.Handover
+		t.freed(now)
+	case c.Kind == Release:
+		t.next = now + RetryAfterFailure
+	case a.Status != Done:
 		t.confirmed = t.confirmed && a.Status == NotSent
 		t.next = now + RetryAfterFailure
-		t.heldUntil = max(t.heldUntil, now+Hold+HoldMargin)
+		if a.Status == NotSent {
+			return
+		}
+		t.ownUntil = max(t.ownUntil, now+c.Hold+HoldMargin)
+	case t.stage == releasing:
+		t.confirmed, t.next = true, now
+	default:
+		l.granted(now, t)
 	}
 }
 
 func (l *Leader) granted(now time.Duration, t *tracked) {
 	t.confirmed = true
-	t.heldUntil = now + Hold + HoldMargin
+	t.ownUntil, t.formerUntil = now+Hold+HoldMargin, 0
 	t.next = t.calledAt + RenewEvery
 	if t.stage == granting {
 		t.stage, t.handover = settled, ""
@@ -489,18 +517,23 @@
 	}
 }
 
-func (l *Leader) released(now time.Duration, t *tracked, a Answer) {
-	if a.Status != Done {
-		t.next = now + RetryAfterFailure
-		return
-	}
-	t.handover = a.Handover
-	if !t.confirmed {
-		// A grant that was not answered may arrive after the release.
-		t.next = t.heldUntil
-		return
+// held is the time until which the holder may hold the range.
+func (t *tracked) held() time.Duration { return max(t.ownUntil, t.formerUntil) }
+
+// freed notes that the former holder does not hold the range any more.
+func (t *tracked) freed(now time.Duration) {
+	t.stage, t.confirmed, t.next = granting, false, now
+	t.ownUntil, t.formerUntil, t.ownerUntil = 0, t.ownerUntil, 0
+}
+
+// FormerEnded notes that the process of the former leader has ended, so that it
+// grants nothing after now.
+func (l *Leader) FormerEnded(now time.Duration) {
+	bound := now + Hold + HoldMargin
+	for _, t := range l.ranges {
+		t.formerUntil = min(t.formerUntil, bound)
+		t.ownerUntil = min(t.ownerUntil, bound)
 	}
-	t.stage, t.confirmed, t.next, t.heldUntil = granting, false, now, now
 }
 
 func readyServers(servers map[string]directory.Server) []directory.Server {
--- /dev/null
+++ b/core/assignment/world_test.go
@@ -0,0 +1,185 @@
+package assignment
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/core/directory"
+)
+
+// fakeServer applies grants the way the platform's servers do: a hold runs from
+// the arrival of the call, a call under a lower fence than one seen is refused,
+// and a release is never refused.
+type fakeServer struct {
+	directory.Server
+	held map[uint16]time.Duration // first key of a range: end of the hold
+	seen map[uint16]uint64
+	down bool // calls get no answer and have no effect
+	deaf bool // calls take effect and get no answer
+}
+
+func (s *fakeServer) apply(now, arrived time.Duration, c Call) Answer {
+	if c.Kind == Release {
+		delete(s.held, c.From)
+		return Answer{Status: Done, Handover: fmt.Sprint("from ", s.ID)}
+	}
+	if c.Fence < s.seen[c.From] {
+		return Answer{Status: Fenced}
+	}
+	s.seen[c.From] = c.Fence
+	if end := arrived + c.Hold; end > now {
+		s.held[c.From] = end
+	}
+	return Answer{Status: Done}
+}
+
+type world struct {
+	t       *testing.T
+	now     time.Duration
+	stored  *Map
+	servers map[string]*fakeServer // by id
+	calls   []Call
+	late    []lateCall
+	granted map[uint16]map[string]uint64 // first key, server: highest fence taken
+}
+
+type lateCall struct {
+	at, arrived time.Duration
+	call        Call
+}
+
+func newWorld(t *testing.T, ids ...string) *world {
+	w := &world{t: t, now: time.Hour, stored: &Map{}, servers: map[string]*fakeServer{}, granted: map[uint16]map[string]uint64{}}
+	for _, id := range ids {
+		w.add(id)
+	}
+	return w
+}
+
+func (w *world) add(id string) *fakeServer {
+	s := &fakeServer{Server: directory.Server{ID: id, Born: int64(w.now), Service: "stock", Address: "10.0.0.1:" + id, Slots: 6},
+		held: map[uint16]time.Duration{}, seen: map[uint16]uint64{}}
+	w.servers[id] = s
+	return s
+}
+
+// listed returns the servers without those that are named.
+func (w *world) listed(without ...string) map[string]map[string]directory.Server {
+	list := map[string]directory.Server{}
+	for id, s := range w.servers {
+		list[id] = s.Server
+	}
+	for _, id := range without {
+		delete(list, id)
+	}
+	return map[string]map[string]directory.Server{"stock": list}
+}
+
+func (w *world) lead(host string) *Leader {
+	return Lead(w.now, w.stored.clone(), Options{Host: host, Stripes: 8})
+}
+
+// step lets the leaders work for one tick and checks the holders.
+func (w *world) step(leaders ...*Leader) {
+	w.now += 50 * time.Millisecond
+	for _, c := range w.late {
+		if c.at <= w.now {
+			w.servers[c.call.Server.ID].apply(w.now, c.arrived, c.call)
+		}
+	}
+	for _, l := range leaders {
+		l.Contact(w.now)
+		for _, c := range l.Tick(w.now) {
+			w.calls = append(w.calls, c)
+			l.Answered(w.now, c, w.deliver(c))
+		}
+		w.write(l)
+	}
+	w.checkHolders()
+}
+
+func (w *world) write(l *Leader) {
+	write := l.NextWrite()
+	if write == nil {
+		return
+	}
+	if write.Map.End != w.stored.End {
+		l.Stop()
+		return
+	}
+	w.stored = write.Map.clone()
+	w.stored.Offset, w.stored.End = w.stored.End, w.stored.End+1
+	l.Written(w.now, w.stored.Offset, w.stored.End)
+}
+
+func (w *world) deliver(c Call) Answer {
+	s := w.servers[c.Server.ID]
+	if s == nil || s.down || s.Born != c.Server.Born {
+		return Answer{Status: Unanswered}
+	}
+	if c.Kind == Grant {
+		w.checkFence(c)
+	}
+	a := s.apply(w.now, w.now, c)
+	if s.deaf {
+		return Answer{Status: Unanswered}
+	}
+	return a
+}
+
+func (w *world) checkFence(c Call) {
+	fences := w.granted[c.From]
+	if fences == nil {
+		fences = map[string]uint64{}
+		w.granted[c.From] = fences
+	}
+	for id, f := range fences {
+		if id != c.Server.ID {
+			require.Greater(w.t, c.Fence, f, "fence of the grant of %d to %s", c.From, c.Server.ID)
+		}
+	}
+	fences[c.Server.ID] = max(fences[c.Server.ID], c.Fence)
+}
+
+// checkHolders fails if two servers hold a range for longer than a short grant.
+func (w *world) checkHolders() {
+	holders := map[uint16]string{}
+	for id, s := range w.servers {
+		for from, end := range s.held {
+			if end <= w.now+FenceHold {
+				continue
+			}
+			require.Empty(w.t, holders[from], "%s and %s hold %d", holders[from], id, from)
+			holders[from] = id
+		}
+	}
+}
+
+func (w *world) run(d time.Duration, leaders ...*Leader) {
+	for end := w.now + d; w.now < end; {
+		w.step(leaders...)
+	}
+}
+
+// owners counts the settled ranges of each server in the stored map.
+func (w *world) owners() map[string]int {
+	n := map[string]int{}
+	for _, r := range w.stored.Services["stock"] {
+		if r.Moving() {
+			n["moving"]++
+		} else {
+			n[r.Owner.ID]++
+		}
+	}
+	return n
+}
+
+func (w *world) placed(host string) *Leader {
+	l := w.lead(host)
+	l.Servers(w.listed())
+	w.run(4*time.Second, l)
+	return l
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -74,6 +74,7 @@
 	TermEnded          Code = 411
 	MapObserved        Code = 412
 	GrantUnanswered    Code = 413
+	FormerLeaderEnded  Code = 414
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -135,6 +136,7 @@
 	{TermEnded, "term_ended", "This host does not lead the assignment of keys any more."},
 	{MapObserved, "map_observed", "A newer assignment of keys was read."},
 	{GrantUnanswered, "grant_unanswered", "A grant or release got no answer; it may take effect later."},
+	{FormerLeaderEnded, "former_leader_ended", "The process of the former leader is known to have ended, so it grants nothing more."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
 	{SliceReleased, "slice_released", "A server released a slice."},
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -35,6 +35,9 @@
 	// AppendMap appends a map if the log ends at m.End. It returns ErrConflict if
 	// not; after any other error the map may have been or may yet be written.
 	AppendMap(ctx context.Context, m *assignment.Map) (offset, end uint64, err error)
+	// Ended says whether the process of another host is known to have ended,
+	// because the host has a newer one.
+	Ended(ctx context.Context, incarnation string) (bool, error)
 }
 
 // Orders sends calls to servers.
@@ -57,6 +60,8 @@
 	contact  time.Duration   // a read that was sent then showed nothing newer
 	answered *answered
 	written  *written
+	ended    bool // the former leader's process has ended
+	term     uint64
 }
 
 type answered struct {
@@ -82,6 +87,7 @@
 	limits    sync.Map // address: chan struct{}
 
 	leader *assignment.Leader
+	former string // incarnation of the leader before this host's term
 	newest *assignment.Map
 	known  bool // the map was read at least once
 	wake   time.Duration
@@ -129,7 +135,7 @@
 		case <-ctx.Done():
 			return nil
 		case m := <-a.ring:
-			if err := a.take(m); err != nil {
+			if err := a.take(ctx, m); err != nil {
 				return err
 			}
 			continue
@@ -141,7 +147,7 @@
 	}
 }
 
-func (a *Assigner) take(m message) error {
+func (a *Assigner) take(ctx context.Context, m message) error {
 	now, err := clock.Now()
 	if err != nil {
 		return err
@@ -152,7 +158,12 @@
 	case m.answered != nil:
 		a.takeAnswer(now, *m.answered)
 	case m.written != nil:
-		a.takeWritten(now, *m.written)
+		a.takeWritten(ctx, now, *m.written)
+	case m.ended:
+		if a.leader != nil && a.leader.Term() == m.term {
+			a.options.Journal.Event(event.FormerLeaderEnded, "term", m.term)
+			a.leader.FormerEnded(now)
+		}
 	case a.leader != nil:
 		a.leader.Contact(m.contact)
 	}
@@ -184,7 +195,7 @@
 	}
 }
 
-func (a *Assigner) takeWritten(now time.Duration, w written) {
+func (a *Assigner) takeWritten(ctx context.Context, now time.Duration, w written) {
 	if a.leader == nil || a.leader.Stopped() {
 		return
 	}
@@ -200,7 +211,10 @@
 		a.options.OnMap(m)
 	}
 	if !was && a.leader.Leading() {
-		a.options.Journal.Event(event.TermStarted, "term", m.Term, "offset", m.Offset)
+		a.options.Journal.Event(event.TermStarted, "term", m.Term, "offset", m.Offset, "former", a.former)
+		if a.former != "" {
+			go a.watchFormer(ctx, a.former, m.Term)
+		}
 	}
 	a.endTerm("resigned")
 }
@@ -235,6 +249,7 @@
 		if m == nil {
 			m = &assignment.Map{}
 		}
+		a.former = m.Leader
 		a.leader = assignment.Lead(now, m, assignment.Options{Host: a.options.Host, Stripes: a.options.Stripes})
 	}
 	a.leader.Servers(*servers)
@@ -259,6 +274,29 @@
 	a.ring <- message{answered: &answered{call: c, answer: answer}}
 }
 
+// watchFormer finds out whether the former leader's process has ended, for as
+// long as it may grant.
+func (a *Assigner) watchFormer(ctx context.Context, former string, term uint64) {
+	for range int(assignment.LeaderLimit / watchFormerEvery) {
+		ended, err := a.options.Store.Ended(ctx, former)
+		if err != nil {
+			a.options.Journal.Routine(event.AdapterFailed, "operation", "look for the former leader", "error", err)
+		}
+		if ended {
+			a.ring <- message{ended: true, term: term}
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(watchFormerEvery):
+		}
+	}
+}
+
+// watchFormerEvery spaces calls to the store about the former leader.
+const watchFormerEvery = time.Second
+
 // write repeats a write until its result is certain.
 func (a *Assigner) write(ctx context.Context, m *assignment.Map) {
 	for {
