Read the store at one host and split busy key ranges

In spells of neighbouring busy keys one or two of 256 ranges got up to 40% of a kind.

Change: the leading host reads the store and passes configuration, servers and differences of the map on through a long poll (relay/follow, twirp); a host that hears no leader with contact to the store within a second reads itself. Hosts report the keys that were asked for; the leader splits busy ranges and moves the parts with handover when the excess is significant (core/assignment/heat.go).

--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -102,12 +102,14 @@
 	stopped   bool
 	resigning bool
 	since     map[string]time.Duration // service: first server seen
+	heats     map[string]*heat         // by service
+	balanceAt time.Duration            // earliest next balancing
 }
 
 // Lead starts a term after the map m. The term begins when the first write is
 // acknowledged.
 func Lead(now time.Duration, m *Map, o Options) *Leader {
-	l := &Leader{options: o, acked: m, calls: map[uint64]*tracked{}, servers: map[string]map[string]directory.Server{}, since: map[string]time.Duration{}}
+	l := &Leader{options: o, acked: m, calls: map[uint64]*tracked{}, servers: map[string]map[string]directory.Server{}, since: map[string]time.Duration{}, heats: map[string]*heat{}}
 	l.draft = m.clone()
 	l.draft.Term++
 	l.draft.Sequence = 0
@@ -236,6 +238,7 @@
 	} else {
 		l.place(now)
 		l.plan(now)
+		l.balance(now)
 	}
 	var calls []Call
 	for _, t := range l.ranges {
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -80,6 +80,13 @@
 	return changed
 }
 
+// Adopt replaces all servers by those that the leading host knows, which has
+// waited for lapsed entries itself.
+func (d *Directory) Adopt(servers map[string]Server) {
+	d.servers = maps.Clone(servers)
+	clear(d.lapsed)
+}
+
 // Store notes whether the store serves.
 func (d *Directory) Store(now time.Duration, reachable bool) {
 	if d.disrupted && reachable {
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -60,7 +60,9 @@
 	contact  time.Duration   // a read that was sent then showed nothing newer
 	answered *answered
 	written  *written
-	ended    bool // the former leader's process has ended
+	service  string
+	keys     []uint16 // that requests for the service asked for
+	ended    bool     // the former leader's process has ended
 	term     uint64
 }
 
@@ -80,6 +82,8 @@
 	options   Options
 	ring      chan message
 	elected   atomic.Bool
+	leading   atomic.Bool
+	published atomic.Pointer[assignment.Map]
 	resigning atomic.Bool
 	resigned  chan struct{}
 	once      sync.Once
@@ -105,7 +109,10 @@
 func (a *Assigner) Elect(yes bool) { a.elected.Store(yes) }
 
 // Leading says whether this host leads.
-func (a *Assigner) Elected() bool { return a.elected.Load() }
+func (a *Assigner) Leading() bool { return a.leading.Load() }
+
+// Newest returns the newest map that is known, or nil.
+func (a *Assigner) Newest() *assignment.Map { return a.published.Load() }
 
 // SetServers sets the servers of keyed services.
 func (a *Assigner) SetServers(s map[string]map[string]directory.Server) { a.servers.Store(&s) }
@@ -116,6 +123,17 @@
 // Contact notes that a read sent at the given time showed no newer map.
 func (a *Assigner) Contact(sent time.Duration) { a.ring <- message{contact: sent} }
 
+// Arrived notes the keys that requests for a service asked for.
+func (a *Assigner) Arrived(service string, keys []uint16) {
+	if len(keys) == 0 || !a.leading.Load() {
+		return
+	}
+	select {
+	case a.ring <- message{service: service, keys: keys}:
+	default: // busy keys are an estimate; answers of calls go first
+	}
+}
+
 // Resign gives up the term in an orderly way and returns when it has ended, when
 // this host does not lead, or when ctx ends.
 func (a *Assigner) Resign(ctx context.Context) {
@@ -138,12 +156,14 @@
 			if err := a.take(ctx, m); err != nil {
 				return err
 			}
+			a.leading.Store(a.leader != nil && a.leader.Leading())
 			continue
 		case <-ticker.C:
 		}
 		if err := a.tick(ctx); err != nil {
 			return err
 		}
+		a.leading.Store(a.leader != nil && a.leader.Leading())
 	}
 }
 
@@ -159,6 +179,10 @@
 		a.takeAnswer(now, *m.answered)
 	case m.written != nil:
 		a.takeWritten(ctx, now, *m.written)
+	case m.keys != nil:
+		if a.leader != nil {
+			a.leader.Arrived(m.service, m.keys)
+		}
 	case m.ended:
 		if a.leader != nil && a.leader.Term() == m.term {
 			a.options.Journal.Event(event.FormerLeaderEnded, "term", m.term)
@@ -175,15 +199,20 @@
 	if a.newest != nil && m.End <= a.newest.End {
 		return
 	}
-	a.newest = m
-	a.options.Journal.Event(event.MapObserved, "offset", m.Offset, "term", m.Term, "sequence", m.Sequence, "leader", m.Leader)
-	a.options.OnMap(m)
+	a.publish(m)
+	a.options.Journal.Routine(event.MapObserved, "offset", m.Offset, "term", m.Term, "sequence", m.Sequence, "leader", m.Leader)
 	if a.leader != nil {
 		a.leader.Observe(m)
 		a.endTerm("a newer map was read")
 	}
 }
 
+func (a *Assigner) publish(m *assignment.Map) {
+	a.newest = m
+	a.published.Store(m)
+	a.options.OnMap(m)
+}
+
 func (a *Assigner) takeAnswer(now time.Duration, w answered) {
 	if w.answer.Status != assignment.Done {
 		a.options.Journal.Event(event.GrantUnanswered, "service", w.call.Service, "server", w.call.Server.ID, "kind", int(w.call.Kind),
@@ -207,8 +236,7 @@
 	was := a.leader.Leading()
 	m := a.leader.Written(now, w.offset, w.end)
 	if a.newest == nil || m.End > a.newest.End {
-		a.newest = m
-		a.options.OnMap(m)
+		a.publish(m)
 	}
 	if !was && a.leader.Leading() {
 		a.options.Journal.Event(event.TermStarted, "term", m.Term, "offset", m.Offset, "former", a.former)
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -61,6 +61,30 @@
 	pools   map[string]*pool // by service
 	servers map[string]directory.Server
 	counts  Counts
+
+	arrivalsMu sync.Mutex
+	arrivals   map[string][]uint16 // keys asked for since the last report, by service
+}
+
+// maxArrivals bounds the keys of a service in one report.
+const maxArrivals = 512
+
+// arrived notes the key of a request.
+func (e *Edge) arrived(service string, key uint16) {
+	e.arrivalsMu.Lock()
+	defer e.arrivalsMu.Unlock()
+	if len(e.arrivals[service]) < maxArrivals {
+		e.arrivals[service] = append(e.arrivals[service], key)
+	}
+}
+
+// TakeArrivals returns the keys asked for since the last call, by service.
+func (e *Edge) TakeArrivals() map[string][]uint16 {
+	e.arrivalsMu.Lock()
+	defer e.arrivalsMu.Unlock()
+	taken := e.arrivals
+	e.arrivals = map[string][]uint16{}
+	return taken
 }
 
 // Counts are the totals since the start.
@@ -76,7 +100,7 @@
 
 // New returns an Edge that knows no configuration.
 func New(o Options) *Edge {
-	return &Edge{options: o, start: time.Now(), splitter: routes.NewSplitter(), pools: map[string]*pool{}}
+	return &Edge{options: o, start: time.Now(), splitter: routes.NewSplitter(), pools: map[string]*pool{}, arrivals: map[string][]uint16{}}
 }
 
 func (e *Edge) now() time.Duration { return time.Since(e.start) }
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -81,6 +81,7 @@
 	j.deadline = r.Arrived.Add(e.allowance(r, route))
 	if key, err := strconv.ParseUint(r.Header.Get(e.options.Headers.Key), 10, 16); err == nil && j.pool.keyed {
 		j.key, j.keyed = uint16(key), true
+		e.arrived(j.service, j.key)
 	}
 	j.pool.firstArrival()
 	return j.run(ctx)
--- /dev/null
+++ b/relay/follow/follower.go
@@ -0,0 +1,197 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"parsleyrelay.example/api/followv1"
+	"parsleyrelay.example/core/assignment"
+	"parsleyrelay.example/core/directory"
+	"parsleyrelay.example/core/event"
+	"parsleyrelay.example/core/routes"
+	"parsleyrelay.example/relay/telemetry"
+)
+
+// Times of a Follower.
+const (
+	// callWait is the wait of a call without news. Arrivals are reported with each
+	// call, and busy keys must be known within a fraction of a second.
+	callWait = 350 * time.Millisecond
+	// callTimeout bounds a call besides its wait.
+	callTimeout = 500 * time.Millisecond
+	// MaxAge is the age of the leader's last contact with the store, and of a
+	// host's last contact with the leader, up to which the host follows. Together
+	// with a read of the store it stays below the two seconds within which a
+	// configuration is in force.
+	MaxAge = time.Second
+	// pauseAfterFailure spaces calls to a leader that does not answer.
+	pauseAfterFailure = 200 * time.Millisecond
+)
+
+// Beliefs is what a follower knows and where it puts what it learns.
+type Beliefs interface {
+	ConfigVersion() uint64
+	Map() *assignment.Map // newest; nil for none
+	Leader() (incarnation, address string)
+	TakeConfig(routes.Config)
+	// TakeServers replaces all servers.
+	TakeServers(map[string]directory.Server)
+	TakeMap(*assignment.Map)
+	// Arrivals returns the keys asked for since the last call, by service.
+	Arrivals() map[string][]uint16
+}
+
+// Follower follows the leading host.
+type Follower struct {
+	host     string
+	beliefs  Beliefs
+	journal  *telemetry.Journal
+	http     *http.Client
+	heard    atomic.Int64 // Unix nanoseconds of the monotonic clock's base plus elapsed time
+	base     time.Time
+	source   string
+	revision uint64
+	servers  map[string]directory.Server
+	hears    bool
+}
+
+// NewFollower returns a follower that does not run yet.
+func NewFollower(host string, beliefs Beliefs, journal *telemetry.Journal) *Follower {
+	f := &Follower{host: host, beliefs: beliefs, journal: journal, base: time.Now()}
+	f.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}, Timeout: callWait + callTimeout}
+	f.heard.Store(int64(-time.Hour))
+	return f
+}
+
+// Silence returns the time since a leader with contact to the store was heard.
+func (f *Follower) Silence() time.Duration {
+	return time.Since(f.base) - time.Duration(f.heard.Load())
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		leader, address := f.beliefs.Leader()
+		if address == "" || leader == f.host {
+			f.note(false, leader, nil)
+			pause(ctx, pauseAfterFailure)
+			continue
+		}
+		ok, err := f.call(ctx, address)
+		f.note(ok, leader, err)
+		if !ok {
+			pause(ctx, pauseAfterFailure)
+		}
+	}
+	return nil
+}
+
+// note logs when the leader is heard again or no more.
+func (f *Follower) note(ok bool, leader string, err error) {
+	if ok {
+		f.heard.Store(int64(time.Since(f.base)))
+	}
+	hears := f.Silence() < MaxAge
+	if hears == f.hears {
+		return
+	}
+	f.hears = hears
+	if hears {
+		f.journal.Event(event.LeaderHeard, "leader", leader)
+	} else {
+		f.journal.Event(event.LeaderSilent, "leader", leader, "silence_ms", f.Silence().Milliseconds(), "error", err)
+	}
+}
+
+func (f *Follower) call(ctx context.Context, address string) (bool, error) {
+	request := &followv1.FollowRequest{Host: f.host, ConfigVersion: f.beliefs.ConfigVersion(), ServersSource: f.source, ServersRevision: f.revision,
+		WaitMs: uint32(callWait.Milliseconds())}
+	if m := f.beliefs.Map(); m != nil {
+		request.MapEnd = m.End
+	}
+	for service, keys := range f.beliefs.Arrivals() {
+		a := &followv1.Arrivals{Service: service, Keys: make([]uint32, len(keys))}
+		for i, k := range keys {
+			a.Keys[i] = uint32(k)
+		}
+		request.Arrivals = append(request.Arrivals, a)
+	}
+	r, err := followv1.NewLeaderProtobufClient("http://"+address, f.http).Follow(ctx, request)
+	if err != nil {
+		return false, err
+	}
+	if !r.Leading {
+		return false, nil
+	}
+	if err := f.take(r); err != nil {
+		return false, err
+	}
+	return time.Duration(r.AgeMs)*time.Millisecond < MaxAge, nil
+}
+
+func (f *Follower) take(r *followv1.FollowResponse) error {
+	if len(r.Config) > 0 {
+		var c routes.Config
+		if err := json.Unmarshal(r.Config, &c); err != nil {
+			return fmt.Errorf("configuration of the leader: %w", err)
+		}
+		f.beliefs.TakeConfig(c)
+	}
+	if r.AllServers || r.Host != f.source {
+		f.servers = map[string]directory.Server{}
+	}
+	f.source, f.revision = r.Host, r.ServersRevision
+	for _, c := range r.Servers {
+		if c.Removed {
+			delete(f.servers, c.Id)
+			continue
+		}
+		f.servers[c.Id] = directory.Server{ID: c.Id, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone,
+			Slots: int(c.Slots), Draining: c.Draining, Cold: c.Cold}
+	}
+	if len(r.Servers) > 0 || r.AllServers {
+		f.beliefs.TakeServers(f.servers)
+	}
+	if r.Map != nil {
+		return f.takeMap(r.Map)
+	}
+	return nil
+}
+
+func (f *Follower) takeMap(c *followv1.MapChange) error {
+	base := &assignment.Map{}
+	if c.BaseEnd > 0 {
+		if base = f.beliefs.Map(); base == nil || base.End != c.BaseEnd {
+			return nil // a newer map came from the store meanwhile
+		}
+	}
+	servers := make([]assignment.Incarnation, len(c.Servers))
+	for i, s := range c.Servers {
+		servers[i] = assignment.Incarnation{ID: s.Id, Born: s.Born, Address: s.Address}
+	}
+	updates := make([]assignment.Update, 0, len(c.Ranges))
+	for _, r := range c.Ranges {
+		if int(r.Owner) >= len(servers) || int(r.Previous) > len(servers) || r.To >= assignment.Keys || r.From > r.To {
+			return fmt.Errorf("map at %d: range %d to %d is not valid", c.End, r.From, r.To)
+		}
+		u := assignment.Update{Service: r.Service, Range: assignment.Range{From: uint16(r.From), To: uint16(r.To), Owner: servers[r.Owner]}}
+		if r.Previous > 0 {
+			u.Range.Previous = servers[r.Previous-1]
+		}
+		updates = append(updates, u)
+	}
+	head := assignment.Map{Offset: c.Offset, End: c.End, Term: c.Term, Leader: c.Leader, Sequence: c.Sequence, Resigned: c.Resigned}
+	f.beliefs.TakeMap(assignment.Apply(base, head, updates))
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
