--- a/core/assignment/heat.go
+++ b/core/assignment/heat.go
@@ -38,7 +38,7 @@
 
 var (
 	spellPace = pace{every: 300 * time.Millisecond, decay: 0.72, tolerance: 0.25, significance: 3, moves: maxMovesPerBalance}
-	trendPace = pace{every: 900 * time.Millisecond, decay: 0.88, tolerance: 0.15, significance: 2.2, moves: 4}
+	trendPace = pace{every: 900 * time.Millisecond, decay: 0.92, tolerance: 0.2, significance: 3, moves: 4}
 )
 
 // heat counts the arrivals of each key of a service, with decay.
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -106,12 +106,13 @@
 	heats     map[string]*heats        // by service
 	speeds    map[string]*speed        // by server
 	gone      map[Incarnation]bool     // another server answered at the address
+	filling   map[Incarnation]bool     // servers that had nothing and get their share
 }
 
 // Lead starts a term after the map m. The term begins when the first write is
 // acknowledged.
 func Lead(now time.Duration, m *Map, o Options) *Leader {
-	l := &Leader{options: o, acked: m, calls: map[uint64]*tracked{}, servers: map[string]map[string]directory.Server{}, since: map[string]time.Duration{}, heats: map[string]*heats{}, speeds: map[string]*speed{}, gone: map[Incarnation]bool{}}
+	l := &Leader{options: o, acked: m, calls: map[uint64]*tracked{}, servers: map[string]map[string]directory.Server{}, since: map[string]time.Duration{}, heats: map[string]*heats{}, speeds: map[string]*speed{}, gone: map[Incarnation]bool{}, filling: map[Incarnation]bool{}}
 	l.draft = m.clone()
 	l.draft.Term++
 	l.draft.Sequence = 0
@@ -298,6 +299,9 @@
 			continue
 		}
 		stripes := l.options.Stripes
+		for stripes < stripesPerServer*len(ready) && stripes < maxRanges {
+			stripes *= 2
+		}
 		width := Keys / stripes
 		var ranges []Range
 		for i := range stripes {
@@ -317,6 +321,10 @@
 	}
 }
 
+// stripesPerServer keeps the difference between servers that have one stripe more
+// or less small.
+const stripesPerServer = 5
+
 // placementStep shifts the order of servers from round to round.
 const placementStep = 2
 
@@ -361,12 +369,21 @@
 	}
 }
 
-// fill gives servers that hold less than their share ranges of the servers that
-// hold the most.
+// fill gives servers that hold nothing ranges of the servers that hold the most,
+// until they have their share. Balancing by load may take ranges away later.
 func (l *Leader) fill(now time.Duration, service string, ready []directory.Server, counts map[string]int, slots int) {
 	total := len(l.newest().Services[service])
 	share := func(s directory.Server) int { return total * max(1, s.Slots) / slots }
 	for _, to := range ready {
+		if counts[to.ID] == 0 {
+			l.filling[IncarnationOf(to)] = true
+		}
+		if !l.filling[IncarnationOf(to)] {
+			continue
+		}
+		if counts[to.ID] >= share(to) {
+			delete(l.filling, IncarnationOf(to))
+		}
 		for counts[to.ID] < share(to) {
 			t := l.surplus(service, ready, counts, share)
 			if t == nil {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -10,6 +10,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Constants of the policy.
@@ -28,7 +30,13 @@
 	// MinWindow lets a host learn that a server has room again.
 	MinWindow = 1.0
 	// reportAge is the age at which a report of a server's load says nothing.
-	reportAge = 400 * time.Millisecond
+	reportAge = 800 * time.Millisecond
+	// SubsetSize is the number of servers of a service without keys that a host
+	// uses. With fewer requests to each server a host would know too little of them.
+	SubsetSize = 14
+	// crossZoneCost multiplies the expected latency of servers in other zones, to
+	// which bytes are dearer.
+	crossZoneCost = 1.08
 	// FailurePause keeps requests from a server that could not be reached.
 	FailurePause = 500 * time.Millisecond
 	// MaxFailurePause bounds the doubled pauses.
@@ -36,6 +44,8 @@
 	// ReplacedPause keeps requests from a server whose address another one has; its
 	// entry disappears within a few seconds.
 	ReplacedPause = 3 * time.Second
+	// MaxQueuePause bounds the pause after a report of a long queue.
+	MaxQueuePause = 400 * time.Millisecond
 	// FullPause keeps requests from a server that refused one for lack of room.
 	FullPause = 60 * time.Millisecond
 	// MaxHold bounds the wait for a range that is being moved.
@@ -142,22 +152,39 @@
 	waiting []*waiter // by rank, then arrival
 	window  float64   // requests in flight of all servers together, for services without keys
 	total   int       // in flight
+	host    string
 	zone    string
 	tickets uint64
 	shrunk  time.Duration
 	limited bool // a request waited for the window since it last grew
 }
 
+// startWindow is the common window before anything is known of the load.
+const startWindow = 4
+
 // NewPool returns the pool of a service at a host in zone.
-func NewPool(zone string, owner Owner) *Pool {
-	return &Pool{servers: map[string]*server{}, owner: owner, zone: zone, window: 4}
+func NewPool(host, zone string, owner Owner) *Pool {
+	return &Pool{servers: map[string]*server{}, owner: owner, host: host, zone: zone, window: startWindow}
+}
+
+// subset returns the servers that the host uses: all of a keyed service and of a
+// small one, else those that score highest for this host, which differ from host
+// to host.
+func (p *Pool) subset(list []Server) []Server {
+	if p.owner != nil || len(list) <= SubsetSize {
+		return list
+	}
+	score := func(s Server) uint64 { return xxhash.Sum64String(p.host + "|" + s.ID) }
+	chosen := slices.Clone(list)
+	slices.SortFunc(chosen, func(a, b Server) int { return cmp.Compare(score(b), score(a)) })
+	return chosen[:SubsetSize]
 }
 
 // SetServers replaces the servers that requests may go to. Requests in flight at
 // others end as usual.
 func (p *Pool) SetServers(now time.Duration, list []Server) {
 	keep := map[string]bool{}
-	for _, s := range list {
+	for _, s := range p.subset(list) {
 		keep[s.ID] = true
 		known := p.servers[s.ID]
 		if known == nil {
@@ -374,6 +401,9 @@
 		if s.Cold {
 			cost *= 2
 		}
+		if s.Zone != p.zone {
+			cost *= crossZoneCost
+		}
 		if best == nil || cost < least {
 			best, least = s, cost
 		}
@@ -444,6 +474,10 @@
 	case waiting > slots/4+1:
 		s.window = max(MinWindow, s.window*Shrink)
 		p.shrink(now)
+		if p.owner != nil && waiting > slots {
+			// Many hosts send to the server; each lets its queue run down first.
+			s.until = max(s.until, now+min(seconds((waiting-slots/2)/slots*s.latency/2), MaxQueuePause))
+		}
 	case waiting == 0:
 		s.window = min(s.window+0.25, slots+1)
 		if p.limited {
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -303,7 +303,7 @@
 	if keyed {
 		owner = func(key uint16) (string, time.Duration) { return e.owner(service, key) }
 	}
-	p.pool = dispatch.NewPool(e.options.Zone, owner)
+	p.pool = dispatch.NewPool(e.options.Host, e.options.Zone, owner)
 	p.budget = retry.Share{Ratio: e.options.Budget.Ratio, Slack: e.options.Budget.Slack, Window: e.options.Budget.Window}
 	return p
 }
