--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -160,7 +160,7 @@
 }
 
 // startWindow is the common window before anything is known of the load.
-const startWindow = 4
+const startWindow = 6
 
 // NewPool returns the pool of a service at a host in zone.
 func NewPool(host, zone string, owner Owner) *Pool {
@@ -205,6 +205,7 @@
 		p.order = append(p.order, s)
 	}
 	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	p.window = min(p.window, p.maxWindow())
 	p.Dispatch(now)
 }
 
@@ -394,7 +395,7 @@
 		}
 		slots := float64(max(1, s.Slots))
 		out := s.outstanding(now)
-		if out >= 2*slots || w.Rank > 0 && out >= slots+1 {
+		if out >= 2*slots || w.Rank > 0 && out >= slots {
 			continue
 		}
 		cost := s.latency * (1 + errorCost*s.errors*s.errors) * (1 + max(0, out+1-slots)/slots + 0.1*out/slots)
@@ -481,7 +482,7 @@
 	case waiting == 0:
 		s.window = min(s.window+0.25, slots+1)
 		if p.limited {
-			p.window = min(p.window+0.5, p.maxWindow())
+			p.window = min(p.window+1, p.maxWindow())
 			p.limited = false
 		}
 	}
--- /dev/null
+++ b/relay/ingress/ingress_test.go
@@ -0,0 +1,163 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/core/routes"
+)
+
+func serve(t *testing.T, handler Handler) (*Server, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	limits := routes.Limits{HeaderBytes: 1024, BodyBytes: 64, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: time.Second}
+	s := &Server{Handler: handler, Limits: func() routes.Limits { return limits }}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return s, l.Addr().String()
+}
+
+func echo(_ context.Context, r *Request) *Response {
+	return &Response{Status: http.StatusOK, Header: http.Header{"X-Path": {r.URL.Path}}, Body: r.Payload}
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	return c, bufio.NewReader(c)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func read(t *testing.T, r *bufio.Reader) *http.Response {
+	response, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response
+}
+
+// Guards against pipelined requests that wait for each other, and against
+// responses out of order.
+func TestPipelinedRequestsRunSideBySideInOrder(t *testing.T) {
+	second := make(chan struct{})
+	_, address := serve(t, func(ctx context.Context, r *Request) *Response {
+		if r.URL.Path == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		return echo(ctx, r)
+	})
+	c, reader := dial(t, address)
+	_, err := io.WriteString(c, get("/1")+get("/2"))
+	require.NoError(t, err)
+	require.Equal(t, "/1", read(t, reader).Header.Get("X-Path"))
+	require.Equal(t, "/2", read(t, reader).Header.Get("X-Path"))
+}
+
+// Guards against work that goes on after the caller has closed its connection.
+func TestClosedConnectionEndsTheContext(t *testing.T) {
+	ended := make(chan struct{})
+	started := make(chan struct{})
+	_, address := serve(t, func(ctx context.Context, _ *Request) *Response {
+		close(started)
+		<-ctx.Done()
+		close(ended)
+		return &Response{Abort: true}
+	})
+	c, _ := dial(t, address)
+	_, err := io.WriteString(c, get("/"))
+	require.NoError(t, err)
+	<-started
+	require.NoError(t, c.Close())
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the context did not end within half a second")
+	}
+}
+
+// Guards against a request that runs although the response before it closed the
+// connection: the caller sends it again.
+func TestNothingRunsBehindAClosingResponse(t *testing.T) {
+	ran := make(chan string, 4)
+	release := make(chan struct{})
+	s, address := serve(t, func(ctx context.Context, r *Request) *Response {
+		ran <- r.URL.Path
+		<-release
+		return echo(ctx, r)
+	})
+	s.Drain()
+	c, reader := dial(t, address)
+	_, err := io.WriteString(c, get("/1"))
+	require.NoError(t, err)
+	require.Equal(t, "/1", <-ran)
+	close(release)
+	response := read(t, reader)
+	require.True(t, response.Close)
+	_, _ = io.WriteString(c, get("/2"))
+	select {
+	case path := <-ran:
+		t.Fatalf("%s ran behind a closing response", path)
+	case <-time.After(200 * time.Millisecond):
+	}
+}
+
+// Guards against pipelined requests that a drain leaves without a response.
+func TestDrainAnswersWhatWasRead(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{}, 2)
+	s, address := serve(t, func(ctx context.Context, r *Request) *Response {
+		started <- struct{}{}
+		<-release
+		return echo(ctx, r)
+	})
+	c, reader := dial(t, address)
+	idle, _ := dial(t, address)
+	_, err := io.WriteString(c, get("/1")+get("/2"))
+	require.NoError(t, err)
+	<-started
+	<-started
+	s.Drain()
+	finished := make(chan error, 1)
+	go func() { finished <- s.Finish(context.Background()) }()
+	close(release)
+	require.False(t, read(t, reader).Close)
+	require.True(t, read(t, reader).Close)
+	require.NoError(t, <-finished)
+	_, err = idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against callers that send more than the limits allow, or too slowly.
+func TestLimits(t *testing.T) {
+	_, address := serve(t, echo)
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"header":  {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 8192) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"body":    {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65), http.StatusRequestEntityTooLarge},
+		"slow":    {"GET / HTTP/1.1\r\nHost:", http.StatusRequestTimeout},
+		"garbage": {"no request at all\r\n\r\n", http.StatusBadRequest},
+		"chunks":  {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, reader := dial(t, address)
+			_, err := io.WriteString(conn, c.text)
+			require.NoError(t, err)
+			require.Equal(t, c.status, read(t, reader).StatusCode)
+		})
+	}
+}
