--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -46,6 +46,7 @@
 	Headers Headers
 	Budget  RetryBudget // this host's part
 	Journal *telemetry.Journal
+	Metrics *telemetry.Metrics
 	Client  *upstream.Client
 }
 
@@ -60,7 +61,7 @@
 	mu      sync.Mutex
 	pools   map[string]*pool // by service
 	servers map[string]directory.Server
-	counts  Counts
+	bound   sync.Map // metric and labels: telemetry.Bound
 
 	reportMu sync.Mutex
 	report   Report
@@ -114,11 +115,6 @@
 	return taken
 }
 
-// Counts are the totals since the start.
-type Counts struct {
-	Served, Refused, Failed, Retried, Abandoned, Rejected atomic.Uint64
-}
-
 // View is the assignment that requests follow.
 type View struct {
 	Map   *assignment.Map
@@ -132,9 +128,6 @@
 
 func (e *Edge) now() time.Duration { return time.Since(e.start) }
 
-// Counts returns the totals.
-func (e *Edge) Counts() *Counts { return &e.counts }
-
 // Limits returns the limits in force.
 func (e *Edge) Limits() routes.Limits {
 	t := e.table.Load()
@@ -166,6 +159,7 @@
 		return false
 	}
 	e.table.Store(routes.NewTable(c))
+	e.record(telemetry.MetricConfigVersion, float64(c.Version))
 	for name := range c.Services {
 		e.poolLocked(name)
 	}
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -13,6 +13,7 @@
 	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/ingress"
+	"parsleyrelay.example/relay/telemetry"
 	"parsleyrelay.example/relay/upstream"
 )
 
@@ -54,27 +55,36 @@
 	failure    *ingress.Response // a server's own failure, if there is nothing better
 	lastServer string
 	lastError  error
+	reason     string // of a refusal or failure, for metrics
 }
 
 // Handle answers a request.
 func (e *Edge) Handle(ctx context.Context, r *ingress.Request) *ingress.Response {
+	j, answer := e.begin(r)
+	if answer == nil {
+		answer = j.run(ctx)
+	}
+	e.count(j, r, answer)
+	return answer
+}
+
+// begin looks up the route of a request. It returns a response if there is
+// nothing to be sent to a server.
+func (e *Edge) begin(r *ingress.Request) (*job, *ingress.Response) {
 	table := e.table.Load()
 	if table == nil {
-		e.counts.Refused.Add(1)
 		e.options.Journal.Event(event.RequestRefused, "request_id", r.Header.Get(e.options.Headers.RequestID), "reason", "no_configuration")
-		return refusal(http.StatusServiceUnavailable, unknownRetryAfter)
+		return nil, refusal(http.StatusServiceUnavailable, unknownRetryAfter)
 	}
 	id := r.Header.Get(e.options.Headers.RequestID)
 	route := table.Match(r.Host, requestPath(r.RequestURI))
 	if route == nil {
-		e.counts.Rejected.Add(1)
 		e.options.Journal.Event(event.RequestRefused, "request_id", id, "reason", "no_route", "config", table.Config.Version, "caller_host", r.Host, "path", r.RequestURI)
-		return refusal(http.StatusNotFound, 0)
+		return nil, refusal(http.StatusNotFound, 0)
 	}
 	if id == "" {
-		e.counts.Rejected.Add(1)
 		e.options.Journal.Event(event.RequestRefused, "reason", "no_request_id", "route", route.Name)
-		return refusal(http.StatusBadRequest, 0)
+		return nil, refusal(http.StatusBadRequest, 0)
 	}
 	j := &job{edge: e, request: r, route: route, id: id, service: e.splitter.Pick(route)}
 	j.pool = e.pool(j.service)
@@ -84,7 +94,7 @@
 		e.arrived(j.service, j.key)
 	}
 	j.pool.firstArrival()
-	return j.run(ctx)
+	return j, nil
 }
 
 func requestPath(uri string) string {
@@ -274,7 +284,7 @@
 }
 
 func (j *job) retried(s dispatch.Server, reason string) {
-	j.edge.counts.Retried.Add(1)
+	j.edge.record(telemetry.MetricRetries, 1, j.service, strconv.Itoa(j.route.Rank))
 	j.edge.options.Journal.Event(event.RequestRetried, "request_id", j.id, "route", j.route.Name, "service", j.service, "server", s.ID,
 		"reason", reason, "sends", j.sends, "left_ms", time.Until(j.deadline).Milliseconds())
 }
@@ -303,7 +313,6 @@
 	case result.Outcome == dispatch.Failed:
 		return j.failed(s, r, signed)
 	}
-	j.edge.counts.Served.Add(1)
 	if j.keyed && result.Load != nil && result.Load.Waiting == 0 && result.Load.Running < result.Load.Slots {
 		j.edge.served(s.ID, latency)
 	}
@@ -374,7 +383,7 @@
 	if j.failure != nil || j.runs > 0 {
 		return j.giveUp(string(v.Reason))
 	}
-	j.edge.counts.Refused.Add(1)
+	j.reason = string(v.Reason)
 	j.edge.options.Journal.Event(event.RequestRefused, "request_id", j.id, "route", j.route.Name, "service", j.service, "reason", v.Reason,
 		"rank", j.route.Rank, "key", j.key, "sends", j.sends, "last_server", j.lastServer, "waited_ms", time.Since(j.request.Arrived).Milliseconds(),
 		"left_ms", time.Until(j.deadline).Milliseconds(), "retry_after_ms", v.RetryAfter.Milliseconds(), "config", j.edge.Version())
@@ -387,7 +396,7 @@
 	if j.failure == nil && j.runs == 0 {
 		return j.refused(dispatch.Verdict{Reason: dispatch.Reason(reason), RetryAfter: unknownRetryAfter})
 	}
-	j.edge.counts.Failed.Add(1)
+	j.reason = reason
 	j.edge.options.Journal.Event(event.RequestUnknown, "request_id", j.id, "route", j.route.Name, "service", j.service, "reason", reason,
 		"server", j.lastServer, "sends", j.sends, "runs", j.runs, "ms", time.Since(j.request.Arrived).Milliseconds(), "error", j.lastError)
 	if j.failure != nil {
@@ -400,7 +409,7 @@
 }
 
 func (j *job) abandoned() *ingress.Response {
-	j.edge.counts.Abandoned.Add(1)
+	j.reason = "caller_left"
 	j.edge.options.Journal.Routine(event.RequestAbandoned, "request_id", j.id, "route", j.route.Name, "server", j.lastServer,
 		"sends", j.sends, "ms", time.Since(j.request.Arrived).Milliseconds())
 	return &ingress.Response{Abort: true}
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -23,6 +23,10 @@
 	MetricCPU             = "parsleyrelay_process_cpu_seconds_total"
 	MetricControlBytes    = "parsleyrelay_control_bytes_total"
 	MetricConfigurationIn = "parsleyrelay_configuration_effect_seconds"
+	MetricStoreCalls      = "parsleyrelay_store_calls_total"
+	MetricConnections     = "parsleyrelay_server_connections_total"
+	MetricLinesOmitted    = "parsleyrelay_log_lines_omitted_total"
+	MetricConfigVersion   = "parsleyrelay_configuration_version"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table.
@@ -48,4 +52,8 @@
 	{MetricCPU, Observed, "s", nil, "CPU time of the process, user and system."},
 	{MetricControlBytes, Counter, "By", []string{"peer_kind", "direction"}, "Bytes of control messages with daemons, servers and the platform."},
 	{MetricConfigurationIn, Histogram, "s", nil, "Time from the acceptance of a change to its effect on this host."},
+	{MetricStoreCalls, Observed, "1", nil, "Calls to the platform's store, refused ones too."},
+	{MetricConnections, Observed, "1", nil, "Connections opened to backend servers."},
+	{MetricLinesOmitted, Observed, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
+	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
 }
--- a/relay/telemetry/journal.go
+++ b/relay/telemetry/journal.go
@@ -27,6 +27,7 @@
 	budget  atomic.Int64
 	dropped atomic.Uint64
 	skipped atomic.Uint64
+	omitted atomic.Uint64 // both, since the start
 	stop    chan struct{}
 	done    chan struct{}
 }
@@ -54,6 +55,7 @@
 		case <-ticker.C:
 			j.budget.Store(routinePerSecond)
 			if n, m := j.dropped.Swap(0), j.skipped.Swap(0); n+m > 0 {
+				j.omitted.Add(n + m)
 				_ = logger.Log("event", int(event.LinesOmitted), "name", j.names[event.LinesOmitted], "dropped", n, "routine", m)
 			}
 		case <-j.stop:
@@ -88,6 +90,9 @@
 	j.Event(code, keyvals...)
 }
 
+// Omitted returns the number of lines left out up to the last second.
+func (j *Journal) Omitted() uint64 { return j.omitted.Load() }
+
 // Close writes the lines that remain.
 func (j *Journal) Close() {
 	close(j.stop)
