Send idempotent requests with a key to their holder again

Cause: one cut response paused a server that holds keys for 500 ms and ended the request with 502, since no other server may run it.

Change: such a request is sent to the holder again within its attempts; the first pause of a keyed server is 30 ms and doubles with further failures.

Test: TestIdempotentRequestWithKeyIsSentToItsHolderAgain (502 before).

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -40,6 +40,9 @@
 	crossZoneCost = 1.08
 	// FailurePause keeps requests from a server that could not be reached.
 	FailurePause = 500 * time.Millisecond
+	// KeyedFailurePause is the first pause of a server that holds keys, which no
+	// other server can serve; one lost response says little.
+	KeyedFailurePause = 30 * time.Millisecond
 	// MaxFailurePause bounds the doubled pauses.
 	MaxFailurePause = 2 * time.Second
 	// ReplacedPause keeps requests from a server whose address another one has; its
@@ -406,7 +409,7 @@
 	if p.owner != nil && w.Keyed {
 		id, since := p.owner(w.Key)
 		s := p.servers[id]
-		if id == "" || s == nil || s.gone || slices.Contains(w.Exclude, id) && s.until > now {
+		if id == "" || s == nil || s.gone {
 			return Verdict{Reason: KeyMoving, RetryAfter: retryAfter(time.Second)}, id == "" && now-since > MaxHold || now-w.since > MaxHold
 		}
 		if !p.hasRoom(now, s, w) {
@@ -523,7 +526,11 @@
 		s.latency = max(s.latency, min(r.Latency.Seconds(), 2*s.latency))
 	case Unreachable:
 		s.errors += errorWeight * (1 - s.errors)
-		s.pause = min(max(FailurePause, 2*s.pause), MaxFailurePause)
+		first := FailurePause
+		if p.owner != nil {
+			first = KeyedFailurePause
+		}
+		s.pause = min(max(first, 2*s.pause), MaxFailurePause)
 		s.until = now + s.pause
 	case Full:
 		s.until = max(s.until, now+FullPause)
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"parsleyrelay.example/core/assignment"
 	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/ingress"
@@ -102,6 +103,7 @@
 	r.RequestURI = path
 	r.Header.Set("X-Id", "a1")
 	r.Header.Set("X-Deadline", "800")
+	r.Header.Set("X-Key", "7")
 	r.Header.Set("Connection", "X-Secret")
 	r.Header.Set("X-Secret", "1")
 	return e.Handle(ctx, &ingress.Request{Request: r, Arrived: time.Now()})
@@ -149,6 +151,24 @@
 	require.Positive(t, b.count())
 }
 
+// Guards against the loss of an idempotent request with a key whose response was
+// cut: only one server holds the key.
+func TestIdempotentRequestWithKeyIsSentToItsHolderAgain(t *testing.T) {
+	answers := 0
+	a := startScripted(t, "s1", func(r *http.Request) string {
+		if answers++; answers == 1 {
+			return ""
+		}
+		return signed(r)
+	})
+	e := newEdge(t, a)
+	e.Configure(routes.Config{Version: 2, Services: map[string]routes.Service{"s": {Name: "s", Keyed: true}}, Routes: e.table.Load().Config.Routes})
+	e.SetServers(map[string]directory.Server{"s1": {ID: "s1", Service: "s", Address: a.address, Zone: "a", Slots: 2}})
+	e.SetMap(&assignment.Map{Services: map[string][]assignment.Range{"s": {{From: 0, To: 65535, Owner: assignment.Incarnation{ID: "s1"}}}}})
+	require.Equal(t, 200, send(e, context.Background(), "/safe/x").Status)
+	require.Equal(t, 2, a.count())
+}
+
 // Guards against a refusal of a request that a server has refused without
 // running it, and against one that has run.
 func TestRefusalsAreTrue(t *testing.T) {
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -277,10 +277,10 @@
 	return nil, true
 }
 
-// mayRunAgain says whether another server may run the request although one may
-// have run it already.
+// mayRunAgain says whether a server may run the request although one may have run
+// it already. A request with a key goes to the holder of the key again.
 func (j *job) mayRunAgain() bool {
-	return j.route.Idempotent && j.runs < max(1, j.route.Attempts) && time.Until(j.deadline) > minUseful && !j.keyed
+	return j.route.Idempotent && j.runs < max(1, j.route.Attempts) && time.Until(j.deadline) > minUseful
 }
 
 func (j *job) retried(s dispatch.Server, reason string) {
