Refuse requests for servers that cannot be reached at once

Change: failures to connect pause a server for 100 ms (500 ms without keys), doubling to 2 s; after a pause a single request probes; a connection that broke pauses for 30 ms only; connections are given up after 350 ms.

Test: TestRequestsForUnreachableHolderAreRefusedAtOnce.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -38,11 +38,15 @@
 	// crossZoneCost multiplies the expected latency of servers in other zones, to
 	// which bytes are dearer.
 	crossZoneCost = 1.08
-	// FailurePause keeps requests from a server that could not be reached.
-	FailurePause = 500 * time.Millisecond
-	// KeyedFailurePause is the first pause of a server that holds keys, which no
-	// other server can serve; one lost response says little.
-	KeyedFailurePause = 30 * time.Millisecond
+	// UnreachablePause keeps requests from a server to which no connection could be
+	// opened; it doubles with each further failure.
+	UnreachablePause = 500 * time.Millisecond
+	// KeyedUnreachablePause is that of a server that holds keys, which no other
+	// server can serve; a single lost packet must not stop them for long.
+	KeyedUnreachablePause = 100 * time.Millisecond
+	// BrokenPause keeps requests from a server whose connection broke; one lost
+	// response says little.
+	BrokenPause = 30 * time.Millisecond
 	// MaxFailurePause bounds the doubled pauses.
 	MaxFailurePause = 2 * time.Second
 	// ReplacedPause keeps requests from a server whose address another one has; its
@@ -81,7 +85,8 @@
 	Failed              // the server answered with an error
 	Full                // the server had no room; the request did not run
 	Elsewhere           // the server does not hold the key or has another identity; the request did not run
-	Unreachable         // no connection, or it broke
+	Unreachable         // no connection could be opened
+	Broken              // the connection broke before a complete response
 	Replaced            // another server has the address; the request did not run
 	Canceled            // the caller left; says nothing about the server
 	Late                // no response in time
@@ -440,7 +445,7 @@
 
 // hasRoom says whether a keyed server may get another request of this host.
 func (p *Pool) hasRoom(now time.Duration, s *server, w *waiter) bool {
-	if s.until > now {
+	if s.paused(now) {
 		return false
 	}
 	limit := max(MinWindow, s.window)
@@ -450,13 +455,19 @@
 	return float64(s.inflight) < limit
 }
 
+// paused says that the server gets no request now. After a pause for a failure a
+// single request finds out whether it has passed.
+func (s *server) paused(now time.Duration) bool {
+	return s.until > now || s.pause > 0 && s.inflight > 0
+}
+
 // best returns the server with the least expected latency, or nil if none has
 // room.
 func (p *Pool) best(now time.Duration, w *waiter) *server {
 	var best *server
 	least, reserved := 0.0, p.reserved()
 	for _, s := range p.order {
-		if s.until > now || slices.Contains(w.Exclude, s.ID) {
+		if s.paused(now) || slices.Contains(w.Exclude, s.ID) {
 			continue
 		}
 		slots := float64(max(1, s.Slots))
@@ -516,6 +527,9 @@
 }
 
 func (p *Pool) learn(now time.Duration, s *server, r Result) {
+	if r.Load != nil {
+		s.pause = 0
+	}
 	switch r.Outcome {
 	case OK:
 		s.latency += latencyWeight * (r.Latency.Seconds() - s.latency)
@@ -525,13 +539,13 @@
 		s.errors += errorWeight * (1 - s.errors)
 		s.latency = max(s.latency, min(r.Latency.Seconds(), 2*s.latency))
 	case Unreachable:
-		s.errors += errorWeight * (1 - s.errors)
-		first := FailurePause
+		first := UnreachablePause
 		if p.owner != nil {
-			first = KeyedFailurePause
+			first = KeyedUnreachablePause
 		}
-		s.pause = min(max(first, 2*s.pause), MaxFailurePause)
-		s.until = now + s.pause
+		s.fail(now, first)
+	case Broken:
+		s.fail(now, BrokenPause)
 	case Full:
 		s.until = max(s.until, now+FullPause)
 		s.window = max(MinWindow, s.window*Shrink)
@@ -547,6 +561,13 @@
 	}
 }
 
+// fail pauses the server for first, or for twice its last pause.
+func (s *server) fail(now, first time.Duration) {
+	s.errors += errorWeight * (1 - s.errors)
+	s.pause = min(max(first, 2*s.pause), MaxFailurePause)
+	s.until = now + s.pause
+}
+
 // adapt moves the windows by the queue that a server reports.
 func (p *Pool) adapt(now time.Duration, s *server) {
 	slots := float64(max(1, s.load.Slots))
--- a/core/dispatch/pool_test.go
+++ b/core/dispatch/pool_test.go
@@ -307,3 +307,23 @@
 	require.Greater(t, within(s.results["view"], 250*time.Millisecond), 0.9)
 	require.Greater(t, within(s.results["status"], 3*time.Second), 0.98)
 }
+
+// Pattern: an availability zone is cut off. Guards against requests for keys of its
+// servers that each wait for a connection until they are out of time.
+func TestRequestsForUnreachableHolderAreRefusedAtOnce(t *testing.T) {
+	p := NewPool("h", "a", func(uint16) (string, time.Duration) { return "s", 0 })
+	p.SetServers(0, []Server{{ID: "s", Slots: 6}})
+	sent, refused := 0, 0
+	for now := time.Second; now < 7*time.Second; now += 100 * time.Millisecond {
+		p.Submit(now, Request{Deadline: now + time.Second, Patience: 300 * time.Millisecond, Keyed: true}, func(v Verdict) {
+			if v.Reason != "" {
+				refused++
+				return
+			}
+			sent++
+			p.Done(now, "s", Result{Outcome: Unreachable, Latency: 350 * time.Millisecond})
+		})
+		p.Dispatch(now)
+	}
+	require.Greater(t, refused, 3*sent)
+}
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -253,6 +253,8 @@
 		outcome = dispatch.Canceled
 	case errors.Is(err, context.DeadlineExceeded):
 		outcome = dispatch.Late
+	case sent:
+		outcome = dispatch.Broken
 	}
 	j.pool.done(s.ID, dispatch.Result{Outcome: outcome, Latency: latency})
 	if sent {
@@ -260,7 +262,7 @@
 		j.runs++
 	}
 	j.tried = append(j.tried, s.ID)
-	if outcome == dispatch.Unreachable {
+	if outcome == dispatch.Unreachable || outcome == dispatch.Broken {
 		j.edge.options.Journal.Event(event.ServerPaused, "request_id", j.id, "service", j.service, "server", s.ID, "address", s.Address, "sent", sent, "error", err)
 	}
 	switch {
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -22,8 +22,9 @@
 // Bounds of connections.
 const (
 	// DialTimeout bounds the opening of a connection. Links take a few
-	// milliseconds; a lost packet is sent again after one second, which is too late.
-	DialTimeout = 700 * time.Millisecond
+	// milliseconds; a lost packet is sent again after one second, which is later
+	// than another attempt.
+	DialTimeout = 350 * time.Millisecond
 	// defaultIdle is used for servers that do not announce an idle timeout.
 	defaultIdle = 4 * time.Second
 	// idleMargin is kept to the announced idle timeout, which has whole seconds.
