--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -27,8 +27,8 @@
 	// Hold is the duration of a grant. It outlasts a cut of about five seconds
 	// between leader and server, and the election of a new leader.
 	Hold = 8 * time.Second
-	// RenewEvery leaves two further attempts within Hold.
-	RenewEvery = 2500 * time.Millisecond
+	// RenewEvery leaves three further attempts within Hold.
+	RenewEvery = 3200 * time.Millisecond
 	// FenceHold is the duration of a grant that only raises the fence of a holder
 	// before it is asked to release.
 	FenceHold = 100 * time.Millisecond
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -109,6 +109,8 @@
 	WaitTooLong Reason = "wait_too_long" // it would not be served in time
 	NoServer    Reason = "no_server"
 	KeyMoving   Reason = "key_moving" // no server holds the key at present
+	// HolderLost says that connections to the key's holder fail time and again.
+	HolderLost Reason = "holder_unreachable"
 )
 
 // Request asks for a server.
@@ -310,6 +312,11 @@
 	if len(p.order) == 0 {
 		return NoServer, retryAfter(time.Second)
 	}
+	if p.owner != nil && w.Keyed {
+		if id, _ := p.owner(w.Key); p.Failing(id) && p.servers[id].paused(now) {
+			return HolderLost, retryAfter(p.servers[id].until - now)
+		}
+	}
 	wait := p.expectedWait(now, w)
 	if wait > w.Patience {
 		return WaitTooLong, retryAfter(wait - w.Patience)
@@ -455,6 +462,12 @@
 	return float64(s.inflight) < limit
 }
 
+// Failing says that connections to a server have failed more than once in a row.
+func (p *Pool) Failing(id string) bool {
+	s := p.servers[id]
+	return s != nil && s.pause > KeyedUnreachablePause
+}
+
 // paused says that the server gets no request now. After a pause for a failure a
 // single request finds out whether it has passed.
 func (s *server) paused(now time.Duration) bool {
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -35,8 +35,9 @@
 // RetryBudget is the budget of a deployment for arrivals beyond the first.
 type RetryBudget struct {
 	Ratio  float64 // of the requests
-	Slack  float64 // per window
+	Slack  float64 // per window, of all hosts
 	Window time.Duration
+	Hosts  int // that share the slack, until SetHosts is called
 }
 
 // Options configure an Edge.
@@ -44,7 +45,7 @@
 	Host    string
 	Zone    string
 	Headers Headers
-	Budget  RetryBudget // this host's part
+	Budget  RetryBudget
 	Journal *telemetry.Journal
 	Metrics *telemetry.Metrics
 	Client  *upstream.Client
@@ -150,6 +151,24 @@
 	return l
 }
 
+// SetHosts sets the number of hosts that share the retry budget's slack.
+func (e *Edge) SetHosts(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if n < 1 || n == e.options.Budget.Hosts {
+		return
+	}
+	e.options.Budget.Hosts = n
+	for _, p := range e.pools {
+		p.setSlack(e.slack())
+	}
+}
+
+// slack is this host's part of the budget's slack.
+func (e *Edge) slack() float64 {
+	return e.options.Budget.Slack / float64(max(1, e.options.Budget.Hosts))
+}
+
 // Configure puts a configuration in force. It returns false if the one in force
 // is as new.
 func (e *Edge) Configure(c routes.Config) bool {
@@ -298,7 +317,7 @@
 		owner = func(key uint16) (string, time.Duration) { return e.owner(service, key) }
 	}
 	p.pool = dispatch.NewPool(e.options.Host, e.options.Zone, owner)
-	p.budget = retry.Share{Ratio: e.options.Budget.Ratio, Slack: e.options.Budget.Slack, Window: e.options.Budget.Window}
+	p.budget = retry.Share{Ratio: e.options.Budget.Ratio, Slack: e.slack(), Window: e.options.Budget.Window}
 	return p
 }
 
@@ -308,6 +327,12 @@
 	p.pool.SetServers(p.clock(), list)
 }
 
+func (p *pool) setSlack(slack float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Slack = slack
+}
+
 func (p *pool) poke() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -359,6 +384,12 @@
 	p.pool.Done(p.clock(), id, r)
 }
 
+func (p *pool) failing(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool.Failing(id)
+}
+
 func (p *pool) firstArrival() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -215,3 +215,17 @@
 	require.False(t, e.Configure(routes.Config{Version: 4}))
 	require.Equal(t, uint64(5), e.Version())
 }
+
+// Guards against a retry budget that grows with the number of hosts.
+func TestHostsShareTheSlack(t *testing.T) {
+	a := startScripted(t, "s1", func(r *http.Request) string { return respond(r, 500, "X-Signature: s\r\n") })
+	b := startScripted(t, "s2", func(r *http.Request) string { return respond(r, 500, "X-Signature: s\r\n") })
+	e := newEdge(t, a, b)
+	e.SetHosts(5)
+	for range 10 {
+		send(e, context.Background(), "/safe/x")
+	}
+	// Five extra arrivals for five hosts, and 0.2 for each of ten requests.
+	require.LessOrEqual(t, a.count()+b.count(), 10+1+2)
+	require.Greater(t, a.count()+b.count(), 10)
+}
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -272,6 +272,8 @@
 		return j.giveUp("deadline"), false
 	case sent && !j.mayRunAgain():
 		return j.giveUp("no_response"), false
+	case j.keyed && !sent && j.pool.failing(s.ID):
+		return j.giveUp(string(dispatch.HolderLost)), false
 	case len(j.tried) >= maxSends:
 		return j.giveUp("attempts"), false
 	}
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -42,6 +42,8 @@
 	// TakeServers replaces all servers.
 	TakeServers(map[string]directory.Server)
 	TakeMap(*assignment.Map)
+	// TakeHosts sets the number of hosts.
+	TakeHosts(int)
 	// Report returns what the leader should know of requests since the last call.
 	Report() edge.Report
 }
@@ -122,6 +124,7 @@
 	if !r.Leading {
 		return false, nil
 	}
+	f.beliefs.TakeHosts(int(r.Hosts))
 	if err := f.take(r); err != nil {
 		return false, err
 	}
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -24,6 +24,8 @@
 	// caller that is further behind gets everything.
 	keptMaps    = 64
 	keptChanges = 1024
+	// forgetHost is the time after which a silent host is not counted.
+	forgetHost = 5 * time.Second
 	// maxWait bounds the wait that a caller may ask for.
 	maxWait = 2 * time.Second
 )
@@ -43,6 +45,7 @@
 	changes  []change // the newest, oldest first
 	maps     []*assignment.Map
 	contact  time.Time
+	heard    map[string]time.Time // host: its last call
 }
 
 type change struct {
@@ -53,7 +56,7 @@
 // NewSource returns the source of a host. leading says whether others may rely
 // on it; report takes what other hosts report of their requests.
 func NewSource(host string, leading func() bool, report func(edge.Report)) *Source {
-	return &Source{host: host, leading: leading, report: report, changed: make(chan struct{}), servers: map[string]directory.Server{}}
+	return &Source{host: host, leading: leading, report: report, changed: make(chan struct{}), servers: map[string]directory.Server{}, heard: map[string]time.Time{}}
 }
 
 // wake tells waiting callers of a change; it holds s.mu.
@@ -163,7 +166,8 @@
 	leading := s.leading()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	response := &followv1.FollowResponse{Host: s.host, Leading: leading, AgeMs: uint32(time.Since(s.contact).Milliseconds()), ServersRevision: s.revision}
+	s.heard[r.Host] = time.Now()
+	response := &followv1.FollowResponse{Host: s.host, Leading: leading, AgeMs: uint32(time.Since(s.contact).Milliseconds()), ServersRevision: s.revision, Hosts: uint32(s.hosts())}
 	if !leading {
 		return response, nil
 	}
@@ -177,6 +181,22 @@
 	return response, s.changed
 }
 
+// Hosts returns the number of hosts that followed lately, this one included.
+func (s *Source) Hosts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts()
+}
+
+func (s *Source) hosts() int {
+	for host, at := range s.heard {
+		if time.Since(at) > forgetHost {
+			delete(s.heard, host)
+		}
+	}
+	return len(s.heard) + 1
+}
+
 func (s *Source) addServers(r *followv1.FollowRequest, response *followv1.FollowResponse) {
 	if r.ServersSource == s.host && r.ServersRevision == s.revision {
 		return
