Move busy ranges faster in large services and pass on a full holder's refusal

A spell puts 108 slots' work on 200 keys while 64 moves were open at most; slow servers were relieved by four ranges a second; requests refused by a full holder were sent again three times within 200 ms.

--- a/core/assignment/heat.go
+++ b/core/assignment/heat.go
@@ -11,9 +11,9 @@
 
 // Constants of the balancing of busy keys.
 const (
-	// maxMovesPerBalance and maxOpenMoves bound the keys that are unserved at a time.
-	maxMovesPerBalance = 32
-	maxOpenMoves       = 64
+	// minOpenMoves bounds the keys that are unserved at a time; a service with more
+	// servers may have as many open moves as it has servers.
+	minOpenMoves = 64
 	// maxRanges bounds the ranges of a service, each of which is renewed by a call.
 	maxRanges = 2048
 	// timeWeight is the weight of a report in a server's mean service time.
@@ -33,12 +33,13 @@
 	decay        float32 // per every
 	tolerance    float64 // load above a server's part that it may have
 	significance float64 // standard deviations below which a difference is chance
-	moves        int     // at a time
+	moves        int     // at a time, or
+	perServer    float64 // of each server if that is more
 }
 
 var (
-	spellPace = pace{every: 300 * time.Millisecond, decay: 0.72, tolerance: 0.25, significance: 3, moves: maxMovesPerBalance}
-	trendPace = pace{every: 900 * time.Millisecond, decay: 0.92, tolerance: 0.2, significance: 3, moves: 4}
+	spellPace = pace{every: 300 * time.Millisecond, decay: 0.72, tolerance: 0.25, significance: 3, moves: 32, perServer: 0.5}
+	trendPace = pace{every: 900 * time.Millisecond, decay: 0.92, tolerance: 0.2, significance: 2.2, moves: 4, perServer: 0.17}
 )
 
 // heat counts the arrivals of each key of a service, with decay.
@@ -174,8 +175,8 @@
 
 func (l *Leader) balanceService(now time.Duration, service string, h *heat, ready []directory.Server, p pace) {
 	loads, open := l.loads(service, h, ready)
-	for range p.moves {
-		if open >= maxOpenMoves {
+	for range max(p.moves, int(p.perServer*float64(len(ready)))) {
+		if open >= max(minOpenMoves, len(ready)) {
 			return
 		}
 		most := slices.MaxFunc(loads, func(a, b *load) int { return cmp.Compare(a.heat/a.part, b.heat/b.part) })
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -560,7 +560,11 @@
 	case Broken:
 		s.fail(now, BrokenPause)
 	case Full:
-		s.until = max(s.until, now+FullPause)
+		pause := FullPause
+		if p.owner != nil {
+			pause = MaxQueuePause
+		}
+		s.until = max(s.until, now+pause)
 		s.window = max(MinWindow, s.window*Shrink)
 		p.shrink(now)
 	case Replaced:
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -343,7 +343,9 @@
 func (j *job) rejected(s dispatch.Server, r *upstream.Response) (*ingress.Response, bool) {
 	j.tried = append(j.tried, s.ID)
 	j.lastError = nil
-	if j.sends >= maxSends || time.Until(j.deadline) < 2*minUseful {
+	full := r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests
+	// Only one server holds the key, and a full one has a queue of a second or so.
+	if j.keyed && full || j.sends >= maxSends || time.Until(j.deadline) < 2*minUseful {
 		return j.giveUp("server_refused"), false
 	}
 	j.retried(s, "server_refused_"+strconv.Itoa(r.Status))
