--- /dev/null
+++ b/relay/follow/follow_test.go
@@ -0,0 +1,147 @@
+package follow
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/api/followv1"
+	"parsleyrelay.example/core/assignment"
+	"parsleyrelay.example/core/directory"
+	"parsleyrelay.example/core/routes"
+	"parsleyrelay.example/relay/edge"
+	"parsleyrelay.example/relay/telemetry"
+)
+
+// beliefs are those of a following host.
+type beliefs struct {
+	mu      sync.Mutex
+	address string
+	config  uint64
+	servers map[string]directory.Server
+	m       *assignment.Map
+	hosts   int
+	report  edge.Report
+}
+
+func (b *beliefs) get(f func()) { b.mu.Lock(); defer b.mu.Unlock(); f() }
+
+func (b *beliefs) ConfigVersion() (v uint64)  { b.get(func() { v = b.config }); return v }
+func (b *beliefs) Map() (m *assignment.Map)   { b.get(func() { m = b.m }); return m }
+func (b *beliefs) Leader() (string, string)   { return "leader", b.address }
+func (b *beliefs) TakeConfig(c routes.Config) { b.get(func() { b.config = c.Version }) }
+func (b *beliefs) TakeMap(m *assignment.Map)  { b.get(func() { b.m = m }) }
+func (b *beliefs) TakeHosts(n int)            { b.get(func() { b.hosts = n }) }
+func (b *beliefs) Report() (r edge.Report) {
+	b.get(func() { r, b.report = b.report, edge.Report{} })
+	return r
+}
+func (b *beliefs) TakeServers(s map[string]directory.Server) {
+	b.get(func() {
+		b.servers = map[string]directory.Server{}
+		for id, v := range s {
+			b.servers[id] = v
+		}
+	})
+}
+
+func server(id string) directory.Server {
+	return directory.Server{ID: id, Born: 7, Service: "s", Address: "a", Zone: "z", Slots: 2}
+}
+
+func ranges(owner string) map[string][]assignment.Range {
+	return map[string][]assignment.Range{"s": {{From: 0, To: 9, Owner: assignment.Incarnation{ID: owner}}, {From: 10, To: 65535, Owner: assignment.Incarnation{ID: "1"}, Pending: true}}}
+}
+
+type leaderHost struct {
+	source  *Source
+	leading bool
+	mu      sync.Mutex
+	reports []edge.Report
+}
+
+func startLeader(t *testing.T) (*leaderHost, *beliefs, *Follower) {
+	l := &leaderHost{leading: true}
+	l.source = NewSource("leader", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.leading }, func(r edge.Report) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.reports = append(l.reports, r)
+	})
+	h := httptest.NewServer(followv1.NewLeaderServer(l.source))
+	t.Cleanup(h.Close)
+	b := &beliefs{address: h.Listener.Addr().String()}
+	journal := telemetry.NewJournal(io.Discard, "f", "z")
+	f := NewFollower("follower", b, journal)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; journal.Close() })
+	return l, b, f
+}
+
+// Guards against followers that miss a change, or apply a difference to the wrong
+// map.
+func TestFollowerLearnsWhatChanges(t *testing.T) {
+	l, b, f := startLeader(t)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				l.source.Contact()
+			}
+		}
+	}()
+	require.NoError(t, l.source.SetConfig(routes.Config{Version: 3}))
+	l.source.SetServers(map[string]directory.Server{"1": server("1"), "2": server("2")})
+	l.source.SetMap(&assignment.Map{Offset: 1, End: 2, Term: 1, Services: ranges("1")})
+	eventually := func(what string, f func() bool) {
+		require.Eventually(t, func() (ok bool) { b.get(func() { ok = f() }); return ok }, 2*time.Second, 5*time.Millisecond, what)
+	}
+	eventually("configuration", func() bool { return b.config == 3 })
+	eventually("servers", func() bool { return len(b.servers) == 2 && b.servers["1"] == server("1") })
+	eventually("map", func() bool { return b.m != nil && b.m.End == 2 })
+	require.Eventually(t, func() bool { return f.Silence() < MaxAge }, 2*time.Second, 5*time.Millisecond)
+
+	l.source.SetServers(map[string]directory.Server{"2": server("2"), "3": server("3")})
+	next := &assignment.Map{Offset: 2, End: 3, Term: 1, Sequence: 1, Services: ranges("2")}
+	l.source.SetMap(next)
+	eventually("a removed and a new server", func() bool { _, gone := b.servers["1"]; return !gone && len(b.servers) == 2 })
+	eventually("difference", func() bool { return b.m.End == 3 })
+	require.Equal(t, next.Services, b.Map().Services)
+	eventually("hosts", func() bool { return b.hosts == 2 })
+
+	b.get(func() {
+		b.report = edge.Report{Keys: map[string][]uint16{"s": {4, 4}}, Times: map[string]edge.ServiceTime{"1": {Count: 2, Sum: time.Second}}}
+	})
+	require.Eventually(t, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.reports) == 1 && len(l.reports[0].Keys["s"]) == 2 && l.reports[0].Times["1"].Sum == time.Second
+	}, 2*time.Second, 5*time.Millisecond)
+}
+
+// Guards against hosts that rely on a leader which does not lead any more, or which
+// has lost the store.
+func TestStaleLeaderCountsAsSilent(t *testing.T) {
+	l, _, f := startLeader(t)
+	l.source.Contact()
+	require.Eventually(t, func() bool { return f.Silence() < MaxAge/2 }, 2*time.Second, 5*time.Millisecond)
+	// No further contact with the store.
+	require.Eventually(t, func() bool { return f.Silence() > MaxAge }, 2*MaxAge+callWait+500*time.Millisecond, 10*time.Millisecond)
+
+	l.source.Contact()
+	require.Eventually(t, func() bool { return f.Silence() < MaxAge/2 }, 2*time.Second, 5*time.Millisecond)
+	l.mu.Lock()
+	l.leading = false
+	l.mu.Unlock()
+	require.Eventually(t, func() bool { return f.Silence() > MaxAge }, MaxAge+callWait+500*time.Millisecond, 10*time.Millisecond)
+}
