Begin a host's second term with its write

Cause: a host that had led before counted as leading as soon as it stood again, since the acknowledged map named it; it told other hosts so.

Change: a term begins with its first acknowledged write.

Test: TestSecondTermOfAHostBeginsWithItsWrite (failed before).

--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -58,6 +58,7 @@
 	lastCall  uint64
 	ranges    []*tracked
 	servers   map[string]map[string]directory.Server // service, id
+	begun     bool // the first write was acknowledged
 	stopped   bool
 	resigning bool
 	since     map[string]time.Duration // service: first server seen
@@ -70,7 +71,10 @@
 // Lead starts a term after the map m. The term begins when the first write is
 // acknowledged.
 func Lead(now time.Duration, m *Map, o Options) *Leader {
-	l := &Leader{options: o, acked: m, calls: map[uint64]*tracked{}, servers: map[string]map[string]directory.Server{}, since: map[string]time.Duration{}, heats: map[string]*heats{}, speeds: map[string]*speed{}, gone: map[Incarnation]bool{}, filling: map[Incarnation]bool{}}
+	l := &Leader{
+		options: o, acked: m, calls: map[uint64]*tracked{}, servers: map[string]map[string]directory.Server{}, since: map[string]time.Duration{},
+		heats: map[string]*heats{}, speeds: map[string]*speed{}, gone: map[Incarnation]bool{}, filling: map[Incarnation]bool{},
+	}
 	l.draft = m.clone()
 	l.draft.Term++
 	l.draft.Sequence = 0
@@ -84,7 +88,7 @@
 func (l *Leader) Term() uint64 { return l.newest().Term }
 
 // Leading says that the term has begun and not ended.
-func (l *Leader) Leading() bool { return !l.stopped && l.acked.Leader == l.options.Host }
+func (l *Leader) Leading() bool { return l.begun && !l.stopped }
 
 // Stopped says that the term ended; the Leader is of no use any more.
 func (l *Leader) Stopped() bool { return l.stopped }
@@ -135,7 +139,7 @@
 
 // Written notes that the open write was acknowledged at offset.
 func (l *Leader) Written(now time.Duration, offset, end uint64) *Map {
-	first := l.acked.Leader != l.options.Host || l.acked.Term != l.writing.Term
+	first := !l.begun
 	resigned := l.acked.Resigned
 	l.acked, l.writing = l.writing, nil
 	l.acked.Offset, l.acked.End = offset, end
@@ -156,7 +160,7 @@
 // Otherwise a holder may hold until that leader's limit and the hold of its last
 // grant.
 func (l *Leader) begin(now time.Duration, resigned bool) {
-	l.ranges = nil
+	l.begun, l.ranges = true, nil
 	held := now + Hold + HoldMargin
 	if !resigned {
 		held += LeaderLimit
--- a/core/assignment/leader_test.go
+++ b/core/assignment/leader_test.go
@@ -172,6 +172,19 @@
 	require.True(t, l.Leading())
 }
 
+// Guards against a host that acts for a term before it has begun, because it led
+// an earlier one.
+func TestSecondTermOfAHostBeginsWithItsWrite(t *testing.T) {
+	w := newWorld(t, "1", "2")
+	w.placed("a")
+	again := w.lead("a")
+	again.Servers(w.listed())
+	require.False(t, again.Leading())
+	require.Empty(t, again.Tick(w.now))
+	w.step(again)
+	require.True(t, again.Leading())
+}
+
 // Guards against a leader that grants although another may lead.
 func TestLeaderWithoutContactStops(t *testing.T) {
 	w := newWorld(t, "1", "2")
