--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -58,7 +58,7 @@
 	lastCall  uint64
 	ranges    []*tracked
 	servers   map[string]map[string]directory.Server // service, id
-	begun     bool // the first write was acknowledged
+	begun     bool                                   // the first write was acknowledged
 	stopped   bool
 	resigning bool
 	since     map[string]time.Duration // service: first server seen
