Log the version of the assignment with decisions on requests

Cause: a line on a refusal named the configuration it followed and not the map of keys, which decides reasons key_moving and server_refused.

--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -194,6 +194,15 @@
 	return 0
 }
 
+// mapVersion is the offset after the record of the assignment that requests
+// follow; 0 for none.
+func (e *Edge) mapVersion() uint64 {
+	if v := e.view.Load(); v != nil {
+		return v.Map.End
+	}
+	return 0
+}
+
 // Ready says whether the host can serve requests.
 func (e *Edge) Ready() bool {
 	if e.table.Load() == nil {
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -290,7 +290,7 @@
 func (j *job) retried(s dispatch.Server, reason string) {
 	j.edge.record(telemetry.MetricRetries, 1, j.service, strconv.Itoa(j.route.Rank))
 	j.edge.options.Journal.Event(event.RequestRetried, "request_id", j.id, "route", j.route.Name, "service", j.service, "server", s.ID,
-		"reason", reason, "sends", j.sends, "left_ms", time.Until(j.deadline).Milliseconds())
+		"reason", reason, "sends", j.sends, "left_ms", time.Until(j.deadline).Milliseconds(), "map", j.edge.mapVersion())
 }
 
 // judge decides about a complete response.
@@ -392,7 +392,8 @@
 	j.reason = string(v.Reason)
 	j.edge.options.Journal.Event(event.RequestRefused, "request_id", j.id, "route", j.route.Name, "service", j.service, "reason", v.Reason,
 		"rank", j.route.Rank, "key", j.key, "sends", j.sends, "last_server", j.lastServer, "waited_ms", time.Since(j.request.Arrived).Milliseconds(),
-		"left_ms", time.Until(j.deadline).Milliseconds(), "retry_after_ms", v.RetryAfter.Milliseconds(), "config", j.edge.Version())
+		"left_ms", time.Until(j.deadline).Milliseconds(), "retry_after_ms", v.RetryAfter.Milliseconds(),
+		"config", j.edge.Version(), "map", j.edge.mapVersion())
 	return refusal(http.StatusServiceUnavailable, v.RetryAfter)
 }
 
@@ -404,7 +405,8 @@
 	}
 	j.reason = reason
 	j.edge.options.Journal.Event(event.RequestUnknown, "request_id", j.id, "route", j.route.Name, "service", j.service, "reason", reason,
-		"server", j.lastServer, "sends", j.sends, "runs", j.runs, "ms", time.Since(j.request.Arrived).Milliseconds(), "error", j.lastError)
+		"server", j.lastServer, "sends", j.sends, "runs", j.runs, "ms", time.Since(j.request.Arrived).Milliseconds(),
+		"config", j.edge.Version(), "map", j.edge.mapVersion(), "error", j.lastError)
 	if j.failure != nil {
 		return j.failure
 	}
