Publish an uncovered state within ordinary turns

Cause: when retention had dropped records that no checkpoint replaces, members still took turns of 3 s each for the next checkpoint.

Ruled out: a lost append (the log shows none was sent), and restoring from the retained records (no base for them).

Change: an uncovered state is published in turns of rankDelay (150 ms); a member holds back while parts of another member's checkpoint arrive, so that a large state is still written once. Turns for checkpoints due by age are unchanged.

--- a/core/ownership/checkpoints.go
+++ b/core/ownership/checkpoints.go
@@ -16,6 +16,15 @@
 // before it publishes again.
 const checkpointRetry = 30 * time.Second
 
+// checkpointTurn is the number of turns of rankDelay that a member has for a
+// checkpoint that is due by age: writing takes longer than an ordinary proposal.
+const checkpointTurn = 20
+
+// checkpointArrives is how long a member waits after the last part of a
+// checkpoint of another member: parts follow one another within 50 ms, and a
+// writer that is silent for longer has stopped.
+const checkpointArrives = time.Second
+
 // checkpointPartsPerTick spreads the parts over time: 80 per second leave most
 // of the several hundred appends per second to others. All at once they overran
 // the ring of 256 appends, which drops the rest, and checkpoints of more parts
@@ -30,6 +39,7 @@
 	due     time.Duration // since when a new one has been due, 0 if it is not
 	oldest  uint64
 	wroteAt time.Duration
+	partAt  time.Duration // when the last part of an incomplete checkpoint came, 0 for none
 	pending []record.Record // parts of the own checkpoint that are not appended yet
 	parts   map[partKey]map[int]bool
 }
@@ -51,11 +61,14 @@
 		k.parts[key] = map[int]bool{}
 	}
 	k.parts[key][part.Part] = true
+	if part.Base > k.base {
+		k.partAt = m.now
+	}
 	if len(k.parts[key]) < part.Parts || part.Base <= k.base {
 		return
 	}
 	k.folded = int(p.Offset - part.Base)
-	k.base, k.at, k.due = part.Base, m.now, 0
+	k.base, k.at, k.due, k.partAt = part.Base, m.now, 0, 0
 	k.wroteAt = 0 // nothing is awaited; retention may pass this checkpoint too
 	for other := range k.parts {
 		if other.base <= part.Base {
@@ -83,8 +96,16 @@
 	if k.due == 0 {
 		k.due = m.now
 	}
-	// Writing takes longer than an ordinary proposal, so the turns are longer.
-	if !m.myTurn("checkpoint", m.st.Members(), (m.now-k.due)/20) || m.now-k.wroteAt < checkpointRetry && k.wroteAt > 0 {
+	turns := time.Duration(checkpointTurn)
+	if uncovered {
+		// Only the members' memory holds the state now, and the members may be
+		// lost before a longer turn has passed.
+		turns = 1
+		if k.partAt > 0 && m.now-k.partAt < checkpointArrives {
+			return
+		}
+	}
+	if !m.myTurn("checkpoint", m.st.Members(), (m.now-k.due)/turns) || m.now-k.wroteAt < checkpointRetry && k.wroteAt > 0 {
 		return
 	}
 	parts, digest := state.EncodeCheckpoint(m.st)
--- a/core/ownership/checkpoints_test.go
+++ b/core/ownership/checkpoints_test.go
@@ -56,3 +56,25 @@
 		w.until(2*time.Second, func() bool { return keeper.base > base && keeper.base+1 >= w.oldest })
 	}
 }
+
+// Guards against a survivor that waits several seconds for its turn although
+// only its memory still holds the state: a host that was lost within 0.4 s of
+// the retention left nothing to start from.
+func TestUncoveredStateIsPublishedWithinTurns(t *testing.T) {
+	w := servingWorld(t, 3, "checka")
+	w.run(time.Second)
+	incarnations := map[string]string{}
+	var names []string
+	for _, name := range w.order {
+		incarnation := w.nodes[name].m.cfg.Incarnation
+		names, incarnations[incarnation] = append(names, incarnation), name
+	}
+	last := incarnations[rendezvousOrder("checkpoint", names)[2]]
+	for _, name := range w.order {
+		w.nodes[name].paused = name != last
+	}
+	w.oldest = uint64(len(w.log)) + 1
+	w.put("other", &resource.Rank{})
+	keeper := &w.nodes[last].m.keeper
+	w.until(3*rankDelay, func() bool { return keeper.base+1 >= w.oldest })
+}
