Learn from the followers that a former leader ended; drop the topic of hosts

Ruled out: unconditional appends (one of an earlier process that is carried out late would replace the newer); a lower price by more partitions (a host still needs two calls).

Change: a leader learns that the former leader's process has ended when another process of the same host calls it and knows the map that replaced the former leader, or when it is that process itself. No call to the store is needed, and an old call that arrives late cannot know that map.

--- a/core/ownership/checkpoints.go
+++ b/core/ownership/checkpoints.go
@@ -39,7 +39,7 @@
 	due     time.Duration // since when a new one has been due, 0 if it is not
 	oldest  uint64
 	wroteAt time.Duration
-	partAt  time.Duration // when the last part of an incomplete checkpoint came, 0 for none
+	partAt  time.Duration   // when the last part of an incomplete checkpoint came, 0 for none
 	pending []record.Record // parts of the own checkpoint that are not appended yet
 	parts   map[partKey]map[int]bool
 }
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -36,9 +36,6 @@
 	// AppendMap appends a map if the log ends at m.End. It returns ErrConflict if
 	// not; after any other error the map may have been or may yet be written.
 	AppendMap(ctx context.Context, m *assignment.Map) (offset, end uint64, err error)
-	// Ended says whether the process of another host is known to have ended,
-	// because the host has a newer one.
-	Ended(ctx context.Context, incarnation string) (bool, error)
 }
 
 // Orders sends calls to servers.
@@ -49,6 +46,7 @@
 // Options configure an Assigner.
 type Options struct {
 	Host    string // incarnation of this host
+	HostOf  func(incarnation string) string
 	Stripes int
 	Store   Store
 	Orders  Orders
@@ -66,6 +64,12 @@
 	term     uint64
 }
 
+// former is the leader before this host's term, which may still run.
+type former struct {
+	incarnation string
+	term, end   uint64 // of the map that replaced it
+}
+
 type answered struct {
 	call   assignment.Call
 	answer assignment.Answer
@@ -88,10 +92,11 @@
 	resigned  chan struct{}
 	once      sync.Once
 	servers   atomic.Pointer[map[string]map[string]directory.Server]
-	limits    sync.Map // address: chan struct{}
+	limits    sync.Map               // address: chan struct{}
+	former    atomic.Pointer[former] // nil when nothing more is to be learnt of it
 
 	leader *assignment.Leader
-	former string // incarnation of the leader before this host's term
+	before string // incarnation of the leader before this host's term
 	newest *assignment.Map
 	known  bool // the map was read at least once
 	wake   time.Duration
@@ -134,6 +139,20 @@
 	}
 }
 
+// Heard notes that the process of a host knows the map up to end. If it runs at
+// the former leader's host and knows the map that replaced the former leader,
+// then the former leader has ended: a host runs one process at a time, and an
+// earlier process cannot know that map, however late its call arrives.
+func (a *Assigner) Heard(incarnation string, end uint64) {
+	f := a.former.Load()
+	if f == nil || end < f.end || incarnation == f.incarnation || a.options.HostOf(incarnation) != a.options.HostOf(f.incarnation) {
+		return
+	}
+	if a.former.CompareAndSwap(f, nil) {
+		go func() { a.ring <- message{ended: true, term: f.term} }()
+	}
+}
+
 func (a *Assigner) takeReport(r *edge.Report) {
 	if a.leader == nil {
 		return
@@ -190,7 +209,7 @@
 	case m.answered != nil:
 		a.takeAnswer(now, *m.answered)
 	case m.written != nil:
-		a.takeWritten(ctx, now, *m.written)
+		a.takeWritten(now, *m.written)
 	case m.report != nil:
 		a.takeReport(m.report)
 	case m.ended:
@@ -234,7 +253,7 @@
 	}
 }
 
-func (a *Assigner) takeWritten(ctx context.Context, now time.Duration, w written) {
+func (a *Assigner) takeWritten(now time.Duration, w written) {
 	if a.leader == nil || a.leader.Stopped() {
 		return
 	}
@@ -249,9 +268,10 @@
 		a.publish(m)
 	}
 	if !was && a.leader.Leading() {
-		a.options.Journal.Event(event.TermStarted, "term", m.Term, "offset", m.Offset, "former", a.former)
-		if a.former != "" {
-			go a.watchFormer(ctx, a.former, m.Term)
+		a.options.Journal.Event(event.TermStarted, "term", m.Term, "offset", m.Offset, "former", a.before)
+		if a.before != "" {
+			a.former.Store(&former{incarnation: a.before, term: m.Term, end: m.End})
+			a.Heard(a.options.Host, m.End)
 		}
 	}
 	a.endTerm("resigned")
@@ -287,7 +307,7 @@
 		if m == nil {
 			m = &assignment.Map{}
 		}
-		a.former = m.Leader
+		a.before = m.Leader
 		a.leader = assignment.Lead(now, m, assignment.Options{Host: a.options.Host, Stripes: a.options.Stripes})
 	}
 	a.leader.Servers(*servers)
@@ -312,30 +332,8 @@
 	a.ring <- message{answered: &answered{call: c, answer: answer}}
 }
 
-// watchFormer finds out whether the former leader's process has ended, for as
-// long as it may grant.
-func (a *Assigner) watchFormer(ctx context.Context, former string, term uint64) {
-	for range int(assignment.LeaderLimit / watchFormerEvery) {
-		ended, err := a.options.Store.Ended(ctx, former)
-		if err != nil {
-			a.options.Journal.Routine(event.AdapterFailed, "operation", "look for the former leader", "error", err)
-		}
-		if ended {
-			a.ring <- message{ended: true, term: term}
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(watchFormerEvery):
-		}
-	}
-}
-
-// watchFormerEvery spaces calls to the store about the former leader.
-const watchFormerEvery = time.Second
-
-// write repeats a write until its result is certain.
+// write repeats a write until its result is certain. The machine opens one write
+// at a time, so repeats never overtake a newer map.
 func (a *Assigner) write(ctx context.Context, m *assignment.Map) {
 	for {
 		offset, end, err := a.options.Store.AppendMap(ctx, m)
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -60,18 +60,29 @@
 
 type leaderHost struct {
 	source  *Source
-	leading bool
 	mu      sync.Mutex
+	leading bool
 	reports []edge.Report
+	heard   map[string]uint64
+}
+
+func (l *leaderHost) Leading() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.leading }
+
+func (l *leaderHost) Report(r edge.Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reports = append(l.reports, r)
+}
+
+func (l *leaderHost) Heard(incarnation string, end uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard[incarnation] = end
 }
 
 func startLeader(t *testing.T) (*leaderHost, *beliefs, *Follower) {
-	l := &leaderHost{leading: true}
-	l.source = NewSource("leader", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.leading }, func(r edge.Report) {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.reports = append(l.reports, r)
-	})
+	l := &leaderHost{leading: true, heard: map[string]uint64{}}
+	l.source = NewSource("leader", l)
 	h := httptest.NewServer(followv1.NewLeaderServer(l.source))
 	t.Cleanup(h.Close)
 	b := &beliefs{address: h.Listener.Addr().String()}
@@ -117,6 +128,7 @@
 	eventually("a removed and a new server", func() bool { _, gone := b.servers["1"]; return !gone && len(b.servers) == 2 })
 	eventually("difference", func() bool { return b.m.End == 3 })
 	require.Equal(t, next.Services, b.Map().Services)
+	require.Eventually(t, func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.heard["follower"] == 3 }, 2*time.Second, 5*time.Millisecond)
 	eventually("hosts", func() bool { return b.hosts == 2 })
 
 	b.get(func() {
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -30,11 +30,20 @@
 	maxWait = 2 * time.Second
 )
 
+// Leader is what the source needs of the assignment at its host.
+type Leader interface {
+	// Leading says whether other hosts may rely on this one.
+	Leading() bool
+	// Report takes what a host reports of its requests.
+	Report(edge.Report)
+	// Heard notes that the process of a host knows the map up to end.
+	Heard(incarnation string, end uint64)
+}
+
 // Source answers the hosts that follow this one. It implements followv1.Leader.
 type Source struct {
-	host    string // incarnation
-	leading func() bool
-	report  func(edge.Report)
+	host   string // incarnation
+	leader Leader
 
 	mu       sync.Mutex
 	changed  chan struct{} // closed at the next change
@@ -53,10 +62,9 @@
 	id       string
 }
 
-// NewSource returns the source of a host. leading says whether others may rely
-// on it; report takes what other hosts report of their requests.
-func NewSource(host string, leading func() bool, report func(edge.Report)) *Source {
-	return &Source{host: host, leading: leading, report: report, changed: make(chan struct{}), servers: map[string]directory.Server{}, heard: map[string]time.Time{}}
+// NewSource returns the source of a host.
+func NewSource(host string, leader Leader) *Source {
+	return &Source{host: host, leader: leader, changed: make(chan struct{}), servers: map[string]directory.Server{}, heard: map[string]time.Time{}}
 }
 
 // wake tells waiting callers of a change; it holds s.mu.
@@ -130,8 +138,9 @@
 // Follow implements followv1.Leader.
 func (s *Source) Follow(ctx context.Context, r *followv1.FollowRequest) (*followv1.FollowResponse, error) {
 	if len(r.Arrivals) > 0 {
-		s.report(decodeReport(r.Arrivals))
+		s.leader.Report(decodeReport(r.Arrivals))
 	}
+	s.leader.Heard(r.Host, r.MapEnd)
 	timer := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for {
@@ -163,7 +172,7 @@
 }
 
 func (s *Source) answer(r *followv1.FollowRequest) (*followv1.FollowResponse, <-chan struct{}) {
-	leading := s.leading()
+	leading := s.leader.Leading()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.heard[r.Host] = time.Now()
