--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -142,7 +142,7 @@
 // Pool is the state of one service at one host. It is not safe for concurrent use.
 type Pool struct {
 	servers map[string]*server
-	order   []*server // by id, for determinism
+	order   []*server // by rank for this host
 	owner   Owner     // nil for a service that is not keyed
 	waiting []*waiter // by rank, then arrival
 	window  float64   // requests in flight of all servers together, for services without keys
@@ -189,7 +189,7 @@
 		}
 		p.order = append(p.order, s)
 	}
-	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(p.rank(b.ID), p.rank(a.ID)) })
 	p.window = min(p.window, p.maxWindow())
 	p.Dispatch(now)
 }
--- a/core/dispatch/servers.go
+++ b/core/dispatch/servers.go
@@ -31,9 +31,8 @@
 	if p.owner != nil || len(list) <= SubsetSize {
 		return list
 	}
-	score := func(s Server) uint64 { return xxhash.Sum64String(p.host + "|" + s.ID) }
 	sorted := slices.Clone(list)
-	slices.SortFunc(sorted, func(a, b Server) int { return cmp.Compare(score(b), score(a)) })
+	slices.SortFunc(sorted, func(a, b Server) int { return cmp.Compare(p.rank(b.ID), p.rank(a.ID)) })
 	// Each host gets its part of the servers that may be reserved.
 	reserved := int(math.Round(maxReserved * SubsetSize))
 	var chosen []Server
@@ -51,6 +50,10 @@
 	return chosen
 }
 
+// rank orders servers differently at each host, so that hosts that know nothing
+// yet do not all begin with the same server.
+func (p *Pool) rank(id string) uint64 { return xxhash.Sum64String(p.host + "|" + id) }
+
 // position places a server between 0 and 1, alike at all hosts.
 func position(id string) float64 {
 	return float64(xxhash.Sum64String(id)) / math.MaxUint64
