--- a/relay/telemetry/journal.go
+++ b/relay/telemetry/journal.go
@@ -17,6 +17,8 @@
 	// failures and beliefs are bounded by the ring only.
 	routinePerSecond = 25
 	reportEvery      = time.Second
+	// timeFormat lets the lines of all hosts be sorted into one time line.
+	timeFormat = "2006-01-02T15:04:05.000Z07:00"
 )
 
 // Journal writes log lines of numbered events from a goroutine of its own. It
@@ -39,7 +41,8 @@
 		j.names[d.Code] = d.Name
 	}
 	j.budget.Store(routinePerSecond)
-	logger := log.With(log.NewLogfmtLogger(out), "ts", log.TimestampFormat(time.Now, "15:04:05.000"), "host", host, "zone", zone)
+	now := func() time.Time { return time.Now().UTC() }
+	logger := log.With(log.NewLogfmtLogger(out), "ts", log.TimestampFormat(now, timeFormat), "host", host, "zone", zone)
 	go j.run(logger)
 	return j
 }
@@ -51,18 +54,18 @@
 	for {
 		select {
 		case line := <-j.ring:
-			_ = logger.Log(line...)
+			j.write(logger, line)
 		case <-ticker.C:
 			j.budget.Store(routinePerSecond)
 			if n, m := j.dropped.Swap(0), j.skipped.Swap(0); n+m > 0 {
 				j.omitted.Add(n + m)
-				_ = logger.Log("event", int(event.LinesOmitted), "name", j.names[event.LinesOmitted], "dropped", n, "routine", m)
+				j.write(logger, []any{"event", int(event.LinesOmitted), "name", j.names[event.LinesOmitted], "dropped", n, "routine", m})
 			}
 		case <-j.stop:
 			for {
 				select {
 				case line := <-j.ring:
-					_ = logger.Log(line...)
+					j.write(logger, line)
 				default:
 					return
 				}
@@ -71,6 +74,13 @@
 	}
 }
 
+// write writes a line; one that the output refuses counts as dropped.
+func (j *Journal) write(logger log.Logger, line []any) {
+	if err := logger.Log(line...); err != nil {
+		j.dropped.Add(1)
+	}
+}
+
 // Event logs an event that must be found later.
 func (j *Journal) Event(code event.Code, keyvals ...any) {
 	line := append([]any{"event", int(code), "name", j.names[code]}, keyvals...)
