Ask a holder with room again; wait for a newer map when a key is elsewhere

Change: a refusal with room (Server-Load with a free slot and no queue) counts as Shed: the request is sent again within the budget, and the server's share of errors grows.

Tests: TestHolderWithRoomIsAskedAgain, TestKeyElsewhereWaitsForANewerMap.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -81,6 +81,7 @@
 	OK          Outcome = iota + 1
 	Failed              // the server answered with an error
 	Full                // the server had no room; the request did not run
+	Shed                // the server refused although it reports room; the request did not run
 	Elsewhere           // the server does not hold the key or has another identity; the request did not run
 	Unreachable         // no connection could be opened
 	Broken              // the connection broke before a complete response
@@ -89,6 +90,9 @@
 	Late                // no response in time
 )
 
+// Room says that a server with this load would begin another request at once.
+func (l *Load) Room() bool { return l != nil && l.Waiting == 0 && l.Running < l.Slots }
+
 // Result is the end of an attempt.
 type Result struct {
 	Outcome Outcome
--- a/core/dispatch/servers.go
+++ b/core/dispatch/servers.go
@@ -196,6 +196,8 @@
 		s.until = max(s.until, now+pause)
 		s.window = max(MinWindow, s.window*Shrink)
 		p.shrink(now)
+	case Shed:
+		s.errors += errorWeight * (1 - s.errors)
 	case Replaced:
 		s.until = now + ReplacedPause
 	case Elsewhere:
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -162,14 +162,66 @@
 		}
 		return signed(r)
 	})
-	e := newEdge(t, a)
-	e.Configure(routes.Config{Version: 2, Services: map[string]routes.Service{"s": {Name: "s", Keyed: true}}, Routes: e.table.Load().Config.Routes})
-	e.SetServers(map[string]directory.Server{"s1": {ID: "s1", Service: "s", Address: a.address, Zone: "a", Slots: 2}})
-	e.SetMap(&assignment.Map{Services: map[string][]assignment.Range{"s": {{From: 0, To: 65535, Owner: assignment.Incarnation{ID: "s1"}}}}})
+	e := newKeyedEdge(t, a)
 	require.Equal(t, 200, send(e, context.Background(), "/safe/x").Status)
 	require.Equal(t, 2, a.count())
 }
 
+// newKeyedEdge returns an edge whose service has keys, which the first server holds.
+func newKeyedEdge(t *testing.T, servers ...*scripted) *Edge {
+	e := newEdge(t, servers...)
+	e.Configure(routes.Config{Version: 2, Services: map[string]routes.Service{"s": {Name: "s", Keyed: true}}, Routes: e.table.Load().Config.Routes})
+	known := map[string]directory.Server{}
+	for _, s := range servers {
+		known[s.id] = directory.Server{ID: s.id, Service: "s", Address: s.address, Zone: "a", Slots: 2}
+	}
+	e.SetServers(known)
+	e.SetMap(heldBy(servers[0], 1))
+	return e
+}
+
+func heldBy(s *scripted, end uint64) *assignment.Map {
+	return &assignment.Map{End: end, Services: map[string][]assignment.Range{"s": {{From: 0, To: 65535, Owner: assignment.Incarnation{ID: s.id}}}}}
+}
+
+// Pattern: a grey server refuses part of its requests although it has room.
+// Guards against the refusal of a request that its holder would take at once.
+func TestHolderWithRoomIsAskedAgain(t *testing.T) {
+	var answers atomic.Int32
+	answer := func(load string) func(r *http.Request) string {
+		return func(r *http.Request) string {
+			if answers.Add(1)%2 == 1 {
+				return respond(r, 503, "X-Not-Run: 1\r\nX-Load: "+load+"\r\n")
+			}
+			return signed(r)
+		}
+	}
+	grey := startScripted(t, "s1", answer("1,0,2"))
+	require.Equal(t, 200, send(newKeyedEdge(t, grey), context.Background(), "/once/x").Status)
+	require.Equal(t, 2, grey.count())
+
+	full := startScripted(t, "s1", answer("2,3,2"))
+	answers.Store(0)
+	require.Equal(t, 503, send(newKeyedEdge(t, full), context.Background(), "/once/x").Status)
+	require.Equal(t, 1, full.count())
+}
+
+// Guards against attempts, each at the cost of the retry budget, at a server that
+// does not hold the key while nothing new is known; and against the refusal of a
+// request whose key has just moved.
+func TestKeyElsewhereWaitsForANewerMap(t *testing.T) {
+	former := startScripted(t, "s1", func(r *http.Request) string { return respond(r, 421, "X-Not-Run: 1\r\nX-Server: s1\r\n") })
+	owner := startScripted(t, "s2", signed)
+	e := newKeyedEdge(t, former, owner)
+	require.Equal(t, 503, send(e, context.Background(), "/safe/x").Status)
+	require.Equal(t, 1, former.count())
+
+	time.AfterFunc(100*time.Millisecond, func() { e.SetMap(heldBy(owner, 2)) })
+	require.Equal(t, 200, send(e, context.Background(), "/safe/x").Status)
+	require.Equal(t, 2, former.count())
+	require.Equal(t, 1, owner.count())
+}
+
 // Guards against a refusal of a request that a server has refused without
 // running it, and against one that has run.
 func TestRefusalsAreTrue(t *testing.T) {
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -29,8 +29,9 @@
 	// patienceShare is the part of the target latency that a request may wait;
 	// the rest is needed to run it.
 	patienceShare = 0.6
-	// elsewherePause spaces attempts at a key whose holder said it is not.
-	elsewherePause = 60 * time.Millisecond
+	// mapCheck spaces looks for a newer map after a server said that it does not
+	// hold the key.
+	mapCheck = 15 * time.Millisecond
 	// unknownRetryAfter is told before a configuration is known.
 	unknownRetryAfter = 500 * time.Millisecond
 	// maxSends bounds the attempts that servers refused without running.
@@ -49,8 +50,9 @@
 	key      uint16
 	keyed    bool
 
-	sends      int // attempts that may have reached a server
-	runs       int // attempts that a server may have run
+	sends      int    // attempts that may have reached a server
+	runs       int    // attempts that a server may have run
+	mapVersion uint64 // of the map by which the last server was chosen
 	tried      []string
 	failure    *ingress.Response // a server's own failure, if there is nothing better
 	lastServer string
@@ -153,6 +155,7 @@
 	if j.sends > 0 {
 		patience = min(left/2, left-minUseful)
 	}
+	j.mapVersion = j.edge.mapVersion()
 	now := j.edge.now()
 	verdict, cancel := j.pool.submit(dispatch.Request{
 		Rank: j.route.Rank, Deadline: now + left - minUseful, Patience: patience, Keyed: j.keyed, Key: j.key, Exclude: j.tried,
@@ -173,6 +176,7 @@
 		j.pool.done(s.ID, dispatch.Result{Outcome: dispatch.Canceled})
 		return j.giveUp("retry_budget"), false
 	}
+	caller := ctx
 	if !j.route.Idempotent {
 		// The server may run it to its end although the caller left.
 		ctx = context.WithoutCancel(ctx)
@@ -189,7 +193,7 @@
 		return j.broken(ctx, s, latency, err)
 	}
 	j.sends++
-	return j.judge(s, latency, response)
+	return j.judge(caller, s, latency, response)
 }
 
 func (j *job) matches(h http.Header) bool {
@@ -294,7 +298,7 @@
 }
 
 // judge decides about a complete response.
-func (j *job) judge(s dispatch.Server, latency time.Duration, r *upstream.Response) (*ingress.Response, bool) {
+func (j *job) judge(ctx context.Context, s dispatch.Server, latency time.Duration, r *upstream.Response) (*ingress.Response, bool) {
 	names := j.edge.options.Headers
 	result := dispatch.Result{Outcome: dispatch.OK, Rank: j.route.Rank, Latency: latency, Load: parseLoad(r.Header.Get(names.ServerLoad))}
 	refused := r.Header.Get(names.NotExecuted) != "" || r.Status == http.StatusMisdirectedRequest
@@ -302,6 +306,8 @@
 	switch {
 	case refused && r.Status == http.StatusMisdirectedRequest:
 		result.Outcome = dispatch.Elsewhere
+	case refused && result.Load.Room():
+		result.Outcome = dispatch.Shed
 	case refused:
 		result.Outcome = dispatch.Full
 	case r.Status >= http.StatusInternalServerError || r.Status < 300 && !signed:
@@ -313,7 +319,7 @@
 	j.pool.done(s.ID, result)
 	switch {
 	case refused:
-		return j.rejected(s, r)
+		return j.rejected(ctx, s, r, result.Load)
 	case result.Outcome == dispatch.Failed:
 		return j.failed(s, r, signed)
 	}
@@ -340,22 +346,45 @@
 }
 
 // rejected handles a response that says the server did not run the request.
-func (j *job) rejected(s dispatch.Server, r *upstream.Response) (*ingress.Response, bool) {
+func (j *job) rejected(ctx context.Context, s dispatch.Server, r *upstream.Response, load *dispatch.Load) (*ingress.Response, bool) {
 	j.tried = append(j.tried, s.ID)
 	j.lastError = nil
-	full := r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests
-	// Only one server holds the key, and a full one has a queue of a second or so.
-	if j.keyed && full || j.sends >= maxSends || time.Until(j.deadline) < 2*minUseful {
+	elsewhere := r.Status == http.StatusMisdirectedRequest
+	// Only one server holds the key. A full one has a queue of a second or so; one
+	// that refuses although it has room may take the request the next time.
+	if j.keyed && !elsewhere && !load.Room() || j.sends >= maxSends || time.Until(j.deadline) < 2*minUseful {
 		return j.giveUp("server_refused"), false
 	}
+	if j.keyed && elsewhere && !j.newerMap(ctx) {
+		return j.giveUp("key_elsewhere"), false
+	}
 	j.retried(s, "server_refused_"+strconv.Itoa(r.Status))
 	if j.keyed {
 		j.tried = nil
-		time.Sleep(elsewherePause)
 	}
 	return nil, true
 }
 
+// newerMap waits for a map that is newer than the one by which the last server
+// was chosen, or until the caller leaves. The same map names the same server,
+// which would refuse again at the cost of the retry budget.
+func (j *job) newerMap(ctx context.Context) bool {
+	ticker := time.NewTicker(mapCheck)
+	defer ticker.Stop()
+	timeout := time.NewTimer(min(dispatch.MaxHold, time.Until(j.deadline)/2))
+	defer timeout.Stop()
+	for j.edge.mapVersion() == j.mapVersion {
+		select {
+		case <-ticker.C:
+		case <-timeout.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // failed handles a failure that the server reports after it ran the request, and
 // a success that it did not sign.
 func (j *job) failed(s dispatch.Server, r *upstream.Response, signed bool) (*ingress.Response, bool) {
