Let hosts without the store learn the leader from other hosts

Change: a leader tells each follower up to eight other hosts, renewed every 5 s. A host that has heard no leader for a second asks one of them at a time which leader it hears, and follows that one until its map names another (event 417).

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -78,6 +78,7 @@
 	AddressReused      Code = 417
 	LeaderHeard        Code = 415
 	LeaderSilent       Code = 416
+	LeaderReferred     Code = 417
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -142,6 +143,7 @@
 	{FormerLeaderEnded, "former_leader_ended", "The process of the former leader is known to have ended, so it grants nothing more."},
 	{LeaderHeard, "leader_heard", "This host follows the leading host, which has contact to the store."},
 	{LeaderSilent, "leader_silent", "This host does not hear a leader with contact to the store; it reads the store itself."},
+	{LeaderReferred, "leader_referred", "Another host named the leader to a host that heard none."},
 	{AddressReused, "address_reused", "Another server answered at a server's address; that server has ended."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -202,7 +202,9 @@
 
 	full := startScripted(t, "s1", answer("2,3,2"))
 	answers.Store(0)
-	require.Equal(t, 503, send(newKeyedEdge(t, full), context.Background(), "/once/x").Status)
+	refusal := send(newKeyedEdge(t, full), context.Background(), "/once/x")
+	require.Equal(t, 503, refusal.Status)
+	require.Equal(t, "0.300", refusal.Header.Get("Retry-After"), "a caller that returns later is late")
 	require.Equal(t, 1, full.count())
 }
 
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -29,10 +29,13 @@
 	// patienceShare is the part of the target latency that a request may wait;
 	// the rest is needed to run it.
 	patienceShare = 0.6
+	// comeBackShare of the target latency is the pause that a caller is asked for
+	// after a server refused; most of the rest is needed to run the request.
+	comeBackShare = 0.3
 	// mapCheck spaces looks for a newer map after a server said that it does not
 	// hold the key.
 	mapCheck = 15 * time.Millisecond
-	// unknownRetryAfter is told before a configuration is known.
+	// unknownRetryAfter is told when nothing says how long to wait.
 	unknownRetryAfter = 500 * time.Millisecond
 	// maxSends bounds the attempts that servers refused without running.
 	maxSends = 4
@@ -353,7 +356,7 @@
 	// Only one server holds the key. A full one has a queue of a second or so; one
 	// that refuses although it has room may take the request the next time.
 	if j.keyed && !elsewhere && !load.Room() || j.sends >= maxSends || time.Until(j.deadline) < 2*minUseful {
-		return j.giveUp("server_refused"), false
+		return j.refusedBy(), false
 	}
 	if j.keyed && elsewhere && !j.newerMap(ctx) {
 		return j.giveUp("key_elsewhere"), false
@@ -365,6 +368,20 @@
 	return nil, true
 }
 
+// refusedBy answers a request that a server refused. The caller is asked to come
+// back while a response can still be in time.
+func (j *job) refusedBy() *ingress.Response {
+	const reason = "server_refused"
+	if j.failure != nil || j.runs > 0 {
+		return j.giveUp(reason)
+	}
+	pause := unknownRetryAfter
+	if target := j.route.TargetLatency; target > 0 {
+		pause = min(pause, time.Duration(float64(target)*comeBackShare))
+	}
+	return j.refused(dispatch.Verdict{Reason: reason, RetryAfter: pause})
+}
+
 // newerMap waits for a map that is newer than the one by which the last server
 // was chosen, or until the caller leaves. The same map names the same server,
 // which would refuse again at the cost of the retry budget.
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,20 +21,26 @@
 
 // beliefs are those of a following host.
 type beliefs struct {
-	mu      sync.Mutex
-	address string
-	config  uint64
-	servers map[string]directory.Server
-	m       *assignment.Map
-	hosts   int
-	report  edge.Report
+	mu        sync.Mutex
+	leader    string
+	addresses map[string]string
+	config    uint64
+	servers   map[string]directory.Server
+	m         *assignment.Map
+	hosts     int
+	report    edge.Report
 }
 
 func (b *beliefs) get(f func()) { b.mu.Lock(); defer b.mu.Unlock(); f() }
 
-func (b *beliefs) ConfigVersion() (v uint64)  { b.get(func() { v = b.config }); return v }
-func (b *beliefs) Map() (m *assignment.Map)   { b.get(func() { m = b.m }); return m }
-func (b *beliefs) Leader() (string, string)   { return "leader", b.address }
+func (b *beliefs) ConfigVersion() (v uint64) { b.get(func() { v = b.config }); return v }
+func (b *beliefs) Map() (m *assignment.Map)  { b.get(func() { m = b.m }); return m }
+func (b *beliefs) Leader() (leader string)   { b.get(func() { leader = b.leader }); return leader }
+func (b *beliefs) Address(incarnation string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.addresses[incarnation]
+}
 func (b *beliefs) TakeConfig(c routes.Config) { b.get(func() { b.config = c.Version }) }
 func (b *beliefs) TakeMap(m *assignment.Map)  { b.get(func() { b.m = m }) }
 func (b *beliefs) TakeHosts(n int)            { b.get(func() { b.hosts = n }) }
@@ -82,10 +89,10 @@
 
 func startLeader(t *testing.T) (*leaderHost, *beliefs, *Follower) {
 	l := &leaderHost{leading: true, heard: map[string]uint64{}}
-	l.source = NewSource("leader", l)
+	l.source = NewSource("leader", l, func() string { return "" })
 	h := httptest.NewServer(followv1.NewLeaderServer(l.source))
 	t.Cleanup(h.Close)
-	b := &beliefs{address: h.Listener.Addr().String()}
+	b := &beliefs{leader: "leader", addresses: map[string]string{"leader": h.Listener.Addr().String()}}
 	journal := telemetry.NewJournal(io.Discard, "f", "z")
 	f := NewFollower("follower", b, journal)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -157,3 +164,52 @@
 	l.mu.Unlock()
 	require.Eventually(t, func() bool { return f.Silence() > MaxAge }, MaxAge+callWait+500*time.Millisecond, 10*time.Millisecond)
 }
+
+// Guards against a host that follows a leader of the past because it lost the
+// store at the moment at which the leader changed, though it reaches hosts that
+// hear the new one.
+func TestHostWithoutStoreLearnsTheLeaderFromAnotherHost(t *testing.T) {
+	former, b, f := startLeader(t)
+	eventually := func(what string, ok func() bool) {
+		t.Helper()
+		require.Eventually(t, ok, 2*MaxAge+2*time.Second, 5*time.Millisecond, what)
+	}
+	newLeader := &leaderHost{leading: true, heard: map[string]uint64{}}
+	newLeader.source = NewSource("new", newLeader, func() string { return "" })
+	newLeader.source.SetMap(&assignment.Map{Offset: 1, End: 2, Term: 2, Leader: "new", Services: ranges("1")})
+	other := &leaderHost{heard: map[string]uint64{}}
+	var hears atomic.Value
+	hears.Store("")
+	other.source = NewSource("other", other, func() string { return hears.Load().(string) })
+	for name, source := range map[string]*Source{"new": newLeader.source, "other": other.source} {
+		h := httptest.NewServer(followv1.NewLeaderServer(source))
+		t.Cleanup(h.Close)
+		b.get(func() { b.addresses[name] = h.Listener.Addr().String() })
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				newLeader.source.Contact()
+				if former.Leading() {
+					former.source.Contact()
+				}
+			}
+		}
+	}()
+	// The follower learns of the other host from the former leader.
+	_, err := former.source.Follow(context.Background(), &followv1.FollowRequest{Host: "other"})
+	require.NoError(t, err)
+	eventually("the former leader is heard", func() bool { return f.Following() == "leader" })
+	time.Sleep(2 * callWait)
+	hears.Store("new")
+	former.mu.Lock()
+	former.leading = false
+	former.mu.Unlock()
+	eventually("the new leader is heard", func() bool { return f.Following() == "new" })
+	eventually("its map is known", func() bool { m := b.Map(); return m != nil && m.Term == 2 })
+}
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -31,13 +31,20 @@
 	MaxAge = time.Second
 	// pauseAfterFailure spaces calls to a leader that does not answer.
 	pauseAfterFailure = 200 * time.Millisecond
+	// askTimeout bounds a question to another host, which answers at once.
+	askTimeout = 250 * time.Millisecond
+	// peersEvery is the age at which the list of other hosts is renewed.
+	peersEvery = 5 * time.Second
 )
 
 // Beliefs is what a follower knows and where it puts what it learns.
 type Beliefs interface {
 	ConfigVersion() uint64
 	Map() *assignment.Map // newest; nil for none
-	Leader() (incarnation, address string)
+	// Leader returns the leader that the newest map names; empty for none.
+	Leader() (incarnation string)
+	// Address returns where the process of a host answers.
+	Address(incarnation string) string
 	TakeConfig(routes.Config)
 	// TakeServers replaces all servers.
 	TakeServers(map[string]directory.Server)
@@ -48,20 +55,31 @@
 	Report() edge.Report
 }
 
-// Follower follows the leading host.
+// Follower follows the leading host. A host that can reach neither the store nor
+// the leader of its map asks other hosts which leader they follow, so that a host
+// that only lost the store goes on with what is in force.
 type Follower struct {
-	host     string
-	beliefs  Beliefs
-	journal  *telemetry.Journal
-	http     *http.Client
-	heard    atomic.Int64 // Unix nanoseconds of the monotonic clock's base plus elapsed time
-	base     time.Time
-	source   string
-	revision uint64
-	servers  map[string]directory.Server
-	hears    bool
+	host      string
+	beliefs   Beliefs
+	journal   *telemetry.Journal
+	http      *http.Client
+	heard     atomic.Int64 // time after base
+	following atomic.Pointer[string]
+	base      time.Time
+	source    string
+	revision  uint64
+	servers   map[string]directory.Server
+	hears     bool
+	peers     []string // incarnations of other hosts
+	peersAt   time.Time
+	asked     int
+	referral  referral
 }
 
+// referral is a leader that another host named while the newest map named
+// instead.
+type referral struct{ leader, instead string }
+
 // NewFollower returns a follower that does not run yet.
 func NewFollower(host string, beliefs Beliefs, journal *telemetry.Journal) *Follower {
 	f := &Follower{host: host, beliefs: beliefs, journal: journal, base: time.Now()}
@@ -75,27 +93,79 @@
 	return time.Since(f.base) - time.Duration(f.heard.Load())
 }
 
+// Following returns the incarnation of the leader that is heard; empty for none.
+func (f *Follower) Following() string {
+	if leader := f.following.Load(); leader != nil && f.Silence() < MaxAge {
+		return *leader
+	}
+	return ""
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		leader, address := f.beliefs.Leader()
-		if address == "" || leader == f.host {
-			f.note(false, leader, nil)
-			pause(ctx, pauseAfterFailure)
-			continue
+		leader := f.leader()
+		ok, err := false, error(nil)
+		if leader != "" && leader != f.host {
+			ok, err = f.call(ctx, leader)
 		}
-		ok, err := f.call(ctx, address)
 		f.note(ok, leader, err)
-		if !ok {
-			pause(ctx, pauseAfterFailure)
+		if ok {
+			continue
+		}
+		if f.Silence() > MaxAge {
+			f.ask(ctx)
 		}
+		pause(ctx, pauseAfterFailure)
 	}
 	return nil
 }
 
+// leader returns the leader that the newest map names, or the one that another
+// host named since.
+func (f *Follower) leader() string {
+	leader := f.beliefs.Leader()
+	if f.referral.leader != "" && f.referral.instead == leader {
+		return f.referral.leader
+	}
+	return leader
+}
+
+// ask asks the next of the other hosts which leader it follows.
+func (f *Follower) ask(ctx context.Context) {
+	if len(f.peers) == 0 {
+		return
+	}
+	f.asked++
+	peer := f.peers[f.asked%len(f.peers)]
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	r, err := f.client(peer).Follow(ctx, f.request())
+	if err != nil || r.Leader == "" || r.Leader == f.leader() {
+		return // the next host is asked after a pause
+	}
+	f.referral = referral{leader: r.Leader, instead: f.beliefs.Leader()}
+	f.journal.Event(event.LeaderReferred, "leader", r.Leader, "instead", f.referral.instead, "by", r.Host, "silence_ms", f.Silence().Milliseconds())
+}
+
+// request tells what this host knows. MapEnd must be true: it can prove that an
+// earlier process of this host has ended, see assigner.Heard.
+func (f *Follower) request() *followv1.FollowRequest {
+	request := &followv1.FollowRequest{Host: f.host, ConfigVersion: f.beliefs.ConfigVersion(), ServersSource: f.source, ServersRevision: f.revision}
+	if m := f.beliefs.Map(); m != nil {
+		request.MapEnd = m.End
+	}
+	return request
+}
+
+func (f *Follower) client(incarnation string) followv1.Leader {
+	return followv1.NewLeaderProtobufClient("http://"+f.beliefs.Address(incarnation), f.http)
+}
+
 // note logs when the leader is heard again or no more.
 func (f *Follower) note(ok bool, leader string, err error) {
 	if ok {
+		f.following.Store(&leader)
 		f.heard.Store(int64(time.Since(f.base)))
 	}
 	hears := f.Silence() < MaxAge
@@ -110,14 +180,11 @@
 	}
 }
 
-func (f *Follower) call(ctx context.Context, address string) (bool, error) {
-	request := &followv1.FollowRequest{Host: f.host, ConfigVersion: f.beliefs.ConfigVersion(), ServersSource: f.source, ServersRevision: f.revision,
-		WaitMs: uint32(callWait.Milliseconds())}
-	if m := f.beliefs.Map(); m != nil {
-		request.MapEnd = m.End
-	}
+func (f *Follower) call(ctx context.Context, leader string) (bool, error) {
+	request := f.request()
+	request.WaitMs, request.WantPeers = uint32(callWait.Milliseconds()), time.Since(f.peersAt) > peersEvery
 	request.Arrivals = encodeReport(f.beliefs.Report())
-	r, err := followv1.NewLeaderProtobufClient("http://"+address, f.http).Follow(ctx, request)
+	r, err := f.client(leader).Follow(ctx, request)
 	if err != nil {
 		return false, err
 	}
@@ -125,6 +192,9 @@
 		return false, nil
 	}
 	f.beliefs.TakeHosts(int(r.Hosts))
+	if len(r.Peers) > 0 {
+		f.peers, f.peersAt = r.Peers, time.Now()
+	}
 	if err := f.take(r); err != nil {
 		return false, err
 	}
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -26,6 +26,9 @@
 	keptChanges = 1024
 	// forgetHost is the time after which a silent host is not counted.
 	forgetHost = 5 * time.Second
+	// maxPeers is the number of other hosts that a host is told. If a third of the
+	// hosts lose the store together, one in 6,561 of them knows no other host.
+	maxPeers = 8
 	// maxWait bounds the wait that a caller may ask for.
 	maxWait = 2 * time.Second
 )
@@ -42,8 +45,9 @@
 
 // Source answers the hosts that follow this one. It implements followv1.Leader.
 type Source struct {
-	host   string // incarnation
-	leader Leader
+	host      string // incarnation
+	leader    Leader
+	following func() string
 
 	mu       sync.Mutex
 	changed  chan struct{} // closed at the next change
@@ -62,9 +66,10 @@
 	id       string
 }
 
-// NewSource returns the source of a host.
-func NewSource(host string, leader Leader) *Source {
-	return &Source{host: host, leader: leader, changed: make(chan struct{}), servers: map[string]directory.Server{}, heard: map[string]time.Time{}}
+// NewSource returns the source of a host. following returns the incarnation of
+// the leader that the host hears; empty for none.
+func NewSource(host string, leader Leader, following func() string) *Source {
+	return &Source{host: host, leader: leader, following: following, changed: make(chan struct{}), servers: map[string]directory.Server{}, heard: map[string]time.Time{}}
 }
 
 // wake tells waiting callers of a change; it holds s.mu.
@@ -178,8 +183,13 @@
 	s.heard[r.Host] = time.Now()
 	response := &followv1.FollowResponse{Host: s.host, Leading: leading, AgeMs: uint32(time.Since(s.contact).Milliseconds()), ServersRevision: s.revision, Hosts: uint32(s.hosts())}
 	if !leading {
+		response.Leader = s.following()
 		return response, nil
 	}
+	response.Leader = s.host
+	if r.WantPeers {
+		response.Peers = s.peersFor(r.Host)
+	}
 	if r.ConfigVersion < s.version {
 		response.Config = s.config
 	}
@@ -190,6 +200,20 @@
 	return response, s.changed
 }
 
+// peersFor returns some of the hosts that followed lately.
+func (s *Source) peersFor(host string) []string {
+	var peers []string
+	for other := range s.heard { // in random order
+		if other != host {
+			peers = append(peers, other)
+		}
+		if len(peers) == maxPeers {
+			break
+		}
+	}
+	return peers
+}
+
 // Hosts returns the number of hosts that followed lately, this one included.
 func (s *Source) Hosts() int {
 	s.mu.Lock()
