--- a/core/event/clock_test.go
+++ b/core/event/clock_test.go
@@ -26,3 +26,15 @@
 		t.Fatal(got)
 	}
 }
+
+// Guards against two events with one number, of which the log shows the name of
+// the other one.
+func TestEventNumbersAreUnique(t *testing.T) {
+	names := map[Code]string{}
+	for _, d := range Definitions {
+		if other, ok := names[d.Code]; ok {
+			t.Errorf("%s and %s have number %d", other, d.Name, d.Code)
+		}
+		names[d.Code] = d.Name
+	}
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -75,10 +75,10 @@
 	MapObserved        Code = 412
 	GrantUnanswered    Code = 413
 	FormerLeaderEnded  Code = 414
-	AddressReused      Code = 417
 	LeaderHeard        Code = 415
 	LeaderSilent       Code = 416
-	LeaderReferred     Code = 417
+	AddressReused      Code = 417
+	LeaderReferred     Code = 418
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
