Do not take the timeout of a connection for the caller's deadline

A request for a service without keys was not tried at another server, and the server that could not be reached was not paused, so the next requests waited for it, too.

Change: the end of the attempt's context decides, not the error.

Test: TestUnansweredConnectionIsNotTheDeadline (a listener whose queue is full) fails before with 503.

--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -284,3 +285,44 @@
 	require.LessOrEqual(t, a.count()+b.count(), 10+1+2)
 	require.Greater(t, a.count()+b.count(), 10)
 }
+
+// unanswering returns an address at which connections are neither accepted nor
+// refused, as behind a link that drops packets: its queue of connections is full.
+func unanswering(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for range 8 {
+		c, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	t.Fatal("all connections were accepted")
+	return ""
+}
+
+// Pattern: an availability zone is cut off by links that drop packets. Guards
+// against a timeout of the connection that is taken for the caller's deadline:
+// the request was refused though another server had room, and the server that
+// cannot be reached got the next one, too.
+func TestUnansweredConnectionIsNotTheDeadline(t *testing.T) {
+	good, address := startScripted(t, "s1", signed), unanswering(t)
+	dials, first := uint64(0), uint64(12)
+	for n := range first { // which server comes first depends on the ids
+		id := fmt.Sprint("c", n)
+		e := newEdge(t, good, &scripted{id: id, address: address})
+		for range 3 {
+			require.Equal(t, 200, send(e, context.Background(), "/once/x").Status, id)
+		}
+		dials += e.options.Client.Dials.Load()
+	}
+	require.Greater(t, dials, first, "the server that does not answer was never tried")
+	require.LessOrEqual(t, dials, 2*first, "a server that does not answer got the next request, too")
+}
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -256,9 +256,11 @@
 	sent := errors.As(err, &failure) && failure.Sent
 	outcome := dispatch.Unreachable
 	switch {
-	case errors.Is(err, context.Canceled):
+	// Not errors.Is(err, ...): a timeout of the connection counts as
+	// context.DeadlineExceeded, too.
+	case errors.Is(ctx.Err(), context.Canceled):
 		outcome = dispatch.Canceled
-	case errors.Is(err, context.DeadlineExceeded):
+	case ctx.Err() != nil:
 		outcome = dispatch.Late
 	case sent:
 		outcome = dispatch.Broken
@@ -275,7 +277,7 @@
 	switch {
 	case outcome == dispatch.Canceled:
 		return j.abandoned(), false
-	case outcome == dispatch.Late || ctx.Err() != nil:
+	case outcome == dispatch.Late:
 		return j.giveUp("deadline"), false
 	case sent && !j.mayRunAgain():
 		return j.giveUp("no_response"), false
