Let idempotent requests leave a server that does not answer in the usual time

Ruled out: a fixed multiple of the server's mean latency (short and long ranks share servers); a limit that is not paid from the retry budget when it ends (the attempt would be lost without another one).

Change: the pool estimates the time of nearly all responses of a rank (mean plus four deviations, gains as in RFC 6298; attempts that were given up count with the time that they had). After it an idempotent request with attempts left is sent to another server if the budget allows; the server is paused for 150 ms, doubling.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -44,6 +44,9 @@
 	// BrokenPause keeps requests from a server whose connection broke; one lost
 	// response says little.
 	BrokenPause = 30 * time.Millisecond
+	// SlowPause keeps requests from a server that did not answer in the usual time;
+	// most are only slow, so it is short at first.
+	SlowPause = 150 * time.Millisecond
 	// MaxFailurePause bounds the doubled pauses.
 	MaxFailurePause = 2 * time.Second
 	// ReplacedPause keeps requests from a server whose address another one has; its
@@ -88,6 +91,7 @@
 	Replaced            // another server has the address; the request did not run
 	Canceled            // the caller left; says nothing about the server
 	Late                // no response in time
+	Slow                // no response within the usual time; given up for another server
 )
 
 // Room says that a server with this load would begin another request at once.
@@ -131,6 +135,9 @@
 	Server     Server // valid if Reason is empty
 	Reason     Reason
 	RetryAfter time.Duration
+	// Usual is the time within which nearly all requests of this rank have their
+	// response; 0 if too little is known, and for services with keys.
+	Usual time.Duration
 }
 
 // Owner tells which server holds a key. An empty id means that none does;
@@ -157,6 +164,8 @@
 	shrunk  time.Duration
 	limited bool // a request waited for the window since it last grew
 
+	times map[int]*responseTime // by rank, for services without keys
+
 	urgentWork, otherWork float64 // seconds at servers, with decay
 	workAt                time.Duration
 }
@@ -166,7 +175,7 @@
 
 // NewPool returns the pool of a service at a host in zone.
 func NewPool(host, zone string, owner Owner) *Pool {
-	return &Pool{servers: map[string]*server{}, owner: owner, host: host, zone: zone, window: startWindow}
+	return &Pool{servers: map[string]*server{}, owner: owner, host: host, zone: zone, window: startWindow, times: map[int]*responseTime{}}
 }
 
 // SetServers replaces the servers that requests may go to. Requests in flight at
@@ -357,7 +366,9 @@
 		p.limited = true
 		return Verdict{}, false
 	}
-	return p.send(s), true
+	v := p.send(s)
+	v.Usual = p.times[w.Rank].usual()
+	return v, true
 }
 
 func (p *Pool) send(s *server) Verdict {
@@ -378,6 +389,9 @@
 		delete(p.servers, id)
 	}
 	p.learn(now, s, r)
+	if p.owner == nil {
+		p.noteTime(r)
+	}
 	if r.Outcome == OK {
 		p.noteWork(now, r)
 	}
--- a/core/dispatch/servers.go
+++ b/core/dispatch/servers.go
@@ -177,6 +177,11 @@
 		s.latency += latencyWeight * (r.Latency.Seconds() - s.latency)
 		s.errors -= errorWeight * s.errors
 		s.pause = 0
+	case Slow:
+		// Often a server behind a link that drops packets, or one that hangs.
+		s.errors += errorWeight * (1 - s.errors)
+		s.pause = min(max(SlowPause, 2*s.pause), MaxFailurePause)
+		s.until = now + s.pause
 	case Failed, Late:
 		s.errors += errorWeight * (1 - s.errors)
 		s.latency = max(s.latency, min(r.Latency.Seconds(), 2*s.latency))
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -326,3 +326,38 @@
 	require.Greater(t, dials, first, "the server that does not answer was never tried")
 	require.LessOrEqual(t, dials, 2*first, "a server that does not answer got the next request, too")
 }
+
+// Pattern: a server hangs, or its link drops packets, while connections to it are
+// kept. Guards against idempotent requests that wait there until their deadline
+// though another server is free, and against requests that may run once only and
+// are given up.
+func TestIdempotentRequestLeavesAServerThatHangs(t *testing.T) {
+	var hangs atomic.Bool
+	answer := func(r *http.Request) string {
+		if hangs.Load() && r.Header.Get("X-Target") == "s2" {
+			time.Sleep(2 * time.Second)
+		}
+		return signed(r)
+	}
+	e := newEdge(t, startScripted(t, "s1", answer), startScripted(t, "s2", answer))
+	for range 40 {
+		require.Equal(t, 200, send(e, context.Background(), "/safe/x").Status)
+	}
+	hangs.Store(true)
+	var wait sync.WaitGroup
+	var served, late atomic.Int32
+	for range 6 { // at once, so that both servers get some
+		wait.Go(func() {
+			begin := time.Now()
+			if send(e, context.Background(), "/safe/x").Status == 200 {
+				served.Add(1)
+			}
+			if time.Since(begin) > 700*time.Millisecond {
+				late.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	require.Equal(t, int32(6), served.Load())
+	require.Zero(t, late.Load())
+}
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"parsleyrelay.example/core/dispatch"
@@ -53,9 +54,10 @@
 	key      uint16
 	keyed    bool
 
-	sends      int    // attempts that may have reached a server
-	runs       int    // attempts that a server may have run
-	mapVersion uint64 // of the map by which the last server was chosen
+	sends      int         // attempts that may have reached a server
+	runs       int         // attempts that a server may have run
+	mapVersion uint64      // of the map by which the last server was chosen
+	prepaid    atomic.Bool // the next attempt was taken from the retry budget
 	tried      []string
 	failure    *ingress.Response // a server's own failure, if there is nothing better
 	lastServer string
@@ -134,7 +136,7 @@
 		if v.Reason != "" {
 			return j.refused(v)
 		}
-		response, again := j.attempt(ctx, v.Server)
+		response, again := j.attempt(ctx, v)
 		if !again {
 			return response
 		}
@@ -174,8 +176,9 @@
 
 // attempt sends the request to a server. again says that it should be sent to
 // another one.
-func (j *job) attempt(ctx context.Context, s dispatch.Server) (answer *ingress.Response, again bool) {
-	if j.sends > 0 && !j.pool.takeRetry() {
+func (j *job) attempt(ctx context.Context, v dispatch.Verdict) (answer *ingress.Response, again bool) {
+	s := v.Server
+	if j.sends > 0 && !j.prepaid.Swap(false) && !j.pool.takeRetry() {
 		j.pool.done(s.ID, dispatch.Result{Outcome: dispatch.Canceled})
 		return j.giveUp("retry_budget"), false
 	}
@@ -186,6 +189,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline.Add(answerGrace))
 	defer cancel()
+	var slow atomic.Bool
+	defer j.limit(v.Usual, func() { slow.Store(true); cancel() })()
 	start := time.Now()
 	response, err := j.edge.options.Client.Do(ctx, upstream.Exchange{
 		Address: s.Address, Method: j.request.Method, Raw: j.encode(s), Matches: j.matches,
@@ -193,12 +198,33 @@
 	j.lastServer = s.ID
 	latency := time.Since(start)
 	if err != nil {
-		return j.broken(ctx, s, latency, err)
+		return j.broken(ctx, s, latency, slow.Load(), err)
 	}
 	j.sends++
 	return j.judge(caller, s, latency, response)
 }
 
+// limit gives an attempt up after the usual time if the request may be sent to
+// another server and the retry budget allows it, so that a request that was sent
+// into a cut link or to a server that hangs is not lost. The returned function
+// ends the limit.
+func (j *job) limit(usual time.Duration, giveUp func()) (end func()) {
+	if usual == 0 || j.keyed || !j.route.Idempotent || j.runs+1 >= max(1, j.route.Attempts) {
+		return func() {}
+	}
+	// The other server needs about as long.
+	if time.Until(j.deadline) < usual+usual/2 {
+		return func() {}
+	}
+	timer := time.AfterFunc(usual, func() {
+		if j.pool.takeRetry() {
+			j.prepaid.Store(true)
+			giveUp()
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 func (j *job) matches(h http.Header) bool {
 	return h.Get(j.edge.options.Headers.RequestID) == j.id
 }
@@ -250,7 +276,7 @@
 }
 
 // broken decides after an attempt without a complete response.
-func (j *job) broken(ctx context.Context, s dispatch.Server, latency time.Duration, err error) (*ingress.Response, bool) {
+func (j *job) broken(ctx context.Context, s dispatch.Server, latency time.Duration, slow bool, err error) (*ingress.Response, bool) {
 	j.lastError = err
 	var failure *upstream.Error
 	sent := errors.As(err, &failure) && failure.Sent
@@ -258,6 +284,8 @@
 	switch {
 	// Not errors.Is(err, ...): a timeout of the connection counts as
 	// context.DeadlineExceeded, too.
+	case slow:
+		outcome = dispatch.Slow
 	case errors.Is(ctx.Err(), context.Canceled):
 		outcome = dispatch.Canceled
 	case ctx.Err() != nil:
@@ -265,13 +293,13 @@
 	case sent:
 		outcome = dispatch.Broken
 	}
-	j.pool.done(s.ID, dispatch.Result{Outcome: outcome, Latency: latency})
+	j.pool.done(s.ID, dispatch.Result{Outcome: outcome, Rank: j.route.Rank, Latency: latency})
 	if sent {
 		j.sends++
 		j.runs++
 	}
 	j.tried = append(j.tried, s.ID)
-	if outcome == dispatch.Unreachable || outcome == dispatch.Broken {
+	if outcome == dispatch.Unreachable || outcome == dispatch.Broken || outcome == dispatch.Slow {
 		j.edge.options.Journal.Event(event.ServerPaused, "request_id", j.id, "service", j.service, "server", s.ID, "address", s.Address, "sent", sent, "error", err)
 	}
 	switch {
@@ -286,7 +314,11 @@
 	case len(j.tried) >= maxSends:
 		return j.giveUp("attempts"), false
 	}
-	j.retried(s, "no_response")
+	if outcome == dispatch.Slow {
+		j.retried(s, "slow")
+	} else {
+		j.retried(s, "no_response")
+	}
 	return nil, true
 }
 
