--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -31,6 +31,8 @@
 	MaxAge = time.Second
 	// pauseAfterFailure spaces calls to a leader that does not answer.
 	pauseAfterFailure = 200 * time.Millisecond
+	// pauseWithoutLeader spaces looks for a leader in the newest map.
+	pauseWithoutLeader = 20 * time.Millisecond
 	// askTimeout bounds a question to another host, which answers at once.
 	askTimeout = 250 * time.Millisecond
 	// peersEvery is the age at which the list of other hosts is renewed.
@@ -105,18 +107,20 @@
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		leader := f.leader()
-		ok, err := false, error(nil)
+		ok, err, wait := false, error(nil), pauseWithoutLeader
 		if leader != "" && leader != f.host {
 			ok, err = f.call(ctx, leader)
+			wait = pauseAfterFailure
 		}
 		f.note(ok, leader, err)
 		if ok {
 			continue
 		}
-		if f.Silence() > MaxAge {
+		if leader != f.host && len(f.peers) > 0 && f.Silence() > MaxAge {
 			f.ask(ctx)
+			wait = pauseAfterFailure
 		}
-		pause(ctx, pauseAfterFailure)
+		pause(ctx, wait)
 	}
 	return nil
 }
@@ -133,9 +137,6 @@
 
 // ask asks the next of the other hosts which leader it follows.
 func (f *Follower) ask(ctx context.Context) {
-	if len(f.peers) == 0 {
-		return
-	}
 	f.asked++
 	peer := f.peers[f.asked%len(f.peers)]
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
