Forget a named leader that does not answer

Cause: a host that followed a leader named by another host kept calling it after it had ended, while its own map named a leader that was back; only a newer map or another name ended that (found in reading the code).

Change: a host that hears no leader forgets the name before it asks again.

Test: TestHostWithoutStoreLearnsTheLeaderFromAnotherHost, extended, fails before.

--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -212,4 +212,15 @@
 	former.mu.Unlock()
 	eventually("the new leader is heard", func() bool { return f.Following() == "new" })
 	eventually("its map is known", func() bool { m := b.Map(); return m != nil && m.Term == 2 })
+
+	// The named leader ends and the former one is back, with no newer map and
+	// nobody else to ask.
+	hears.Store("")
+	newLeader.mu.Lock()
+	newLeader.leading = false
+	newLeader.mu.Unlock()
+	former.mu.Lock()
+	former.leading = true
+	former.mu.Unlock()
+	eventually("the former leader is heard again", func() bool { return f.Following() == "leader" })
 }
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -117,6 +117,7 @@
 			continue
 		}
 		if leader != f.host && len(f.peers) > 0 && f.Silence() > MaxAge {
+			f.referral = referral{} // the named leader did not answer, or there is none
 			f.ask(ctx)
 			wait = pauseAfterFailure
 		}
