Serve a request that arrives while the host stops; log unreadable ones

At the end of the drain the read deadline of connections without an open request is set into the past, also of one whose request was just being read. A request line that was cut short this way was even answered with 400, since http.ReadRequest takes what a failed read left for a whole line.

Ruled out: the header timeout (the request took milliseconds), the pause of a host (none at that time).

Change: a connection whose reader has the first byte of a request is not idle. The error of the connection decides the status before that of the parser. Refusals of unreadable requests, which have no id, are logged with the caller's address.

Tests: TestRequestThatArrivesDuringTheStopIsServed (400 before), TestLimits/line (400 before).

--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -55,6 +56,9 @@
 type Server struct {
 	Handler Handler
 	Limits  func() routes.Limits
+	// Refused is told of requests that could not be read, which have no id; nil if
+	// nobody needs to know.
+	Refused func(caller string, status int, cause error)
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -80,6 +84,7 @@
 	open    int  // requests read and not answered
 	closing bool // the last response says so; nothing more is read
 	ending  bool // close as soon as idle
+	reading bool // the first byte of a request has arrived, the rest is being read
 }
 
 // Serve accepts connections until the listener is closed.
@@ -151,7 +156,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ending = true
-	if c.open == 0 {
+	if c.open == 0 && !c.reading {
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -182,6 +187,7 @@
 	for {
 		c.limit.left = -1
 		c.mu.Lock()
+		c.reading = false
 		switch {
 		case c.closing:
 			c.mu.Unlock()
@@ -198,6 +204,9 @@
 		c.mu.Unlock()
 		_, err := c.reader.Peek(1)
 		if err == nil {
+			c.mu.Lock()
+			c.reading = true
+			c.mu.Unlock()
 			return true
 		}
 		var timeout net.Error
@@ -224,7 +233,9 @@
 	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	request, err := http.ReadRequest(c.reader)
 	if err != nil {
-		c.reject(err)
+		// http.ReadRequest takes a line that the connection cut short for a whole
+		// one, and calls it malformed.
+		c.reject(cmp.Or(c.limit.err, err))
 		return false
 	}
 	c.limit.left = -1
@@ -242,7 +253,7 @@
 		return false
 	}
 	if int64(len(body)) > limits.BodyBytes {
-		c.refuse(http.StatusRequestEntityTooLarge)
+		c.refuse(http.StatusRequestEntityTooLarge, errBodyTooLarge)
 		return false
 	}
 	s := &slot{request: request, done: make(chan struct{})}
@@ -284,18 +295,21 @@
 	var timeout net.Error
 	switch {
 	case errors.Is(err, errHeaderTooLarge):
-		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge, err)
 	case errors.As(err, &timeout) && timeout.Timeout():
-		c.refuse(http.StatusRequestTimeout)
+		c.refuse(http.StatusRequestTimeout, err)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &timeout):
 		c.cancel()
 	default:
-		c.refuse(http.StatusBadRequest)
+		c.refuse(http.StatusBadRequest, err)
 	}
 }
 
 // refuse answers a request that could not be read; it is the last one.
-func (c *conn) refuse(status int) {
+func (c *conn) refuse(status int, cause error) {
+	if c.server.Refused != nil {
+		c.server.Refused(c.RemoteAddr().String(), status, cause)
+	}
 	s := &slot{request: &http.Request{Close: true}, done: make(chan struct{}), answer: &Response{Status: status}}
 	close(s.done)
 	c.admit(s)
@@ -344,22 +358,28 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open--
-	if c.open == 0 {
+	if c.open == 0 && !c.reading {
 		_ = c.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout + firstByteSlack))
 	}
 }
 
-var errHeaderTooLarge = errors.New("the header is larger than the limit")
+// Causes of refusals.
+var (
+	errHeaderTooLarge = errors.New("the header is larger than the limit")
+	errBodyTooLarge   = errors.New("the body is larger than the limit")
+)
 
 // limitedReader fails after left bytes; a negative left is no limit.
 type limitedReader struct {
 	reader io.Reader
 	left   int64
+	err    error // of the last read
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.left == 0 {
-		return 0, errHeaderTooLarge
+		l.err = errHeaderTooLarge
+		return 0, l.err
 	}
 	if l.left > 0 && int64(len(p)) > l.left {
 		p = p[:l.left]
@@ -368,5 +388,6 @@
 	if l.left > 0 {
 		l.left -= int64(n)
 	}
+	l.err = err
 	return n, err
 }
--- a/relay/ingress/ingress_test.go
+++ b/relay/ingress/ingress_test.go
@@ -66,6 +66,27 @@
 	require.Equal(t, "/2", read(t, reader).Header.Get("X-Path"))
 }
 
+// Guards against status 408 for a request that arrives while the process stops
+// and that the caller has sent in time. Found by seed 503 of the soak.
+func TestRequestThatArrivesDuringTheStopIsServed(t *testing.T) {
+	s, address := serve(t, echo)
+	c, reader := dial(t, address)
+	text := get("/late")
+	_, err := io.WriteString(c, text[:10])
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond) // the reader has the first bytes
+	s.Drain()
+	finished := make(chan error, 1)
+	go func() { finished <- s.Finish(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(c, text[10:])
+	require.NoError(t, err)
+	response := read(t, reader)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.True(t, response.Close)
+	require.NoError(t, <-finished)
+}
+
 // Guards against work that goes on after the caller has closed its connection.
 func TestClosedConnectionEndsTheContext(t *testing.T) {
 	ended := make(chan struct{})
@@ -150,6 +171,7 @@
 		"header":  {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 8192) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
 		"body":    {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65), http.StatusRequestEntityTooLarge},
 		"slow":    {"GET / HTTP/1.1\r\nHost:", http.StatusRequestTimeout},
+		"line":    {"GET /a", http.StatusRequestTimeout},
 		"garbage": {"no request at all\r\n\r\n", http.StatusBadRequest},
 		"chunks":  {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", http.StatusOK},
 	} {
