Forget an outage once the leader tells what the store says

The log: front-callao-15 lost the store at 11.50 s, then followed a leader; the store turned the leader away at 16.50 s, its last reading of the entries was at 16.11 s, the entry went at 16.32 s; the host read by itself again from 18.55 s and had the listing at 18.71 s. That listing counted as the end of the host's own outage of seven seconds before, so the missing entry was kept for the grace of 2.2 s, and a request was sent at 18.82 s.

Ruled out: the pauses after failures (the host read 0.03 s after the leader was silent), the time until the leader counts as silent (2.0 s after its last contact, within the bound with a listing).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -81,10 +81,12 @@
 }
 
 // Adopt replaces all servers by those that the leading host knows, which has
-// waited for lapsed entries itself.
+// waited for lapsed entries itself. An outage that this host saw before says
+// nothing about them.
 func (d *Directory) Adopt(servers map[string]Server) {
 	d.servers = maps.Clone(servers)
 	clear(d.lapsed)
+	d.disrupted, d.returned = false, false
 }
 
 // Store notes whether the store serves.
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -36,3 +36,16 @@
 	require.Equal(t, int64(2), d.All()["1"].Born)
 	require.False(t, d.Put(one("1", 2)))
 }
+
+// Guards against requests to a server that has left, because this host had lost
+// the store before it followed a leader. Found by a hunt: the entry was removed
+// 2.4 s before, the leader lost the store, and the first listing of this host
+// counted as the end of its own earlier outage.
+func TestAdoptedServersEndAnEarlierOutage(t *testing.T) {
+	d := New()
+	d.Store(0, false)
+	d.Adopt(map[string]Server{"1": {ID: "1"}, "2": {ID: "2"}})
+	d.Store(7*time.Second, true)
+	require.True(t, d.Replace(7*time.Second, map[string]Server{"2": {ID: "2"}}))
+	require.NotContains(t, d.All(), "1")
+}
