--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -13,7 +13,6 @@
 	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/ingress"
-	"parsleyrelay.example/relay/telemetry"
 	"parsleyrelay.example/relay/upstream"
 )
 
