Take another server before an attempt is given up

The attempt was given up with the retry budget's leave, but no other server had room, so the request was refused with an attempt that may have run.

Change: at the end of the usual time a server with room and an attempt of the budget are taken together; if either is missing the attempt goes on.

Test: TestAttemptGoesOnWithoutAnotherServer, 502 before.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -229,6 +229,13 @@
 	}
 }
 
+// Take returns a server that has room for a request now; it does not queue.
+func (p *Pool) Take(now time.Duration, r Request) (Verdict, bool) {
+	r.since = now
+	v, ok := p.decide(now, &waiter{Request: r})
+	return v, ok && v.Reason == ""
+}
+
 // refuse predicts whether a request could be served in time.
 func (p *Pool) refuse(now time.Duration, w *waiter) (Reason, time.Duration) {
 	if len(p.waiting) >= MaxWaiting {
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -393,6 +393,20 @@
 	p.pool.Done(p.clock(), id, r)
 }
 
+// takeForRetry takes a server that has room now and an attempt of the retry
+// budget, or neither.
+func (p *pool) takeForRetry(r dispatch.Request) (dispatch.Verdict, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	v, ok := p.pool.Take(now, r)
+	if ok && !p.budget.Take(now) {
+		p.pool.Done(now, v.Server.ID, dispatch.Result{Outcome: dispatch.Canceled})
+		return dispatch.Verdict{}, false
+	}
+	return v, ok
+}
+
 func (p *pool) failing(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -361,3 +361,20 @@
 	require.Equal(t, int32(6), served.Load())
 	require.Zero(t, late.Load())
 }
+
+// Guards against an attempt that is given up while its server is at work although
+// no other server can take the request. Found by a hunt: 502 after the usual time.
+func TestAttemptGoesOnWithoutAnotherServer(t *testing.T) {
+	var slow atomic.Bool
+	e := newEdge(t, startScripted(t, "s1", func(r *http.Request) string {
+		if slow.Load() {
+			time.Sleep(450 * time.Millisecond)
+		}
+		return signed(r)
+	}))
+	for range 40 {
+		require.Equal(t, 200, send(e, context.Background(), "/safe/x").Status)
+	}
+	slow.Store(true)
+	require.Equal(t, 200, send(e, context.Background(), "/safe/x").Status)
+}
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -4,9 +4,10 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"parsleyrelay.example/core/dispatch"
@@ -52,10 +53,10 @@
 	key      uint16
 	keyed    bool
 
-	sends      int         // attempts that may have reached a server
-	runs       int         // attempts that a server may have run
-	mapVersion uint64      // of the map by which the last server was chosen
-	prepaid    atomic.Bool // the next attempt was taken from the retry budget
+	sends      int               // attempts that may have reached a server
+	runs       int               // attempts that a server may have run
+	mapVersion uint64            // of the map by which the last server was chosen
+	next       *dispatch.Verdict // taken from pool and retry budget for the next attempt
 	tried      []string
 	failure    *ingress.Response // a server's own failure, if there is nothing better
 	lastServer string
@@ -126,6 +127,7 @@
 
 // run sends the request to servers until there is an answer for the caller.
 func (j *job) run(ctx context.Context) *ingress.Response {
+	defer j.release()
 	for {
 		v, ok := j.acquire(ctx)
 		if !ok {
@@ -146,6 +148,9 @@
 
 // acquire waits for a server with room. It returns false if the caller left.
 func (j *job) acquire(ctx context.Context) (dispatch.Verdict, bool) {
+	if j.next != nil {
+		return *j.next, true
+	}
 	left := time.Until(j.deadline)
 	if left < minUseful {
 		return dispatch.Verdict{Reason: dispatch.WaitTooLong}, true
@@ -176,7 +181,9 @@
 // another one.
 func (j *job) attempt(ctx context.Context, v dispatch.Verdict) (answer *ingress.Response, again bool) {
 	s := v.Server
-	if j.sends > 0 && !j.prepaid.Swap(false) && !j.pool.takeRetry() {
+	prepaid := j.next != nil
+	j.next = nil
+	if j.sends > 0 && !prepaid && !j.pool.takeRetry() {
 		j.pool.done(s.ID, dispatch.Result{Outcome: dispatch.Canceled})
 		return j.giveUp("retry_budget"), false
 	}
@@ -187,40 +194,62 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline.Add(answerGrace))
 	defer cancel()
-	var slow atomic.Bool
-	defer j.limit(v.Usual, func() { slow.Store(true); cancel() })()
+	endLimit := j.limit(v, cancel)
 	start := time.Now()
 	response, err := j.edge.options.Client.Do(ctx, upstream.Exchange{
 		Address: s.Address, Method: j.request.Method, Raw: j.encode(s), Matches: j.matches,
 	})
+	slow := endLimit()
 	j.lastServer = s.ID
 	latency := time.Since(start)
 	if err != nil {
-		return j.broken(ctx, s, latency, slow.Load(), err)
+		return j.broken(ctx, s, latency, slow, err)
 	}
+	j.release()
 	j.sends++
 	return j.judge(caller, s, latency, response)
 }
 
-// limit gives an attempt up after the usual time if the request may be sent to
-// another server and the retry budget allows it, so that a request that was sent
-// into a cut link or to a server that hangs is not lost. The returned function
-// ends the limit.
-func (j *job) limit(usual time.Duration, giveUp func()) (end func()) {
-	if usual == 0 || j.keyed || !j.route.Idempotent || j.runs+1 >= max(1, j.route.Attempts) {
-		return func() {}
-	}
+// limit gives an attempt up after the usual time if another server takes the
+// request at once and the retry budget allows it, so that a request that was sent
+// into a cut link or to a server that hangs is not lost. Without another server
+// the attempt goes on: its server may be at work. The returned function ends the
+// limit and says whether it gave the attempt up.
+func (j *job) limit(v dispatch.Verdict, giveUp func()) (end func() bool) {
+	left := time.Until(j.deadline)
 	// The other server needs about as long.
-	if time.Until(j.deadline) < usual+usual/2 {
-		return func() {}
+	if v.Usual == 0 || j.keyed || !j.route.Idempotent || j.runs+1 >= max(1, j.route.Attempts) || len(j.tried)+1 >= maxSends || left < v.Usual+v.Usual/2 {
+		return func() bool { return false }
 	}
-	timer := time.AfterFunc(usual, func() {
-		if j.pool.takeRetry() {
-			j.prepaid.Store(true)
+	request := dispatch.Request{Rank: j.route.Rank, Deadline: j.edge.now() + left - minUseful, Patience: left, Exclude: append(slices.Clone(j.tried), v.Server.ID)}
+	var mu sync.Mutex
+	ended, slow := false, false
+	timer := time.AfterFunc(v.Usual, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if ended {
+			return
+		}
+		if next, ok := j.pool.takeForRetry(request); ok {
+			j.next, slow = &next, true
 			giveUp()
 		}
 	})
-	return func() { timer.Stop() }
+	return func() bool {
+		timer.Stop()
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+		return slow
+	}
+}
+
+// release gives a server back that was taken for an attempt that is not made.
+func (j *job) release() {
+	if j.next != nil {
+		j.pool.done(j.next.Server.ID, dispatch.Result{Outcome: dispatch.Canceled})
+		j.next = nil
+	}
 }
 
 func (j *job) matches(h http.Header) bool {
