--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -23,9 +23,9 @@
 	var failure *upstream.Error
 	sent := errors.As(err, &failure) && failure.Sent
 	outcome := dispatch.Unreachable
+	// The context decides, not errors.Is(err, ...): a timeout of the connection
+	// counts as context.DeadlineExceeded, too.
 	switch {
-	// Not errors.Is(err, ...): a timeout of the connection counts as
-	// context.DeadlineExceeded, too.
 	case slow:
 		outcome = dispatch.Slow
 	case errors.Is(ctx.Err(), context.Canceled):
