Restore checkpoints from records that the log reader delivers

Cause: relay/daemon reports the oldest offset of the log apart from the records and passes the records without it; core/ownership took records with oldest offset 0 for those of a witness and dropped them while the daemon was behind retention, so that no daemon ever restored a checkpoint from the log.

Change: RecordsRead without an oldest offset uses the highest one reported so far. Only poll responses of witnesses count as such.

--- a/cmd/internal/e2e/path_test.go
+++ b/cmd/internal/e2e/path_test.go
@@ -119,6 +119,7 @@
 			for _, p := range f.daemons {
 				f.awaitServing(p, startTimeout)
 			}
+			f.awaitWitnessSet(3)
 			stop := f.sendOrders(f.daemons[1:])
 			resume := processFaults(f)[name]()
 			recoveryTime := f.awaitServing(f.daemons[1], recoveryTimeout())
@@ -131,6 +132,26 @@
 	}
 }
 
+// Guards against daemons that never serve again after their replacement, because
+// retention has dropped the start of the log: a new daemon must restore the
+// checkpoint that the former ones wrote.
+func TestReplacementBehindRetention(t *testing.T) {
+	f := newFixture(t, 3, 3)
+	for _, p := range f.daemons {
+		f.awaitServing(p, startTimeout)
+	}
+	f.awaitWitnessSet(3)
+	f.platform.DropRecordsBelow(f.platform.Head() + 1)
+	require.Eventually(t, func() bool {
+		return strings.Contains(f.daemons[0].output.String()+f.daemons[1].output.String()+f.daemons[2].output.String(), "name=checkpoint_written")
+	}, startTimeout, 50*time.Millisecond)
+	for i := range 3 {
+		replacement := f.startDaemon(fmt.Sprintf("entry-%d", i+3))
+		f.awaitServing(replacement, startTimeout)
+		require.Contains(t, replacement.output.String(), "name=behind_retention")
+	}
+}
+
 // Guards against an outage of the log that stops the daemons from serving requests.
 func TestServingWithoutTheLog(t *testing.T) {
 	f := newFixture(t, 3, 3)
--- a/cmd/internal/e2e/process_test.go
+++ b/cmd/internal/e2e/process_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"parsleyrelay.example/api/callerapi"
+	"parsleyrelay.example/api/operatorapi"
 	"parsleyrelay.example/api/platformapi"
 	"parsleyrelay.example/core/record"
 	"parsleyrelay.example/core/resource"
@@ -239,6 +240,20 @@
 	<-p.exited
 }
 
+// awaitWitnessSet waits until every daemon knows a witness set of the given size that
+// has no successor pending. Until then the loss of one daemon may take the majority
+// of the former, smaller set.
+func (f *fixture) awaitWitnessSet(size int) {
+	f.t.Helper()
+	for _, p := range f.daemons {
+		require.Eventually(f.t, func() bool {
+			var status operatorapi.Status
+			p.sendOperatorRequest(f.t, http.MethodGet, "/v1/status", "", &status)
+			return len(status.WitnessSets) == 1 && len(status.WitnessSets[0].Current) == size && len(status.WitnessSets[0].Pending) == 0
+		}, startTimeout, 50*time.Millisecond, "%s knows no witness set of %d hosts", p.name, size)
+	}
+}
+
 // response is the response that a caller gets, or the error.
 type response struct {
 	status  int
--- a/core/ownership/checkpoints.go
+++ b/core/ownership/checkpoints.go
@@ -38,7 +38,7 @@
 	completedAt      time.Duration   // when it was completed, or when this daemon started
 	recordsSinceBase int             // records applied after baseOffset
 	dueSince         time.Duration   // when a new checkpoint became due, 0 if none is
-	oldestOffset     uint64          // oldest offset that the log retains
+	oldestOffset     uint64          // highest oldest offset that a read of the log has reported; 0 before the first read
 	lastAppendAt     time.Duration   // when this daemon last appended parts, 0 if none are awaited
 	lastPartAt       time.Duration   // when the last part of an incomplete checkpoint was read, 0 for none
 	unappendedParts  []record.Record // parts of this daemon's checkpoint still to append
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -188,7 +188,8 @@
 	switch in := in.(type) {
 	case RecordsRead:
 		m.setLogReachable(true)
-		m.acceptRecords(in.Records, in.OldestOffset)
+		m.checkpoints.updateOldestOffset(in.OldestOffset)
+		m.acceptRecords(in.Records, m.checkpoints.oldestOffset)
 	case LogUnreachable:
 		m.setLogReachable(false)
 	case AppendCompleted:
--- a/core/ownership/messages.go
+++ b/core/ownership/messages.go
@@ -54,7 +54,8 @@
 	Tick struct{}
 
 	// RecordsRead carries records in offset order, read from the log.
-	// OldestOffset is the oldest offset that the log retains.
+	// OldestOffset is the oldest offset that the log retains; 0 if an earlier
+	// RecordsRead has reported it.
 	RecordsRead struct {
 		Records      []record.LogEntry
 		OldestOffset uint64
--- a/core/ownership/restore.go
+++ b/core/ownership/restore.go
@@ -23,9 +23,8 @@
 }
 
 // acceptRecords applies or buffers records from the log or from a witness. oldest is
-// the oldest offset that the log retains; 0 marks records from a witness.
+// the oldest offset that the log is known to retain; 0 marks records from a witness.
 func (m *Machine) acceptRecords(records []record.LogEntry, oldest uint64) {
-	m.checkpoints.updateOldestOffset(oldest)
 	if !m.stateComplete && oldest == 0 && len(m.restore.records) == 0 {
 		if m.restore.behindRetention || m.state.AppliedOffset() == 0 {
 			return // only a read of the log tells whether retention has dropped earlier records
