Send no grant later than the leader assumes, and log what happened to calls and retries

assigner: a grant that waited for a free call slot of its server was sent without a limit, also after the end of the term; the leader and its successor count on its end within CallTimeout. It is now given up after half of that, by the clock that goes on while a machine is suspended (TestGrantThatWaitsForOtherCallsIsNotSentLate; the former code waits until a slot is free). sentMap was never read and is gone. follow: leader_silent named no error for three causes; each has its reason now. edge: a retry is counted and logged when it is made, not before the budget allows it; server_paused of a slow attempt says so and not "context canceled". Refusals for a higher fence, missing responses and calls without effect (call_failed, new) are apart and carry their error. settings_reloaded reloaded nothing; it is reload_ignored. dev: unavailable_ms_max left out keys that were unavailable at the end.

--- a/cmd/internal/dev/dev.go
+++ b/cmd/internal/dev/dev.go
@@ -113,6 +113,7 @@
 		return d.checkInvariants(l, opts.Out)
 	}
 	d.runLoad(ctx, l, opts)
+	l.countUnavailableAt(time.Now())
 	l.printTable(opts.Out)
 	return d.checkInvariants(l, opts.Out)
 }
--- a/cmd/internal/dev/load.go
+++ b/cmd/internal/dev/load.go
@@ -44,7 +44,7 @@
 	mu               sync.Mutex
 	resultsByRank    map[string]*rankResult
 	unavailableSince map[string]time.Time // by key: start of the first failed or slow request
-	maxUnavailable   time.Duration        // of keys that became available again
+	maxUnavailable   time.Duration        // of a key, see recordAvailability and countUnavailableAt
 }
 
 func newLoadGenerator(hosts []*entryHost) *loadGenerator {
@@ -131,6 +131,16 @@
 	delete(l.unavailableSince, key)
 }
 
+// countUnavailableAt counts the keys that are unavailable at the end of the run, which
+// have had no successful request since.
+func (l *loadGenerator) countUnavailableAt(end time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, since := range l.unavailableSince {
+		l.maxUnavailable = max(l.maxUnavailable, end.Sub(since))
+	}
+}
+
 // sendRequest sends one request and returns its outcome. Requests of rank urgent
 // are orders with an id, which must not run twice.
 func (l *loadGenerator) sendRequest(ctx context.Context, host *entryHost, service, rank, key string) callerapi.Outcome {
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -13,6 +13,14 @@
 	ReleaseCall
 )
 
+// String returns the name of the kind for log lines.
+func (k CallKind) String() string {
+	if k == ReleaseCall {
+		return "release"
+	}
+	return "grant"
+}
+
 // Call is a request to a server to accept a grant or to release a range. The
 // caller of Leader.Tick sends it and passes its result to Leader.HandleCallResult.
 type Call struct {
@@ -42,6 +50,7 @@
 type CallResult struct {
 	Status   CallStatus
 	Handover string // data of a successful release for the new owner
+	Err      error  // cause of a failure, for log lines; may be nil
 }
 
 // startDueCall records and returns the call to make for a range now, and whether there
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -49,7 +49,7 @@
 	RingOverflow       Code = 105
 	AdapterFailed      Code = 106
 	LinesOmitted       Code = 107
-	SettingsReloaded   Code = 108
+	ReloadIgnored      Code = 109 // 108 is no longer used
 	LogUnreachable     Code = 201
 	LogReachable       Code = 202
 	StateComplete      Code = 203
@@ -86,6 +86,7 @@
 	LeaderSilent       Code = 416
 	AddressReused      Code = 417
 	LeaderReferred     Code = 418
+	CallFailed         Code = 419
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -115,7 +116,7 @@
 	{RingOverflow, "ring_overflow", "A bounded ring between two goroutines was full."},
 	{AdapterFailed, "adapter_failed", "A library or an adapter met an error; the daemon goes on."},
 	{LinesOmitted, "lines_omitted", "Log lines were left out: dropped when the ring was full, routine lines over their rate."},
-	{SettingsReloaded, "settings_reloaded", "The daemon got a reload signal."},
+	{ReloadIgnored, "reload_ignored", "The daemon got a reload signal, which changes nothing: flags and variables are read at the start."},
 	{LogUnreachable, "log_unreachable", "The platform log cannot be read; serving goes on."},
 	{LogReachable, "log_reachable", "The platform log can be read again."},
 	{StateComplete, "state_complete", "The state is whole; the daemon takes part."},
@@ -152,6 +153,7 @@
 	{LeaderSilent, "leader_silent", "This host does not hear a leader with contact to the store; it reads the store itself."},
 	{AddressReused, "address_reused", "Another server answered at a server's address; that server has ended."},
 	{LeaderReferred, "leader_referred", "Another host named the leader to a host that heard none."},
+	{CallFailed, "call_failed", "A grant or release had no effect: it was not sent in time, or the server answered with an unexpected status."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
 	{SliceReleased, "slice_released", "A server released a slice."},
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -29,6 +29,12 @@
 	// because a release returns only after the server has finished the running work,
 	// and calls for other ranges must not wait for it.
 	maxCallsPerServer = 4
+	// maxGrantSlotWait limits the wait of a grant for a free call slot. It leaves half
+	// of assignment.CallTimeout for the call.
+	maxGrantSlotWait = assignment.CallTimeout / 2
+	// maxReleaseSlotWait limits the wait of a release, which may be queued behind others
+	// that take as long as the running work.
+	maxReleaseSlotWait = 3 * time.Second
 )
 
 // ErrConflict is returned for a map whose NextOffset is not the next offset of the log.
@@ -86,7 +92,6 @@
 
 // completedWrite is a write of a map that was acknowledged or refused with ErrConflict.
 type completedWrite struct {
-	sentMap            *assignment.Map
 	offset, nextOffset uint64
 	err                error
 }
@@ -269,13 +274,14 @@
 	a.options.OnMap(m)
 }
 
-// handleCompletedCall passes the result of a call to the state machine. All failures are
-// logged as GrantUnanswered; kind and status are the numbers of assignment.CallKind and
-// assignment.CallStatus.
+// handleCompletedCall passes the result of a call to the state machine. It logs the
+// failures: a call that got no response as GrantUnanswered, a grant that was refused
+// for a higher fence as GrantRefused, and one without effect as CallFailed. The client
+// of the servers logs AddressReused.
 func (a *Assigner) handleCompletedCall(now time.Duration, c completedCall) {
-	if c.result.Status != assignment.CallSucceeded {
-		a.options.Journal.LogEvent(event.GrantUnanswered, "service", c.call.Service, "server", c.call.Server.ID, "kind", int(c.call.Kind),
-			"from", c.call.From, "to", c.call.To, "fence", c.call.Fence, "status", int(c.result.Status))
+	if code, ok := failureEvents[c.result.Status]; ok {
+		a.options.Journal.LogEvent(code, "service", c.call.Service, "server", c.call.Server.ID, "call", c.call.Kind,
+			"from", c.call.From, "to", c.call.To, "fence", c.call.Fence, "error", c.result.Err)
 	}
 	if a.leader != nil {
 		a.leader.HandleCallResult(now, c.call, c.result)
@@ -309,6 +315,13 @@
 	a.dropStoppedLeader("resigned")
 }
 
+// failureEvents holds the events of failed calls.
+var failureEvents = map[assignment.CallStatus]event.Code{
+	assignment.CallUnanswered:  event.GrantUnanswered,
+	assignment.CallFenced:      event.GrantRefused,
+	assignment.CallNotExecuted: event.CallFailed,
+}
+
 // dropStoppedLeader discards the state machine if it has stopped, and logs the reason.
 func (a *Assigner) dropStoppedLeader(reason string) {
 	if a.leader == nil || !a.leader.Stopped() {
@@ -347,7 +360,7 @@
 	}
 	a.leader.SetServers(*servers)
 	for _, c := range a.leader.Tick(now) {
-		go a.sendCall(ctx, c)
+		go a.sendCall(ctx, now, c)
 	}
 	if a.leader != nil {
 		if w := a.leader.NextMapWrite(); w != nil {
@@ -358,13 +371,31 @@
 	return nil
 }
 
-// sendCall sends a call when its server has a free call slot, and queues the result.
-func (a *Assigner) sendCall(ctx context.Context, c assignment.Call) {
+// sendCall sends a call that was started at startedAt, by package clock, when its server
+// has a free call slot, and queues the result. A call that cannot be sent in time is
+// not sent, because the state machine and later leaders rely on its end within
+// assignment.CallTimeout.
+func (a *Assigner) sendCall(ctx context.Context, startedAt time.Duration, c assignment.Call) {
+	result := assignment.CallResult{Status: assignment.CallNotExecuted}
 	value, _ := a.callSlotsByAddress.LoadOrStore(c.Server.Address, make(chan struct{}, maxCallsPerServer))
 	slots := value.(chan struct{})
-	slots <- struct{}{}
-	result := a.options.CallSender.Call(ctx, c)
-	<-slots
+	maxWait := maxGrantSlotWait
+	if c.Kind == assignment.ReleaseCall {
+		maxWait = maxReleaseSlotWait
+	}
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	select {
+	case slots <- struct{}{}:
+		// The clock is read again because the machine may have been suspended, during
+		// which timers stand still.
+		if now, err := clock.SinceBoot(); err == nil && now-startedAt < maxWait && a.leading.Load() {
+			result = a.options.CallSender.Call(ctx, c)
+		}
+		<-slots
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 	a.messages <- message{completedCall: &completedCall{call: c, result: result}}
 }
 
@@ -375,7 +406,7 @@
 	for {
 		offset, nextOffset, err := a.options.Store.AppendMap(ctx, m)
 		if err == nil || errors.Is(err, ErrConflict) {
-			a.messages <- message{completedWrite: &completedWrite{sentMap: m, offset: offset, nextOffset: nextOffset, err: err}}
+			a.messages <- message{completedWrite: &completedWrite{offset: offset, nextOffset: nextOffset, err: err}}
 			return
 		}
 		a.options.Journal.LogEvent(event.AdapterFailed, "operation", "append map", "term", m.Term, "error", err)
--- a/relay/assigner/assigner_test.go
+++ b/relay/assigner/assigner_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"parsleyrelay.example/core/assignment"
+	"parsleyrelay.example/relay/clock"
 	"parsleyrelay.example/relay/telemetry"
 )
 
@@ -91,3 +93,54 @@
 	_, out := startTermAfter(t, "h2/0")
 	require.Eventually(t, func() bool { return out.contains("name=former_leader_ended") }, 2*time.Second, 5*time.Millisecond)
 }
+
+// blockingSender keeps each call open until it is released, and counts the calls.
+type blockingSender struct {
+	released chan struct{}
+	sent     atomic.Int32
+}
+
+func (s *blockingSender) Call(context.Context, assignment.Call) assignment.CallResult {
+	s.sent.Add(1)
+	<-s.released
+	return assignment.CallResult{Status: assignment.CallSucceeded}
+}
+
+// Guards against a grant that waits behind other calls to its server and is sent later
+// than the leader assumes, or after the end of the term: the next leader does not wait
+// that long, so that two servers could hold a key.
+func TestGrantThatWaitsForOtherCallsIsNotSentLate(t *testing.T) {
+	sender := &blockingSender{released: make(chan struct{})}
+	a := New(Options{CallSender: sender})
+	a.leading.Store(true)
+	ctx := context.Background()
+	call := assignment.Call{Kind: assignment.GrantCall, Server: assignment.ServerIncarnation{Address: "a"}}
+	startedAt, err := clock.SinceBoot()
+	require.NoError(t, err)
+	for range maxCallsPerServer {
+		go a.sendCall(ctx, startedAt, call)
+	}
+	require.Eventually(t, func() bool { return sender.sent.Load() == maxCallsPerServer }, 2*time.Second, time.Millisecond)
+	waiting := assignment.Call{ID: 5, Kind: assignment.GrantCall, Server: call.Server}
+	go a.sendCall(ctx, startedAt, waiting)
+	select {
+	case m := <-a.messages:
+		require.Equal(t, waiting, m.completedCall.call)
+		require.Equal(t, assignment.CallNotExecuted, m.completedCall.result.Status)
+	case <-time.After(assignment.CallTimeout):
+		require.Fail(t, "the call still waits")
+	}
+	close(sender.released)
+	for range maxCallsPerServer {
+		<-a.messages
+	}
+	for name, late := range map[string]func(){
+		"sent after a suspension of the machine": func() { startedAt -= assignment.CallTimeout },
+		"sent after the end of the term":         func() { a.leading.Store(false) },
+	} {
+		late()
+		a.sendCall(ctx, startedAt, waiting)
+		require.Equal(t, assignment.CallNotExecuted, (<-a.messages).completedCall.result.Status, name)
+	}
+	require.EqualValues(t, maxCallsPerServer, sender.sent.Load())
+}
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -228,8 +228,9 @@
 }
 
 // distributeServersLocked passes the servers that are not draining to the pools of
-// their services. A pool keeps a draining server until its requests in flight have
-// ended; requests for its keys wait until the keys have moved. e.mu must be held.
+// their services. A pool lets the requests in flight at a draining server end, but sends
+// it no others: requests for its keys wait for a move of the keys, for
+// dispatch.MaxHolderWait at most. e.mu must be held.
 func (e *Edge) distributeServersLocked() {
 	lists := map[string][]dispatch.Server{}
 	for _, s := range e.servers {
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -18,6 +19,7 @@
 
 	"parsleyrelay.example/core/assignment"
 	"parsleyrelay.example/core/directory"
+	"parsleyrelay.example/core/retry"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/ingress"
 	"parsleyrelay.example/relay/telemetry"
@@ -85,7 +87,11 @@
 func signedResponse(r *http.Request) string { return formatResponse(r, 200, "X-Signature: s\r\n") }
 
 func newEdge(t *testing.T, servers ...*scriptedServer) *Edge {
-	journal := telemetry.NewJournal(io.Discard, "h", "a")
+	return newEdgeWithJournal(t, io.Discard, servers...)
+}
+
+func newEdgeWithJournal(t *testing.T, out io.Writer, servers ...*scriptedServer) *Edge {
+	journal := telemetry.NewJournal(out, "h", "a")
 	t.Cleanup(journal.Close)
 	e := New(Options{Host: "h", Zone: "a", Headers: testHeaders, Journal: journal, Client: upstream.NewClient(),
 		Budget: RetryBudget{Ratio: 0.2, Slack: 5, Window: 10 * time.Second}})
@@ -290,6 +296,21 @@
 	require.Greater(t, a.requestCount()+b.requestCount(), 10)
 }
 
+// Guards against a retry that is counted although the budget did not allow it.
+func TestRetryWithoutBudgetIsNotCounted(t *testing.T) {
+	failing := func(r *http.Request) string { return formatResponse(r, 500, "X-Signature: s\r\n") }
+	a, b := startScriptedServer(t, "s1", failing), startScriptedServer(t, "s2", failing)
+	for slack, want := range map[float64]int{0: 0, 1: 1} {
+		var out strings.Builder
+		e := newEdgeWithJournal(t, &out, a, b)
+		e.options.Budget = RetryBudget{Slack: slack, Window: 10 * time.Second}
+		e.pools["s"].retryBudget = retry.HostBudget{Slack: slack, Window: 10 * time.Second}
+		require.Equal(t, 500, sendRequest(e, context.Background(), "/safe/x").Status)
+		e.options.Journal.Close()
+		require.Equal(t, want, strings.Count(out.String(), "name=request_retried"), "slack %v", slack)
+	}
+}
+
 // unansweringAddress returns an address whose listen queue is full, so that
 // connections are neither accepted nor refused, as over a link that drops packets.
 func unansweringAddress(t *testing.T) string {
@@ -342,7 +363,8 @@
 		}
 		return signedResponse(r)
 	}
-	e := newEdge(t, startScriptedServer(t, "s1", answer), startScriptedServer(t, "s2", answer))
+	var out strings.Builder
+	e := newEdgeWithJournal(t, &out, startScriptedServer(t, "s1", answer), startScriptedServer(t, "s2", answer))
 	for range 40 {
 		require.Equal(t, 200, sendRequest(e, context.Background(), "/safe/x").Status)
 	}
@@ -363,6 +385,9 @@
 	wait.Wait()
 	require.Equal(t, int32(6), served.Load())
 	require.Zero(t, late.Load())
+	e.options.Journal.Close()
+	require.Contains(t, out.String(), "name=server_paused")
+	require.NotContains(t, out.String(), context.Canceled.Error(), "the log must name the cause, which is not the caller")
 }
 
 // Guards against an attempt that is canceled after the server's usual latency, while
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -59,6 +59,7 @@
 	possibleRuns    int                // attempts that a server may have run
 	mapVersion      uint64             // version of the assignment map by which the last server was selected
 	reservedRetry   *dispatch.Decision // server reserved, and retry of the budget spent, for the next attempt
+	plannedRetry    *plannedRetry      // set while another attempt is to follow a failed one
 	triedServerIDs  []string
 	failureResponse *ingress.Response // a server's own error response, sent if all further attempts fail
 	lastServerID    string
@@ -192,6 +193,7 @@
 		c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.giveUp("retry_budget"), false
 	}
+	c.recordRetry()
 	callerCtx := ctx
 	if !c.route.Idempotent {
 		// A request that may run only once is not interrupted when the caller leaves:
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -18,11 +18,17 @@
 // handleRefusal and handleFailure return the response for the caller, or true if
 // another attempt is to be made.
 
+// errSlowAttempt is the error of an attempt that the slow timer canceled.
+var errSlowAttempt = errors.New("no response within the usual latency; another server takes the request")
+
 // handleExchangeError decides what follows an attempt without a complete response.
 func (c *callerRequest) handleExchangeError(ctx context.Context, s dispatch.Server, latency time.Duration, slow bool, err error) (*ingress.Response, bool) {
-	c.lastError = err
 	var exchangeError *upstream.Error
 	sent := errors.As(err, &exchangeError) && exchangeError.Sent
+	if slow {
+		err = errSlowAttempt // in place of the cancellation of the attempt
+	}
+	c.lastError = err
 	outcome := dispatch.Unreachable
 	// The context is checked in place of err, because errors.Is also reports a dial
 	// timeout as context.DeadlineExceeded.
@@ -58,9 +64,9 @@
 		return c.giveUp("attempts"), false
 	}
 	if outcome == dispatch.Slow {
-		c.recordPlannedRetry(s, "slow")
+		c.planRetry(s, "slow")
 	} else {
-		c.recordPlannedRetry(s, "no_response")
+		c.planRetry(s, "no_response")
 	}
 	return nil, true
 }
@@ -71,12 +77,28 @@
 	return c.route.Idempotent && c.possibleRuns < max(1, c.route.Attempts) && time.Until(c.deadline) > minAttemptTime
 }
 
-// recordPlannedRetry counts and logs that another attempt is to follow the one at s.
-// It may still fail for lack of retry budget or server capacity.
-func (c *callerRequest) recordPlannedRetry(s dispatch.Server, reason string) {
+// plannedRetry is the failed attempt that another one is to follow.
+type plannedRetry struct {
+	server string // id of the server of the failed attempt
+	reason string
+}
+
+// planRetry notes that another attempt is to follow the one at s. It is not made if the
+// retry budget is used up or no server has capacity.
+func (c *callerRequest) planRetry(s dispatch.Server, reason string) {
+	c.plannedRetry = &plannedRetry{server: s.ID, reason: reason}
+}
+
+// recordRetry counts and logs the planned retry, if there is one, when it is made.
+func (c *callerRequest) recordRetry() {
+	planned := c.plannedRetry
+	if planned == nil {
+		return
+	}
+	c.plannedRetry = nil
 	c.edge.recordMetric(telemetry.MetricRetries, 1, c.service, strconv.Itoa(c.route.Rank))
-	c.edge.options.Journal.LogEvent(event.RequestRetried, "request_id", c.requestID, "route", c.route.Name, "service", c.service, "server", s.ID,
-		"reason", reason, "sends", c.attemptsSent, "left_ms", time.Until(c.deadline).Milliseconds(), "map", c.edge.mapVersion())
+	c.edge.options.Journal.LogEvent(event.RequestRetried, "request_id", c.requestID, "route", c.route.Name, "service", c.service, "server", planned.server,
+		"reason", planned.reason, "sends", c.attemptsSent, "left_ms", time.Until(c.deadline).Milliseconds(), "map", c.edge.mapVersion())
 }
 
 // handleResponse decides what follows a complete response.
@@ -143,7 +165,7 @@
 	if c.keyed && misdirected && !c.waitForNewerMap(ctx) {
 		return c.giveUp("key_elsewhere"), false
 	}
-	c.recordPlannedRetry(s, "server_refused_"+strconv.Itoa(r.Status))
+	c.planRetry(s, "server_refused_"+strconv.Itoa(r.Status))
 	if c.keyed {
 		c.triedServerIDs = nil
 	}
@@ -196,6 +218,6 @@
 	if !c.mayRunAgain() {
 		return c.giveUp("server_failed"), false
 	}
-	c.recordPlannedRetry(s, "server_failed_"+strconv.Itoa(r.Status))
+	c.planRetry(s, "server_failed_"+strconv.Itoa(r.Status))
 	return nil, true
 }
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -1,9 +1,12 @@
 package follow
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -107,12 +110,16 @@
 // startLeaderAndFollower starts a leader that serves over HTTP, and a follower whose map
 // names it.
 func startLeaderAndFollower(t *testing.T) (*sourceHost, *followerState, *Follower) {
+	return startLeaderAndFollowerWithJournal(t, io.Discard)
+}
+
+func startLeaderAndFollowerWithJournal(t *testing.T, out io.Writer) (*sourceHost, *followerState, *Follower) {
 	leader := &sourceHost{leading: true, knownNextOffsets: map[string]uint64{}}
 	leader.source = NewSource("leader", leader, func() string { return "" })
 	h := httptest.NewServer(followv1.NewLeaderServer(leader.source))
 	t.Cleanup(h.Close)
 	state := &followerState{leader: "leader", addresses: map[string]string{"leader": h.Listener.Addr().String()}}
-	journal := telemetry.NewJournal(io.Discard, "f", "z")
+	journal := telemetry.NewJournal(out, "f", "z")
 	f := NewFollower("follower", state, journal)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -248,3 +255,64 @@
 	former.mu.Unlock()
 	eventually("the follower is in contact with the former leader again", func() bool { return f.CurrentLeader() == "leader" })
 }
+
+// Guards against a log that does not say why a host lost the leader: the leader lost the
+// store, its term ended, or there is none.
+func TestLostContactNamesItsCause(t *testing.T) {
+	out := &lockedOutput{}
+	leader, state, _ := startLeaderAndFollowerWithJournal(t, out)
+	awaitLine := func(substrings ...string) {
+		t.Helper()
+		require.Eventually(t, func() bool {
+			for line := range strings.Lines(out.String()) {
+				if !slices.ContainsFunc(substrings, func(s string) bool { return !strings.Contains(line, s) }) {
+					return true
+				}
+			}
+			return false
+		}, 2*MaxContactAge+longPollWait+2*time.Second, 10*time.Millisecond, "%q in\n%s", substrings, out)
+	}
+	heard := func() {
+		t.Helper()
+		out.reset()
+		leader.source.RecordStoreContact()
+		awaitLine("name=leader_heard")
+	}
+	heard()
+	awaitLine("name=leader_silent", string(LeaderWithoutStore))
+	heard()
+	leader.mu.Lock()
+	leader.leading = false
+	leader.mu.Unlock()
+	awaitLine("name=leader_silent", string(NotLeading))
+	leader.mu.Lock()
+	leader.leading = true
+	leader.mu.Unlock()
+	heard()
+	state.locked(func() { state.leader = "" })
+	awaitLine("name=leader_silent", string(NoLeader))
+}
+
+// lockedOutput collects the lines of a journal.
+type lockedOutput struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (o *lockedOutput) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(p)
+}
+
+func (o *lockedOutput) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.String()
+}
+
+func (o *lockedOutput) reset() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.buf.Reset()
+}
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -100,6 +100,30 @@
 // the newest map names, until the map names a different one.
 type referral struct{ leader, mapLeader string }
 
+// NoContactReason says why a host is in no contact with a leader although no call failed.
+type NoContactReason string
+
+// The reasons of a NoContactError.
+const (
+	NoLeader           NoContactReason = "the newest map names no other host as the leader"
+	NotLeading         NoContactReason = "the called host does not lead"
+	LeaderWithoutStore NoContactReason = "the leader has lost contact with the store"
+)
+
+// NoContactError reports that a host is in no contact with a leader.
+type NoContactError struct {
+	Reason   NoContactReason
+	StoreAge time.Duration // since the leader's last contact with the store, for LeaderWithoutStore
+}
+
+// Error implements error.
+func (e *NoContactError) Error() string {
+	if e.StoreAge > 0 {
+		return fmt.Sprintf("%s for %v", e.Reason, e.StoreAge)
+	}
+	return string(e.Reason)
+}
+
 // NewFollower returns a follower that does not run yet.
 func NewFollower(incarnation string, hostState HostState, journal *telemetry.Journal) *Follower {
 	f := &Follower{incarnation: incarnation, hostState: hostState, journal: journal, createdAt: time.Now()}
@@ -127,13 +151,13 @@
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		leader := f.leaderToFollow()
-		ok, err, wait := false, error(nil), leaderLookupInterval
+		err, wait := error(&NoContactError{Reason: NoLeader}), leaderLookupInterval
 		if leader != "" && leader != f.incarnation {
-			ok, err = f.pollLeader(ctx, leader)
+			err = f.pollLeader(ctx, leader)
 			wait = failureRetryDelay
 		}
-		f.updateContact(ok, leader, err)
-		if ok {
+		f.updateContact(leader, err)
+		if err == nil {
 			continue
 		}
 		if leader != f.incarnation && len(f.peers) > 0 && f.SinceLastContact() > MaxContactAge {
@@ -186,11 +210,10 @@
 	return followv1.NewLeaderProtobufClient("http://"+f.hostState.AddressOf(incarnation), f.http)
 }
 
-// updateContact records a successful poll of the leader, and logs when the follower gains
-// or loses contact. Without ok, err is nil if there is no leader to poll, or if the
-// polled host does not lead or had no recent contact with the store.
-func (f *Follower) updateContact(ok bool, leader string, err error) {
-	if ok {
+// updateContact records a poll of the leader, which was a contact if err is nil, and logs
+// when the follower gains or loses contact.
+func (f *Follower) updateContact(leader string, err error) {
+	if err == nil {
 		f.lastLeader.Store(&leader)
 		f.lastContact.Store(int64(time.Since(f.createdAt)))
 	}
@@ -206,27 +229,31 @@
 	}
 }
 
-// pollLeader makes one long poll and applies the response. It reports whether the called
-// host leads and had recent contact with the store.
-func (f *Follower) pollLeader(ctx context.Context, leader string) (bool, error) {
+// pollLeader makes one long poll and applies the response. The error is a
+// *NoContactError if the called host does not lead or had no recent contact with the
+// store.
+func (f *Follower) pollLeader(ctx context.Context, leader string) error {
 	request := f.newRequest()
 	request.WaitMs, request.WantPeers = uint32(longPollWait.Milliseconds()), time.Since(f.peersUpdatedAt) > peersRefreshInterval
 	request.Arrivals = encodeLoadReport(f.hostState.TakeLoadReport())
 	r, err := f.clientFor(leader).Follow(ctx, request)
 	if err != nil {
-		return false, err
+		return err
 	}
 	if !r.Leading {
-		return false, nil
+		return &NoContactError{Reason: NotLeading}
 	}
 	f.hostState.SetHostCount(int(r.Hosts))
 	if len(r.Peers) > 0 {
 		f.peers, f.peersUpdatedAt = r.Peers, time.Now()
 	}
 	if err := f.applyResponse(r); err != nil {
-		return false, err
+		return err
 	}
-	return time.Duration(r.AgeMs)*time.Millisecond < MaxContactAge, nil
+	if age := time.Duration(r.AgeMs) * time.Millisecond; age >= MaxContactAge {
+		return &NoContactError{Reason: LeaderWithoutStore, StoreAge: age}
+	}
+	return nil
 }
 
 // encodeLoadReport puts the service times of all servers into one message without a
--- a/relay/telemetry/journal.go
+++ b/relay/telemetry/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 	skippedRoutineLines atomic.Uint64
 	omittedLines        atomic.Uint64 // dropped and skipped lines, as of the last report
 	stop                chan struct{}
+	stopOnce            sync.Once
 	done                chan struct{}
 }
 
@@ -112,6 +114,6 @@
 
 // Close writes the queued lines and stops the journal.
 func (j *Journal) Close() {
-	close(j.stop)
+	j.stopOnce.Do(func() { close(j.stop) })
 	<-j.done
 }
