Keep the queues of busy servers short at many hosts, and let callers of shedding servers return at once

Cause 1 (pattern: hot_key at 62 and more hosts): the window of a host at a server with keys never fell below one request, so that 62 hosts kept a server with 6 slots full. Change: windows fall below one (one request at a time, with pauses); a reset shortly after a report with all slots taken counts as a full server and not as a failure; the leader limits the load of servers whose queue is longer than their slots and whose demand is above 1.3 times their capacity, from the reports that come with the polls.

Cause 2 (pattern: srv_grey, shed all): refusals of servers whose queue is short were taken for full servers if all slots were taken (Server-Load 6,0,6), and callers were asked to wait 0.24 to 0.5 s although their chance was the same at once. Change: a queue shorter than the slots is no reason to refuse; Retry-After is 50 ms then, also when the retry budget is used up.

--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -75,11 +75,14 @@
 	termBegun             bool                                   // the first write of the term was acknowledged
 	stopped               bool
 	resigning             bool
-	firstServerAt         map[string]time.Duration    // by service; time at which a server was first assignable
-	keyLoadsByService     map[string]*keyLoads        // by service
-	meanServiceTimes      map[string]*meanServiceTime // by server ID
-	addressReused         map[ServerIncarnation]bool  // another server responded at the address
-	fillingServers        map[ServerIncarnation]bool  // servers that had no ranges and are getting their share
+	firstServerAt         map[string]time.Duration      // by service; time at which a server was first assignable
+	keyLoadsByService     map[string]*keyLoads          // by service
+	meanServiceTimes      map[string]*meanServiceTime   // by server ID
+	addressReused         map[ServerIncarnation]bool    // another server responded at the address
+	fillingServers        map[ServerIncarnation]bool    // servers that had no ranges and are getting their share
+	queueReports          map[string]queueReports       // by server ID
+	admittedLoads         map[string]map[string]float64 // of limited servers, by service and server ID
+	admittedShares        map[string]float64            // see AdmittedShares
 }
 
 // NewLeader returns a leader for the term after that of the acknowledged map. The
@@ -87,7 +90,7 @@
 func NewLeader(now time.Duration, acknowledged *Map, options Options) *Leader {
 	l := &Leader{
 		options: options, acknowledged: acknowledged, openCalls: map[uint64]*trackedRange{}, servers: map[string]map[string]directory.Server{}, firstServerAt: map[string]time.Duration{},
-		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, addressReused: map[ServerIncarnation]bool{}, fillingServers: map[ServerIncarnation]bool{},
+		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[ServerIncarnation]bool{}, fillingServers: map[ServerIncarnation]bool{},
 	}
 	l.draft = acknowledged.clone()
 	l.draft.Term++
--- a/core/assignment/load_balancing.go
+++ b/core/assignment/load_balancing.go
@@ -172,6 +172,10 @@
 	}
 	load.computePrefixSums()
 	l.moveExcessLoad(now, service, load, assignable, policy)
+	if policy == shortTermPolicy {
+		loads, _ := l.serverLoads(service, load, assignable)
+		l.limitOverload(service, loads)
+	}
 }
 
 // serverLoad is the actual load of a server and its target by capacity.
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -32,9 +32,9 @@
 	// to 1+errorPenalty when all results are errors. Without it a server that fails
 	// fast would attract requests by its low latency.
 	errorPenalty = 20
-	// WindowShrinkFactor multiplies the windows when a server reports a queue.
+	// WindowShrinkFactor multiplies the common window when a server reports a queue.
 	WindowShrinkFactor = 0.85
-	// MinWindow is the smallest window, in requests in flight. One request has to
+	// MinWindow is the smallest common window, in requests in flight. One request has to
 	// remain possible, because only a response shows that a server has capacity again.
 	MinWindow = 1.0
 	// maxReportAge is the age from which a server's load report is ignored.
@@ -101,7 +101,7 @@
 	OK                  Outcome = iota + 1
 	ErrorResponse               // the server answered with an error
 	ServerFull                  // the server refused for lack of capacity; the request did not run
-	RefusedWithFreeSlot         // the server refused although it reports a free slot, so not for lack of capacity; the request did not run
+	RefusedWithoutQueue         // the server refused although its queue is short, so not for lack of capacity; the request did not run
 	Misdirected                 // the server does not hold the key or has another identity; the request did not run
 	Unreachable                 // no connection could be opened
 	ConnectionLost              // the connection broke before a complete response
@@ -115,6 +115,38 @@
 // at once. It is false for a nil Load.
 func (l *Load) HasFreeSlot() bool { return l != nil && l.Waiting == 0 && l.Running < l.Slots }
 
+// HasShortQueue reports whether fewer requests wait at the server than it has slots.
+// Such a server does not refuse for lack of capacity. It is false for a nil Load.
+func (l *Load) HasShortQueue() bool { return l != nil && l.Waiting < max(1, l.Slots) }
+
+// RetryAfterRefusal returns how long a caller should wait before it returns after a server
+// with the given load refused its request. target is the latency at which the route
+// aims; 0 for none.
+//
+// A server that refuses although its queue is short refuses part of its requests
+// whatever the load, so the caller has the same chance at once, and a wait only uses
+// up its time. The queue of a full server needs time to shrink.
+func RetryAfterRefusal(load *Load, target time.Duration) time.Duration {
+	switch {
+	case load.HasShortQueue():
+		return promptRetryAfter
+	case target > 0:
+		return min(fullServerRetryAfter, time.Duration(float64(target)*retryAfterShare))
+	}
+	return fullServerRetryAfter
+}
+
+const (
+	// promptRetryAfter is the pause after a refusal that is not caused by load. It is
+	// not 0, so that callers do not return in a busy loop.
+	promptRetryAfter = 50 * time.Millisecond
+	// fullServerRetryAfter bounds the pause after a full server refused.
+	fullServerRetryAfter = 500 * time.Millisecond
+	// retryAfterShare is the share of the target latency that callers wait after a full
+	// server refused; most of the rest is needed to run the request.
+	retryAfterShare = 0.3
+)
+
 // AttemptResult describes how an attempt at a server ended.
 type AttemptResult struct {
 	Outcome Outcome
@@ -129,6 +161,7 @@
 const (
 	QueueFull   RefusalReason = "queue_full"
 	WaitTooLong RefusalReason = "wait_too_long" // the request would not be served in time
+	Overloaded  RefusalReason = "overloaded"    // the server that holds the key gets more requests from all hosts than it can serve
 	NoServer    RefusalReason = "no_server"
 	KeyMoving   RefusalReason = "key_moving" // no known server holds the key, usually because its range is being moved
 	// HolderUnreachable says that connections to the server that holds the key keep failing.
@@ -207,7 +240,7 @@
 		selected[s.ID] = true
 		state := p.servers[s.ID]
 		if state == nil {
-			state = &serverState{window: max(MinWindow, float64(s.Slots)/2), latency: InitialLatency.Seconds(), reservationOrder: hashFraction(s.ID)}
+			state = &serverState{window: initialKeyedWindow, latency: InitialLatency.Seconds(), admission: admission{share: 1}, reservationOrder: hashFraction(s.ID)}
 			p.servers[s.ID] = state
 		}
 		state.Server, state.removed = s, false
@@ -275,6 +308,12 @@
 			return HolderUnreachable, clampRetryAfter(p.servers[id].pausedUntil - now)
 		}
 	}
+	if p.holderOf != nil && request.Keyed {
+		id, _ := p.holderOf(request.Key)
+		if s := p.servers[id]; s != nil && !s.admission.admit(now, request.Rank) {
+			return Overloaded, maxRetryAfter
+		}
+	}
 	wait := p.expectedWait(now, request)
 	if wait > request.MaxQueueWait {
 		return WaitTooLong, clampRetryAfter(wait - request.MaxQueueWait)
@@ -323,14 +362,7 @@
 			}
 		}
 	}
-	wait := 0.0
-	if ahead > 0 {
-		wait = float64(ahead) * s.latency / max(MinWindow, s.window)
-	}
-	if s.pausedUntil > now {
-		wait += (s.pausedUntil - now).Seconds()
-	}
-	return secondsToDuration(wait)
+	return s.windowWait(now, ahead, request.Rank) + max(0, s.pausedUntil-now)
 }
 
 func (p *Pool) meanLatency() float64 {
@@ -389,7 +421,7 @@
 		if !p.hasCapacity(now, s, request) {
 			return Decision{}, false
 		}
-		return p.assign(s), true
+		return p.assign(now, s), true
 	}
 	if len(p.candidates) == 0 {
 		return Decision{Reason: NoServer, RetryAfter: clampRetryAfter(time.Second)}, true
@@ -403,14 +435,15 @@
 		p.requestWaited = true
 		return Decision{}, false
 	}
-	decision := p.assign(s)
+	decision := p.assign(now, s)
 	decision.LatencyBound = p.latencyEstimates[request.Rank].latencyBound()
 	return decision, true
 }
 
 // assign counts a request as in flight at a server and returns the decision.
-func (p *Pool) assign(s *serverState) Decision {
+func (p *Pool) assign(now time.Duration, s *serverState) Decision {
 	s.inflight++
+	s.lastAssignedAt = now
 	p.inflight++
 	return Decision{Server: s.Server}
 }
--- a/core/dispatch/servers.go
+++ b/core/dispatch/servers.go
@@ -13,7 +13,12 @@
 type serverState struct {
 	Server
 	inflight         int
-	window           float64 // limit of inflight at a server with keys
+	window           float64 // limit of inflight at a server with keys; see windows.go for windows below 1
+	windowLimited    bool    // window has kept a request waiting since it was raised
+	windowReducedAt  time.Duration
+	windowAdjustedAt time.Duration // last change by a load report
+	lastAssignedAt   time.Duration // when the last request was sent
+	admission        admission
 	latency          float64 // moving average, in seconds
 	errorRate        float64 // moving average, 0 to 1
 	load             Load
@@ -103,19 +108,6 @@
 	}
 }
 
-// hasCapacity reports whether this host may send another request to a server with
-// keys.
-func (p *Pool) hasCapacity(now time.Duration, s *serverState, request *queuedRequest) bool {
-	if s.paused(now) {
-		return false
-	}
-	limit := max(MinWindow, s.window)
-	if request.Rank == 0 {
-		limit++
-	}
-	return float64(s.inflight) < limit
-}
-
 // ConnectionsKeepFailing reports whether connections to a server with keys have
 // failed several times in a row.
 func (p *Pool) ConnectionsKeepFailing(id string) bool {
@@ -211,6 +203,11 @@
 		}
 		s.pauseAfterFailure(now, initialPause)
 	case ConnectionLost:
+		if p.holderOf != nil && s.closedForLoad(now, r) {
+			s.pausedUntil = max(s.pausedUntil, now+MaxServerQueuePause)
+			p.reduceWindow(now, s, maxWindowReduction)
+			break
+		}
 		s.pauseAfterFailure(now, ConnectionLostPause)
 	case ServerFull:
 		fullPause := ServerRefusalPause
@@ -218,9 +215,11 @@
 			fullPause = MaxServerQueuePause
 		}
 		s.pausedUntil = max(s.pausedUntil, now+fullPause)
-		s.window = max(MinWindow, s.window*WindowShrinkFactor)
+		if r.Load == nil {
+			p.reduceWindow(now, s, maxWindowReduction)
+		}
 		p.shrinkCommonWindow(now)
-	case RefusedWithFreeSlot:
+	case RefusedWithoutQueue:
 		s.errorRate += errorWeight * (1 - s.errorRate)
 	case AddressReused:
 		s.pausedUntil = now + AddressReusedPause
@@ -240,48 +239,3 @@
 	s.failurePause = min(max(initialPause, 2*s.failurePause), MaxFailurePause)
 	s.pausedUntil = now + s.failurePause
 }
-
-// adjustWindows shrinks the windows if a server reports a queue of more than a
-// quarter of its slots plus one request, and lets them grow if it reports none.
-func (p *Pool) adjustWindows(now time.Duration, s *serverState) {
-	slots := float64(max(1, s.load.Slots))
-	switch waiting := float64(s.load.Waiting); {
-	case waiting > slots/4+1:
-		s.window = max(MinWindow, s.window*WindowShrinkFactor)
-		p.shrinkCommonWindow(now)
-		if p.holderOf != nil && waiting > slots {
-			// Many hosts send to the server, so each pauses to let the queue shrink, for
-			// half of the estimated time until it is down to half of the slots.
-			s.pausedUntil = max(s.pausedUntil, now+min(secondsToDuration((waiting-slots/2)/slots*s.latency/2), MaxServerQueuePause))
-		}
-	case waiting == 0:
-		s.window = min(s.window+0.25, slots+1)
-		if p.requestWaited {
-			p.commonWindow = min(p.commonWindow+1, p.maxWindow())
-			p.requestWaited = false
-		}
-	}
-}
-
-// minShrinkInterval is the minimum time between reductions of the common window.
-// A single overload is reported by many servers at about the same time and must
-// shrink it only once.
-const minShrinkInterval = 60 * time.Millisecond
-
-func (p *Pool) shrinkCommonWindow(now time.Duration) {
-	if now-p.shrunkAt < minShrinkInterval {
-		return
-	}
-	p.shrunkAt = now
-	p.commonWindow = max(MinWindow, p.commonWindow*WindowShrinkFactor)
-}
-
-// maxWindow returns the number of slots of all servers, the upper bound of the
-// common window.
-func (p *Pool) maxWindow() float64 {
-	slots := 0
-	for _, s := range p.candidates {
-		slots += max(1, s.Slots)
-	}
-	return float64(max(1, slots))
-}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -87,6 +87,8 @@
 	AddressReused      Code = 417
 	LeaderReferred     Code = 418
 	CallFailed         Code = 419
+	LoadLimited        Code = 420
+	LoadUnlimited      Code = 421
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -154,6 +156,8 @@
 	{AddressReused, "address_reused", "Another server answered at a server's address; that server has ended."},
 	{LeaderReferred, "leader_referred", "Another host named the leader to a host that heard none."},
 	{CallFailed, "call_failed", "A grant or release had no effect: it was not sent in time, or the server answered with an unexpected status."},
+	{LoadLimited, "load_limited", "The leader limits the requests for the keys of a server that gets more than it can serve."},
+	{LoadUnlimited, "load_unlimited", "The leader no longer limits the requests for the keys of a server."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
 	{SliceReleased, "slice_released", "A server released a slice."},
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -104,6 +104,7 @@
 	elected             atomic.Bool
 	leading             atomic.Bool
 	publishedMap        atomic.Pointer[assignment.Map]
+	admittedShares      atomic.Pointer[map[string]float64]
 	resigning           atomic.Bool
 	resignDone          chan struct{} // closed when a resigning host leads no term any more
 	resignDoneOnce      sync.Once
@@ -138,6 +139,42 @@
 // the first read. If the store has no map, only NextOffset is set.
 func (a *Assigner) NewestMap() *assignment.Map { return a.publishedMap.Load() }
 
+// AdmittedShares returns the share of the requests that hosts may queue for each
+// overloaded server, by server ID. It is empty if this host does not lead. The map must
+// not be changed.
+func (a *Assigner) AdmittedShares() map[string]float64 {
+	if shares := a.admittedShares.Load(); shares != nil && a.leading.Load() {
+		return *shares
+	}
+	return nil
+}
+
+// publishAdmittedShares makes the leader's shares available and logs which servers are
+// limited since the last call, and which are no longer.
+func (a *Assigner) publishAdmittedShares() {
+	var current, former map[string]float64
+	if a.leader != nil {
+		current = a.leader.AdmittedShares()
+	}
+	if p := a.admittedShares.Load(); p != nil {
+		former = *p
+	}
+	if len(current)+len(former) == 0 {
+		return
+	}
+	for id, share := range current {
+		if _, ok := former[id]; !ok {
+			a.options.Journal.LogEvent(event.LoadLimited, "server", id, "share", share)
+		}
+	}
+	for id := range former {
+		if _, ok := current[id]; !ok {
+			a.options.Journal.LogEvent(event.LoadUnlimited, "server", id)
+		}
+	}
+	a.admittedShares.Store(&current)
+}
+
 // SetServers sets the servers of keyed services, by service and server ID. No term
 // starts before the first call.
 func (a *Assigner) SetServers(s map[string]map[string]directory.Server) { a.servers.Store(&s) }
@@ -190,6 +227,7 @@
 	}
 	for server, t := range r.ServiceTimes {
 		a.leader.RecordServiceTimes(server, t.Count, t.Sum)
+		a.leader.RecordQueue(server, t.Reports, t.Waiting)
 	}
 }
 
@@ -368,6 +406,7 @@
 		}
 	}
 	a.dropStoppedLeader("no read or write of the map succeeded in time")
+	a.publishAdmittedShares()
 	return nil
 }
 
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -77,10 +77,13 @@
 }
 
 // ServiceTime sums the latencies of the keyed requests whose response reported a
-// free slot and an empty queue, so that they include no time in the server's queue.
+// free slot and an empty queue, so that they include no time in the server's queue. It
+// also sums the queue lengths that all responses to keyed requests reported.
 type ServiceTime struct {
-	Count int
-	Sum   time.Duration
+	Count   int // responses with a free slot and an empty queue
+	Sum     time.Duration
+	Reports int // responses that reported a queue length
+	Waiting int // sum of the waiting requests in these reports
 }
 
 // maxReportedKeys limits the keys recorded per service in one report.
@@ -98,16 +101,33 @@
 	}
 }
 
-// recordServiceTime adds the latency of a keyed request that did not wait in the
-// server's queue to the load report.
-func (e *Edge) recordServiceTime(server string, d time.Duration) {
+// recordServerLoad adds the load that a server reported with the response to a keyed
+// request to the load report, and the latency of a request that did not wait in the
+// server's queue.
+func (e *Edge) recordServerLoad(server string, load dispatch.Load, served bool, latency time.Duration) {
 	e.loadReportMu.Lock()
 	defer e.loadReportMu.Unlock()
 	if e.loadReport.ServiceTimes == nil {
 		e.loadReport.ServiceTimes = map[string]ServiceTime{}
 	}
 	t := e.loadReport.ServiceTimes[server]
-	e.loadReport.ServiceTimes[server] = ServiceTime{Count: t.Count + 1, Sum: t.Sum + d}
+	t.Reports++
+	t.Waiting += load.Waiting
+	if served && load.HasFreeSlot() {
+		t.Count++
+		t.Sum += latency
+	}
+	e.loadReport.ServiceTimes[server] = t
+}
+
+// SetAdmittedShares sets the share of the requests that this host may queue for each
+// overloaded server, by server id.
+func (e *Edge) SetAdmittedShares(shares map[string]float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		p.setAdmittedShares(shares)
+	}
 }
 
 // TakeLoadReport returns the load since the last call and starts a new report.
@@ -349,6 +369,12 @@
 	p.dispatchPool.SetServers(p.clock(), list)
 }
 
+func (p *servicePool) setAdmittedShares(shares map[string]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatchPool.SetAdmittedShares(p.clock(), shares)
+}
+
 func (p *servicePool) setRetrySlack(slack float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -195,7 +195,7 @@
 // A partly failing server refuses some of its requests although it has free slots.
 // Guards against the refusal of a request that its holder would accept on the next
 // attempt.
-func TestHolderWithFreeSlotIsRetried(t *testing.T) {
+func TestHolderWithShortQueueIsRetried(t *testing.T) {
 	var answers atomic.Int32
 	answer := func(load string) func(r *http.Request) string {
 		return func(r *http.Request) string {
@@ -205,9 +205,17 @@
 			return signedResponse(r)
 		}
 	}
-	partlyRefusing := startScriptedServer(t, "s1", answer("1,0,2"))
-	require.Equal(t, 200, sendRequest(newKeyedEdge(t, partlyRefusing), context.Background(), "/once/x").Status)
-	require.Equal(t, 2, partlyRefusing.requestCount())
+	for _, load := range []string{"1,0,2", "2,1,2"} {
+		answers.Store(0)
+		partlyRefusing := startScriptedServer(t, "s1", answer(load))
+		require.Equal(t, 200, sendRequest(newKeyedEdge(t, partlyRefusing), context.Background(), "/once/x").Status)
+		require.Equal(t, 2, partlyRefusing.requestCount())
+		withoutBudget := newKeyedEdge(t, partlyRefusing)
+		withoutBudget.pools["s"].retryBudget = retry.HostBudget{Window: time.Second}
+		refusal := sendRequest(withoutBudget, context.Background(), "/once/x")
+		require.Equal(t, 503, refusal.Status)
+		require.Equal(t, "0.050", refusal.Header.Get("Retry-After"), "a wait does not raise the chance of the next attempt")
+	}
 
 	full := startScriptedServer(t, "s1", answer("2,3,2"))
 	answers.Store(0)
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/url"
@@ -29,10 +30,6 @@
 	// queueWaitShare is the share of the target latency that a request may wait
 	// in the queue before its first attempt; the rest is needed to run it.
 	queueWaitShare = 0.6
-	// retryAfterShare is the share of the target latency that Retry-After asks the
-	// caller to wait after a server refused; most of the rest is needed to run the
-	// request.
-	retryAfterShare = 0.3
 	// mapPollInterval is the interval at which a newer assignment map is looked for
 	// after a server answered that it does not hold the key.
 	mapPollInterval = 15 * time.Millisecond
@@ -62,6 +59,7 @@
 	plannedRetry    *plannedRetry      // set while another attempt is to follow a failed one
 	triedServerIDs  []string
 	failureResponse *ingress.Response // a server's own error response, sent if all further attempts fail
+	retryAfter      time.Duration     // for the caller, by the last refusal of a server; 0 for none
 	lastServerID    string
 	lastError       error
 	failureReason   string // reason of a refusal or failure, for metrics
@@ -349,7 +347,7 @@
 // else 502 or, after the deadline, 504.
 func (c *callerRequest) giveUp(reason string) *ingress.Response {
 	if c.failureResponse == nil && c.possibleRuns == 0 {
-		return c.refuse(dispatch.Decision{Reason: dispatch.RefusalReason(reason), RetryAfter: defaultRetryAfter})
+		return c.refuse(dispatch.Decision{Reason: dispatch.RefusalReason(reason), RetryAfter: cmp.Or(c.retryAfter, defaultRetryAfter)})
 	}
 	c.failureReason = reason
 	c.edge.options.Journal.LogEvent(event.RequestUnknown, "request_id", c.requestID, "route", c.route.Name, "service", c.service, "reason", reason,
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -110,8 +110,8 @@
 	switch {
 	case refused && r.Status == http.StatusMisdirectedRequest:
 		result.Outcome = dispatch.Misdirected
-	case refused && result.Load.HasFreeSlot():
-		result.Outcome = dispatch.RefusedWithFreeSlot
+	case refused && result.Load.HasShortQueue():
+		result.Outcome = dispatch.RefusedWithoutQueue
 	case refused:
 		result.Outcome = dispatch.ServerFull
 	case r.Status >= http.StatusInternalServerError || r.Status < 300 && !signed:
@@ -121,15 +121,15 @@
 		result.Outcome = c.classifyMisdirected(s, r)
 	}
 	c.pool.reportResult(s.ID, result)
+	if c.keyed && result.Load != nil {
+		c.edge.recordServerLoad(s.ID, *result.Load, result.Outcome == dispatch.OK, latency)
+	}
 	switch {
 	case refused:
 		return c.handleRefusal(ctx, s, r, result.Load)
 	case result.Outcome == dispatch.ErrorResponse:
 		return c.handleFailure(s, r, signed)
 	}
-	if c.keyed && result.Load != nil && result.Load.Waiting == 0 && result.Load.Running < result.Load.Slots {
-		c.edge.recordServiceTime(s.ID, latency)
-	}
 	c.edge.options.Journal.LogRoutineEvent(event.RequestCompleted, "request_id", c.requestID, "route", c.route.Name, "service", c.service, "server", s.ID,
 		"status", r.Status, "sends", c.attemptsSent, "ms", time.Since(c.request.ReceivedAt).Milliseconds())
 	return c.newCallerResponse(r), false
@@ -156,11 +156,14 @@
 	c.triedServerIDs = append(c.triedServerIDs, s.ID)
 	c.lastError = nil
 	misdirected := r.Status == http.StatusMisdirectedRequest
+	if !misdirected {
+		c.retryAfter = dispatch.RetryAfterRefusal(load, c.route.TargetLatency)
+	}
 	// A keyed request cannot go to another server. A full server has a queue of about
 	// a second, which is too long for a retry to wait; a server that refused despite
-	// free slots may accept the next attempt.
-	if c.keyed && !misdirected && !load.HasFreeSlot() || c.attemptsSent >= maxAttempts || time.Until(c.deadline) < 2*minAttemptTime {
-		return c.refuseAfterServerRefusal(), false
+	// its short queue may accept the next attempt.
+	if c.keyed && !misdirected && !load.HasShortQueue() || c.attemptsSent >= maxAttempts || time.Until(c.deadline) < 2*minAttemptTime {
+		return c.giveUp("server_refused"), false
 	}
 	if c.keyed && misdirected && !c.waitForNewerMap(ctx) {
 		return c.giveUp("key_elsewhere"), false
@@ -172,20 +175,6 @@
 	return nil, true
 }
 
-// refuseAfterServerRefusal returns the response for a request that a server refused.
-// Its Retry-After is short enough for a retry to meet the route's target latency.
-func (c *callerRequest) refuseAfterServerRefusal() *ingress.Response {
-	const reason = "server_refused"
-	if c.failureResponse != nil || c.possibleRuns > 0 {
-		return c.giveUp(reason)
-	}
-	retryAfter := defaultRetryAfter
-	if target := c.route.TargetLatency; target > 0 {
-		retryAfter = min(retryAfter, time.Duration(float64(target)*retryAfterShare))
-	}
-	return c.refuse(dispatch.Decision{Reason: reason, RetryAfter: retryAfter})
-}
-
 // waitForNewerMap waits for an assignment map that is newer than the one by which
 // the last server was selected. It returns false on timeout or if the caller leaves.
 // A retry by the same map would reach the same server, be refused again and use up
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -31,6 +31,7 @@
 	servers       map[string]directory.Server
 	newestMap     *assignment.Map
 	hostCount     int
+	admitted      map[string]float64
 	report        edge.LoadReport
 }
 
@@ -60,6 +61,9 @@
 	state.locked(func() { state.newestMap = m })
 }
 func (state *followerState) SetHostCount(n int) { state.locked(func() { state.hostCount = n }) }
+func (state *followerState) SetAdmittedShares(shares map[string]float64) {
+	state.locked(func() { state.admitted = shares })
+}
 func (state *followerState) TakeLoadReport() (r edge.LoadReport) {
 	state.locked(func() { r, state.report = state.report, edge.LoadReport{} })
 	return r
@@ -93,6 +97,8 @@
 	knownNextOffsets map[string]uint64
 }
 
+func (h *sourceHost) AdmittedShares() map[string]float64 { return map[string]float64{"1": 0.25} }
+
 func (h *sourceHost) Leading() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.leading }
 
 func (h *sourceHost) RecordLoadReport(r edge.LoadReport) {
@@ -168,14 +174,15 @@
 		return leader.knownNextOffsets["follower"] == 3
 	}, 2*time.Second, 5*time.Millisecond)
 	eventually("number of hosts", func() bool { return state.hostCount == 2 })
+	eventually("admitted shares", func() bool { return state.admitted["1"] == 0.25 })
 
 	state.locked(func() {
-		state.report = edge.LoadReport{RequestedKeys: map[string][]uint16{"s": {4, 4}}, ServiceTimes: map[string]edge.ServiceTime{"1": {Count: 2, Sum: time.Second}}}
+		state.report = edge.LoadReport{RequestedKeys: map[string][]uint16{"s": {4, 4}}, ServiceTimes: map[string]edge.ServiceTime{"1": {Count: 2, Sum: time.Second, Reports: 3, Waiting: 7}}}
 	})
 	require.Eventually(t, func() bool {
 		leader.mu.Lock()
 		defer leader.mu.Unlock()
-		return len(leader.reports) == 1 && len(leader.reports[0].RequestedKeys["s"]) == 2 && leader.reports[0].ServiceTimes["1"].Sum == time.Second
+		return len(leader.reports) == 1 && len(leader.reports[0].RequestedKeys["s"]) == 2 && leader.reports[0].ServiceTimes["1"] == edge.ServiceTime{Count: 2, Sum: time.Second, Reports: 3, Waiting: 7}
 	}, 2*time.Second, 5*time.Millisecond)
 }
 
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -65,6 +65,9 @@
 	ObserveMap(*assignment.Map)
 	// SetHostCount sets the number of entry hosts, this one included.
 	SetHostCount(int)
+	// SetAdmittedShares sets the share of the requests that the host may queue for each
+	// overloaded server, by server id.
+	SetAdmittedShares(map[string]float64)
 	// TakeLoadReport returns the report about keyed requests since the last call.
 	TakeLoadReport() edge.LoadReport
 }
@@ -244,6 +247,7 @@
 		return &NoContactError{Reason: NotLeading}
 	}
 	f.hostState.SetHostCount(int(r.Hosts))
+	f.hostState.SetAdmittedShares(decodeAdmittedShares(r.Admitted))
 	if len(r.Peers) > 0 {
 		f.peers, f.peersUpdatedAt = r.Peers, time.Now()
 	}
@@ -256,12 +260,20 @@
 	return nil
 }
 
+func decodeAdmittedShares(list []*followv1.AdmittedShare) map[string]float64 {
+	shares := make(map[string]float64, len(list))
+	for _, a := range list {
+		shares[a.Server] = float64(a.PerMille) / 1000
+	}
+	return shares
+}
+
 // encodeLoadReport puts the service times of all servers into one message without a
 // service, followed by one message for the keys of each service.
 func encodeLoadReport(r edge.LoadReport) []*followv1.Arrivals {
 	serviceTimes := &followv1.Arrivals{}
 	for server, t := range r.ServiceTimes {
-		serviceTimes.Times = append(serviceTimes.Times, &followv1.ServiceTime{Server: server, Count: uint32(t.Count), SumMs: uint32(t.Sum.Milliseconds())})
+		serviceTimes.Times = append(serviceTimes.Times, &followv1.ServiceTime{Server: server, Count: uint32(t.Count), SumMs: uint32(t.Sum.Milliseconds()), Reports: uint32(t.Reports), Waiting: uint32(t.Waiting)})
 	}
 	var messages []*followv1.Arrivals
 	if len(serviceTimes.Times) > 0 {
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -41,6 +41,9 @@
 	Leading() bool
 	// RecordLoadReport records a host's report about its requests for keyed services.
 	RecordLoadReport(edge.LoadReport)
+	// AdmittedShares returns the share of the requests that hosts may queue for each
+	// overloaded server, by server id.
+	AdmittedShares() map[string]float64
 	// RecordKnownMap records the NextOffset of the newest map of the process that
 	// incarnation identifies.
 	RecordKnownMap(incarnation string, nextOffset uint64)
@@ -181,7 +184,7 @@
 			report.RequestedKeys[a.Service] = append(report.RequestedKeys[a.Service], uint16(k))
 		}
 		for _, t := range a.Times {
-			report.ServiceTimes[t.Server] = edge.ServiceTime{Count: int(t.Count), Sum: time.Duration(t.SumMs) * time.Millisecond}
+			report.ServiceTimes[t.Server] = edge.ServiceTime{Count: int(t.Count), Sum: time.Duration(t.SumMs) * time.Millisecond, Reports: int(t.Reports), Waiting: int(t.Waiting)}
 		}
 	}
 	return report
@@ -200,6 +203,9 @@
 		return response, nil
 	}
 	response.Leader = s.incarnation
+	for id, share := range s.assigner.AdmittedShares() {
+		response.Admitted = append(response.Admitted, &followv1.AdmittedShare{Server: id, PerMille: uint32(share * 1000)})
+	}
 	if r.WantPeers {
 		response.Peers = s.peersForLocked(r.Host)
 	}
