--- a/core/event/event.go
+++ b/core/event/event.go
@@ -60,6 +60,7 @@
 	EntryIgnored       Code = 208
 	ServerSeen         Code = 209
 	ServerGone         Code = 210
+	StoreCallsCounted  Code = 211
 	LeaseGained        Code = 301
 	LeaseLost          Code = 302
 	WitnessesProposed  Code = 303
@@ -89,6 +90,7 @@
 	CallFailed         Code = 419
 	LoadLimited        Code = 420
 	LoadUnlimited      Code = 421
+	ParentChanged      Code = 422
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -129,6 +131,7 @@
 	{EntryIgnored, "entry_ignored", "A record of the platform could not be used."},
 	{ServerSeen, "server_seen", "A backend server's entry appeared or changed."},
 	{ServerGone, "server_gone", "A backend server's entry is gone."},
+	{StoreCallsCounted, "store_calls", "The calls of this host to the platform's store since the last line, by role and purpose."},
 	{LeaseGained, "lease_gained", "The daemon holds its prefix lease."},
 	{LeaseLost, "lease_lost", "The prefix lease expired; the daemon dispatches and grants nothing."},
 	{WitnessesProposed, "witnesses_proposed", "A new witness set was proposed."},
@@ -158,6 +161,7 @@
 	{CallFailed, "call_failed", "A grant or release had no effect: it was not sent in time, or the server answered with an unexpected status."},
 	{LoadLimited, "load_limited", "The leader limits the requests for the keys of a server that gets more than it can serve."},
 	{LoadUnlimited, "load_unlimited", "The leader no longer limits the requests for the keys of a server."},
+	{ParentChanged, "parent_changed", "This host gets the state of the store from another host than before."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
 	{SliceReleased, "slice_released", "A server released a slice."},
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -89,6 +89,10 @@
 // maxReportedKeys limits the keys recorded per service in one report.
 const maxReportedKeys = 512
 
+// maxRelayedKeys limits the keys recorded per service in the report of a relay, which
+// includes those of its followers.
+const maxRelayedKeys = 32 * maxReportedKeys
+
 // recordKeyRequest adds the key of a request to the load report.
 func (e *Edge) recordKeyRequest(service string, key uint16) {
 	e.loadReportMu.Lock()
@@ -130,6 +134,28 @@
 	}
 }
 
+// AddLoadReport adds the report of another host, which follows this one, to this host's
+// next report.
+func (e *Edge) AddLoadReport(r LoadReport) {
+	e.loadReportMu.Lock()
+	defer e.loadReportMu.Unlock()
+	if e.loadReport.RequestedKeys == nil {
+		e.loadReport.RequestedKeys = map[string][]uint16{}
+	}
+	if e.loadReport.ServiceTimes == nil {
+		e.loadReport.ServiceTimes = map[string]ServiceTime{}
+	}
+	for service, keys := range r.RequestedKeys {
+		own := e.loadReport.RequestedKeys[service]
+		room := max(0, maxRelayedKeys-len(own))
+		e.loadReport.RequestedKeys[service] = append(own, keys[:min(room, len(keys))]...)
+	}
+	for server, t := range r.ServiceTimes {
+		own := e.loadReport.ServiceTimes[server]
+		e.loadReport.ServiceTimes[server] = ServiceTime{Count: own.Count + t.Count, Sum: own.Sum + t.Sum, Reports: own.Reports + t.Reports, Waiting: own.Waiting + t.Waiting}
+	}
+}
+
 // TakeLoadReport returns the load since the last call and starts a new report.
 func (e *Edge) TakeLoadReport() LoadReport {
 	e.loadReportMu.Lock()
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http/httptest"
 	"slices"
@@ -17,6 +18,7 @@
 	"parsleyrelay.example/api/followv1"
 	"parsleyrelay.example/core/assignment"
 	"parsleyrelay.example/core/directory"
+	"parsleyrelay.example/core/followtree"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/edge"
 	"parsleyrelay.example/relay/telemetry"
@@ -87,6 +89,29 @@
 	return map[string][]assignment.Range{"s": {{From: 0, To: 9, Owner: assignment.ServerIncarnation{ID: owner}}, {From: 10, To: 65535, Owner: assignment.ServerIncarnation{ID: "1"}, GrantPending: true}}}
 }
 
+func (state *followerState) Description() followtree.Host {
+	return followtree.Host{Incarnation: "follower", Zone: "z", ProcessorShare: 0.2}
+}
+func (state *followerState) Followers() (int, []followtree.Host) { return 0, nil }
+
+// fakeUpstream is the follower of a host that receives no state. It implements Upstream.
+type fakeUpstream struct{ leader func() string }
+
+func (u fakeUpstream) CurrentLeader() string {
+	if u.leader == nil {
+		return ""
+	}
+	return u.leader()
+}
+func (fakeUpstream) StateAge() time.Duration { return -neverRead }
+func (fakeUpstream) Received() Received      { return Received{} }
+
+// recordReads records that the store responded to all reads just now.
+func recordReads(s *Source) {
+	s.RecordConfigRead()
+	s.RecordServersRead()
+}
+
 // sourceHost is a host with a source, and records what the source receives. It
 // implements Assigner.
 type sourceHost struct {
@@ -121,7 +146,7 @@
 
 func startLeaderAndFollowerWithJournal(t *testing.T, out io.Writer) (*sourceHost, *followerState, *Follower) {
 	leader := &sourceHost{leading: true, knownNextOffsets: map[string]uint64{}}
-	leader.source = NewSource("leader", leader, func() string { return "" })
+	leader.source = NewSource("leader", leader, fakeUpstream{}, func(edge.LoadReport) {})
 	h := httptest.NewServer(followv1.NewLeaderServer(leader.source))
 	t.Cleanup(h.Close)
 	state := &followerState{leader: "leader", addresses: map[string]string{"leader": h.Listener.Addr().String()}}
@@ -147,7 +172,7 @@
 			case <-stop:
 				return
 			case <-time.After(50 * time.Millisecond):
-				leader.source.RecordStoreContact()
+				recordReads(leader.source)
 			}
 		}
 	}()
@@ -160,7 +185,7 @@
 	eventually("configuration", func() bool { return state.configVersion == 3 })
 	eventually("servers", func() bool { return len(state.servers) == 2 && state.servers["1"] == testServer("1") })
 	eventually("map", func() bool { return state.newestMap != nil && state.newestMap.NextOffset == 2 })
-	require.Eventually(t, func() bool { return f.SinceLastContact() < MaxContactAge }, 2*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return f.StateAge() < MaxStateAge }, 2*time.Second, 5*time.Millisecond)
 
 	leader.source.SetServers(map[string]directory.Server{"2": testServer("2"), "3": testServer("3")})
 	next := &assignment.Map{Offset: 2, NextOffset: 3, Term: 1, Sequence: 1, Services: testRanges("2")}
@@ -190,17 +215,17 @@
 // contact with the store: they would keep outdated state and not read the store.
 func TestStaleOrFormerLeaderEndsContact(t *testing.T) {
 	leader, _, f := startLeaderAndFollower(t)
-	leader.source.RecordStoreContact()
-	require.Eventually(t, func() bool { return f.SinceLastContact() < MaxContactAge/2 }, 2*time.Second, 5*time.Millisecond)
+	recordReads(leader.source)
+	require.Eventually(t, func() bool { return f.StateAge() < MaxStateAge/2 }, 2*time.Second, 5*time.Millisecond)
 	// The leader has no further contact with the store.
-	require.Eventually(t, func() bool { return f.SinceLastContact() > MaxContactAge }, 2*MaxContactAge+longPollWait+500*time.Millisecond, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return f.StateAge() > MaxStateAge }, 2*MaxStateAge+longPollWait+500*time.Millisecond, 10*time.Millisecond)
 
-	leader.source.RecordStoreContact()
-	require.Eventually(t, func() bool { return f.SinceLastContact() < MaxContactAge/2 }, 2*time.Second, 5*time.Millisecond)
+	recordReads(leader.source)
+	require.Eventually(t, func() bool { return f.StateAge() < MaxStateAge/2 }, 2*time.Second, 5*time.Millisecond)
 	leader.mu.Lock()
 	leader.leading = false
 	leader.mu.Unlock()
-	require.Eventually(t, func() bool { return f.SinceLastContact() > MaxContactAge }, MaxContactAge+longPollWait+500*time.Millisecond, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return f.StateAge() > MaxStateAge }, MaxStateAge+longPollWait+500*time.Millisecond, 10*time.Millisecond)
 }
 
 // Guards against a host that stays with a former leader because it lost the store when
@@ -210,15 +235,15 @@
 	former, state, f := startLeaderAndFollower(t)
 	eventually := func(what string, ok func() bool) {
 		t.Helper()
-		require.Eventually(t, ok, 2*MaxContactAge+2*time.Second, 5*time.Millisecond, what)
+		require.Eventually(t, ok, 2*MaxStateAge+2*time.Second, 5*time.Millisecond, what)
 	}
 	newLeader := &sourceHost{leading: true, knownNextOffsets: map[string]uint64{}}
-	newLeader.source = NewSource("new", newLeader, func() string { return "" })
+	newLeader.source = NewSource("new", newLeader, fakeUpstream{}, func(edge.LoadReport) {})
 	newLeader.source.SetMap(&assignment.Map{Offset: 1, NextOffset: 2, Term: 2, Leader: "new", Services: testRanges("1")})
 	other := &sourceHost{knownNextOffsets: map[string]uint64{}}
 	var otherFollows atomic.Value
 	otherFollows.Store("")
-	other.source = NewSource("other", other, func() string { return otherFollows.Load().(string) })
+	other.source = NewSource("other", other, fakeUpstream{leader: func() string { return otherFollows.Load().(string) }}, func(edge.LoadReport) {})
 	for name, source := range map[string]*Source{"new": newLeader.source, "other": other.source} {
 		h := httptest.NewServer(followv1.NewLeaderServer(source))
 		t.Cleanup(h.Close)
@@ -232,15 +257,15 @@
 			case <-stop:
 				return
 			case <-time.After(50 * time.Millisecond):
-				newLeader.source.RecordStoreContact()
+				recordReads(newLeader.source)
 				if former.Leading() {
-					former.source.RecordStoreContact()
+					recordReads(former.source)
 				}
 			}
 		}
 	}()
 	// The follower learns of the other host from the former leader.
-	_, err := former.source.Follow(context.Background(), &followv1.FollowRequest{Host: "other"})
+	_, err := former.source.Follow(context.Background(), &followv1.FollowRequest{Host: "other", Caller: &followv1.HostInfo{Incarnation: "other"}})
 	require.NoError(t, err)
 	eventually("the follower is in contact with the former leader", func() bool { return f.CurrentLeader() == "leader" })
 	time.Sleep(2 * longPollWait) // the follower receives the list of peers
@@ -277,12 +302,12 @@
 				}
 			}
 			return false
-		}, 2*MaxContactAge+longPollWait+2*time.Second, 10*time.Millisecond, "%q in\n%s", substrings, out)
+		}, 2*MaxStateAge+longPollWait+2*time.Second, 10*time.Millisecond, "%q in\n%s", substrings, out)
 	}
 	heard := func() {
 		t.Helper()
 		out.reset()
-		leader.source.RecordStoreContact()
+		recordReads(leader.source)
 		awaitLine("name=leader_heard")
 	}
 	heard()
@@ -323,3 +348,98 @@
 	defer o.mu.Unlock()
 	o.buf.Reset()
 }
+
+// Pattern: more hosts than a leader can serve. Guards against hosts of a large deployment
+// that stay with the leader or read the store when the leader is lost, against state that
+// does not pass through a relay, and against load reports that a relay drops. Also guards
+// against a host that stays with a relay whose state has become old.
+func TestFollowerFollowsARelay(t *testing.T) {
+	leader, state, f := startLeaderAndFollower(t)
+	relay := &sourceHost{knownNextOffsets: map[string]uint64{}}
+	var reports atomic.Int32
+	upstream := &relayUpstream{received: Received{HostCount: 300, Admitted: map[string]float64{"1": 0.5}, Relays: []string{"unreachable 1", "relay"}}}
+	relay.source = NewSource("relay", relay, upstream, func(r edge.LoadReport) { reports.Add(int32(len(r.RequestedKeys["s"]))) })
+	h := httptest.NewServer(followv1.NewLeaderServer(relay.source))
+	t.Cleanup(h.Close)
+	state.locked(func() { state.addresses["relay"] = h.Listener.Addr().String() })
+	var others []*followv1.HostInfo
+	for i := range followtree.DirectHosts {
+		others = append(others, &followv1.HostInfo{Incarnation: fmt.Sprint("h", i), Zone: "other"})
+	}
+	for _, relay := range []string{"relay", "unreachable 1", "unreachable 2"} {
+		others = append(others, &followv1.HostInfo{Incarnation: relay, Zone: "z", ProcessorPerMille: 800})
+	}
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	var leaderLost atomic.Bool
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+			if leaderLost.Load() {
+				continue
+			}
+			recordReads(leader.source)
+			upstream.setAge(100 * time.Millisecond)
+			for _, other := range others {
+				leader.source.respond(&followv1.FollowRequest{Host: other.Incarnation, Caller: other})
+			}
+		}
+	}()
+	eventually := func(what string, ok func() bool) {
+		t.Helper()
+		require.Eventually(t, ok, 2*MaxStateAge+2*time.Second, 5*time.Millisecond, what)
+	}
+	eventually("the follower gets its state from the relay", func() bool { return relay.source.HostCount() == 2 })
+	require.NoError(t, relay.source.SetConfig(routes.Config{Version: 4}))
+	relay.source.SetServers(map[string]directory.Server{"1": testServer("1")})
+	relay.source.SetMap(&assignment.Map{Offset: 1, NextOffset: 2, Term: 1, Leader: "leader", Services: testRanges("1")})
+	eventually("the state of the relay", func() (ok bool) {
+		state.locked(func() {
+			ok = state.configVersion == 4 && len(state.servers) == 1 && state.newestMap != nil && state.hostCount == 300 && state.admitted["1"] == 0.5
+		})
+		return ok
+	})
+	state.locked(func() { state.report = edge.LoadReport{RequestedKeys: map[string][]uint16{"s": {4, 4}}} })
+	eventually("the report reaches the relay", func() bool { return reports.Load() == 2 })
+
+	// The leader is lost; the relay reads the store itself.
+	leaderLost.Store(true)
+	leader.mu.Lock()
+	leader.leading = false
+	leader.mu.Unlock()
+	until := time.Now().Add(2 * MaxStateAge)
+	for time.Now().Before(until) {
+		recordReads(relay.source)
+		require.True(t, f.InContact())
+		time.Sleep(20 * time.Millisecond)
+	}
+	// The relay loses the store, too.
+	upstream.setAge(MaxStateAge)
+	eventually("the follower reads the store itself", func() bool { return !f.InContact() })
+}
+
+// relayUpstream is the follower of a relay. It implements Upstream.
+type relayUpstream struct {
+	received Received
+	mu       sync.Mutex
+	stateAt  time.Time
+}
+
+func (u *relayUpstream) CurrentLeader() string { return "leader" }
+func (u *relayUpstream) Received() Received    { return u.received }
+
+func (u *relayUpstream) StateAge() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Since(u.stateAt)
+}
+
+func (u *relayUpstream) setAge(age time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.stateAt = time.Now().Add(-age)
+}
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 	"parsleyrelay.example/core/assignment"
 	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/event"
+	"parsleyrelay.example/core/followtree"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/edge"
 	"parsleyrelay.example/relay/telemetry"
@@ -25,11 +27,11 @@
 	longPollWait = 350 * time.Millisecond
 	// responseTimeout is the time that a call may take beyond longPollWait.
 	responseTimeout = 500 * time.Millisecond
-	// MaxContactAge is the age of a contact from which a host no longer relies on the
-	// leader and reads the store itself. It applies to the host's contact with the
-	// leader and to the leader's contact with the store. It leaves time for that read
-	// within the two seconds in which hosts must apply a new configuration.
-	MaxContactAge = time.Second
+	// MaxStateAge is the age of its state from which a host no longer relies on the host
+	// that it follows and reads the store itself. It leaves time for that read within the
+	// two seconds in which hosts must apply a new configuration and stop sending to a
+	// server that leaves. The state of a follower of a relay is usually younger than 1.2 s.
+	MaxStateAge = 1600 * time.Millisecond
 	// failureRetryDelay is the delay after a failed call, before the leader or another
 	// host is called.
 	failureRetryDelay = 200 * time.Millisecond
@@ -70,11 +72,15 @@
 	SetAdmittedShares(map[string]float64)
 	// TakeLoadReport returns the report about keyed requests since the last call.
 	TakeLoadReport() edge.LoadReport
+	// Description describes this host for the selection of relays.
+	Description() followtree.Host
+	// Followers returns the number of hosts that follow this one, and some of them.
+	Followers() (count int, candidates []followtree.Host)
 }
 
-// Follower keeps a host up to date from the leader by long polls. It is in contact
-// while the last response of a leader that itself had recent contact with the store is
-// younger than MaxContactAge.
+// Follower keeps a host up to date by long polls of the leader or, in a large deployment,
+// of a relay, which is called its parent. It is in contact while its state is younger than
+// MaxStateAge. It implements Upstream.
 //
 // A host that loses the store may miss a change of the leader. A follower without
 // contact therefore asks other hosts which leader they follow, so that such a host can
@@ -84,13 +90,16 @@
 	hostState   HostState
 	journal     *telemetry.Journal
 	http        *http.Client
-	lastContact atomic.Int64           // of the follower with a leader, as time after createdAt
-	lastLeader  atomic.Pointer[string] // incarnation of the leader of lastContact
 	createdAt   time.Time
+	stateAt     atomic.Int64             // when the store sent the state that was received last, as time after createdAt
+	lastLeader  atomic.Pointer[string]   // incarnation of the leader that the state came from; empty if a relay had none
+	received    atomic.Pointer[Received] // by the last successful poll
 
 	// The remaining fields are used only by Run.
-	serversSource   string // incarnation of the leader that sent servers
-	serversRevision uint64 // revision of servers at that leader
+	parents         *followtree.Parents
+	lastParent      string // of the last successful poll
+	serversSource   string // incarnation of the host that sent servers
+	serversRevision uint64 // revision of servers at that host
 	servers         map[string]directory.Server
 	loggedInContact bool     // contact at the last check; changes are logged
 	peers           []string // incarnations of other hosts
@@ -109,14 +118,14 @@
 // The reasons of a NoContactError.
 const (
 	NoLeader           NoContactReason = "the newest map names no other host as the leader"
-	NotLeading         NoContactReason = "the called host does not lead"
-	LeaderWithoutStore NoContactReason = "the leader has lost contact with the store"
+	NotLeading         NoContactReason = "the called host does not lead and is no relay"
+	LeaderWithoutStore NoContactReason = "the called host has lost contact with the store"
 )
 
 // NoContactError reports that a host is in no contact with a leader.
 type NoContactError struct {
 	Reason   NoContactReason
-	StoreAge time.Duration // since the leader's last contact with the store, for LeaderWithoutStore
+	StoreAge time.Duration // of the called host's state, for LeaderWithoutStore
 }
 
 // Error implements error.
@@ -129,41 +138,56 @@
 
 // NewFollower returns a follower that does not run yet.
 func NewFollower(incarnation string, hostState HostState, journal *telemetry.Journal) *Follower {
-	f := &Follower{incarnation: incarnation, hostState: hostState, journal: journal, createdAt: time.Now()}
+	f := &Follower{incarnation: incarnation, hostState: hostState, journal: journal, createdAt: time.Now(), parents: followtree.NewParents(incarnation)}
 	f.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}, Timeout: longPollWait + responseTimeout}
-	f.lastContact.Store(int64(-time.Hour)) // no contact yet
+	f.stateAt.Store(int64(neverRead))
+	f.received.Store(&Received{})
 	return f
 }
 
-// SinceLastContact returns the time since the last response of a leader that had recent
-// contact with the store.
-func (f *Follower) SinceLastContact() time.Duration {
-	return time.Since(f.createdAt) - time.Duration(f.lastContact.Load())
-}
+// now returns the time since the follower was created.
+func (f *Follower) now() time.Duration { return time.Since(f.createdAt) }
+
+// StateAge implements Upstream. It returns the time since the store sent the state that
+// this host received last.
+func (f *Follower) StateAge() time.Duration { return f.now() - time.Duration(f.stateAt.Load()) }
+
+// InContact reports whether the state is younger than MaxStateAge.
+func (f *Follower) InContact() bool { return f.StateAge() < MaxStateAge }
 
-// CurrentLeader returns the incarnation of the leader that the follower is in contact
-// with, or "".
+// Received implements Upstream.
+func (f *Follower) Received() Received { return *f.received.Load() }
+
+// CurrentLeader implements Upstream. It returns the incarnation of the leader that the
+// follower is in contact with, directly or through a relay, or "".
 func (f *Follower) CurrentLeader() string {
-	if leader := f.lastLeader.Load(); leader != nil && f.SinceLastContact() < MaxContactAge {
+	if leader := f.lastLeader.Load(); leader != nil && f.InContact() {
 		return *leader
 	}
 	return ""
 }
 
-// Run polls the leader until ctx ends. It never returns an error.
+// Run polls the leader or a relay until ctx ends. It never returns an error.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		leader := f.leaderToFollow()
+		parent := f.parents.Next(f.now(), leader)
 		err, wait := error(&NoContactError{Reason: NoLeader}), leaderLookupInterval
-		if leader != "" && leader != f.incarnation {
-			err = f.pollLeader(ctx, leader)
+		if parent != "" && parent != f.incarnation {
+			err = f.pollParent(ctx, parent)
 			wait = failureRetryDelay
 		}
-		f.updateContact(leader, err)
+		f.updateContact(parent, err)
 		if err == nil {
 			continue
 		}
-		if leader != f.incarnation && len(f.peers) > 0 && f.SinceLastContact() > MaxContactAge {
+		if parent != leader {
+			// Another relay or the leader is tried soon.
+			f.parents.RecordFailure(f.now(), parent)
+			sleep(ctx, leaderLookupInterval)
+			continue
+		}
+		if leader != f.incarnation && len(f.peers) > 0 && !f.InContact() {
 			f.referral = referral{} // the leader of the referral failed, or there is no referral
 			f.queryNextPeer(ctx)
 			wait = failureRetryDelay
@@ -189,12 +213,14 @@
 	peer := f.peers[f.peerQueries%len(f.peers)]
 	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
 	defer cancel()
-	r, err := f.clientFor(peer).Follow(ctx, f.newRequest())
+	request := f.newRequest()
+	request.Caller = nil // this host does not follow the peer
+	r, err := f.clientFor(peer).Follow(ctx, request)
 	if err != nil || r.Leader == "" || r.Leader == f.leaderToFollow() {
 		return // Run queries the next host after a delay
 	}
 	f.referral = referral{leader: r.Leader, mapLeader: f.hostState.MapLeader()}
-	f.journal.LogEvent(event.LeaderReferred, "leader", r.Leader, "instead", f.referral.mapLeader, "by", r.Host, "silence_ms", f.SinceLastContact().Milliseconds())
+	f.journal.LogEvent(event.LeaderReferred, "leader", r.Leader, "instead", f.referral.mapLeader, "by", r.Host, "silence_ms", f.StateAge().Milliseconds())
 }
 
 // newRequest returns a request with the state that this host knows. MapEnd must be the
@@ -203,6 +229,12 @@
 // assigner.Assigner.RecordKnownMap.
 func (f *Follower) newRequest() *followv1.FollowRequest {
 	request := &followv1.FollowRequest{Host: f.incarnation, ConfigVersion: f.hostState.ConfigVersion(), ServersSource: f.serversSource, ServersRevision: f.serversRevision}
+	request.Caller = encodeHostInfo(f.hostState.Description())
+	count, candidates := f.hostState.Followers()
+	request.Followers = uint32(count)
+	for _, c := range candidates {
+		request.Candidates = append(request.Candidates, encodeHostInfo(c))
+	}
 	if m := f.hostState.NewestMap(); m != nil {
 		request.MapEnd = m.NextOffset
 	}
@@ -213,53 +245,66 @@
 	return followv1.NewLeaderProtobufClient("http://"+f.hostState.AddressOf(incarnation), f.http)
 }
 
-// updateContact records a poll of the leader, which was a contact if err is nil, and logs
-// when the follower gains or loses contact.
-func (f *Follower) updateContact(leader string, err error) {
-	if err == nil {
-		f.lastLeader.Store(&leader)
-		f.lastContact.Store(int64(time.Since(f.createdAt)))
-	}
-	inContact := f.SinceLastContact() < MaxContactAge
-	if inContact == f.loggedInContact {
-		return
+// updateContact logs when the follower gains or loses contact, and when a poll, which
+// succeeded if err is nil, had another parent than the last.
+func (f *Follower) updateContact(parent string, err error) {
+	inContact := f.InContact()
+	switch {
+	case inContact && !f.loggedInContact:
+		f.journal.LogEvent(event.LeaderHeard, "leader", f.CurrentLeader(), "parent", parent)
+	case !inContact && f.loggedInContact:
+		f.journal.LogEvent(event.LeaderSilent, "leader", f.leaderToFollow(), "parent", parent, "silence_ms", f.StateAge().Milliseconds(), "error", err)
+	case inContact && err == nil && parent != f.lastParent:
+		f.journal.LogEvent(event.ParentChanged, "parent", parent, "former", f.lastParent, "leader", f.CurrentLeader(), "state_age_ms", f.StateAge().Milliseconds())
 	}
 	f.loggedInContact = inContact
-	if inContact {
-		f.journal.LogEvent(event.LeaderHeard, "leader", leader)
-	} else {
-		f.journal.LogEvent(event.LeaderSilent, "leader", leader, "silence_ms", f.SinceLastContact().Milliseconds(), "error", err)
+	if err == nil {
+		f.lastParent = parent
 	}
 }
 
-// pollLeader makes one long poll and applies the response. The error is a
-// *NoContactError if the called host does not lead or had no recent contact with the
-// store.
-func (f *Follower) pollLeader(ctx context.Context, leader string) error {
+// pollParent makes one long poll of the leader or a relay and applies the response. The
+// error is a *NoContactError if the called host serves no recent state.
+func (f *Follower) pollParent(ctx context.Context, parent string) error {
 	request := f.newRequest()
 	request.WaitMs, request.WantPeers = uint32(longPollWait.Milliseconds()), time.Since(f.peersUpdatedAt) > peersRefreshInterval
 	request.Arrivals = encodeLoadReport(f.hostState.TakeLoadReport())
-	r, err := f.clientFor(leader).Follow(ctx, request)
+	r, err := f.clientFor(parent).Follow(ctx, request)
 	if err != nil {
 		return err
 	}
-	if !r.Leading {
+	if !r.Leading && !(r.Relaying && slices.Contains(f.parents.Relays(), parent)) {
 		return &NoContactError{Reason: NotLeading}
 	}
-	f.hostState.SetHostCount(int(r.Hosts))
-	f.hostState.SetAdmittedShares(decodeAdmittedShares(r.Admitted))
-	if len(r.Peers) > 0 {
-		f.peers, f.peersUpdatedAt = r.Peers, time.Now()
-	}
+	f.applyReceived(r)
 	if err := f.applyResponse(r); err != nil {
 		return err
 	}
-	if age := time.Duration(r.AgeMs) * time.Millisecond; age >= MaxContactAge {
+	age := time.Duration(r.AgeMs) * time.Millisecond
+	if age >= MaxStateAge {
 		return &NoContactError{Reason: LeaderWithoutStore, StoreAge: age}
 	}
+	f.lastLeader.Store(&r.Leader)
+	f.stateAt.Store(int64(f.now() - age))
 	return nil
 }
 
+// applyReceived applies the parts of a response that relays pass on unchanged.
+func (f *Follower) applyReceived(r *followv1.FollowResponse) {
+	if len(r.Peers) > 0 {
+		f.peers, f.peersUpdatedAt = r.Peers, time.Now()
+	}
+	received := &Received{HostCount: int(r.Hosts), Admitted: decodeAdmittedShares(r.Admitted), Relays: r.Relays, Peers: f.peers}
+	if !r.Leading && len(r.Relays) == 0 {
+		// A relay that has read the store itself since its start knows no relays.
+		received.Relays = f.parents.Relays()
+	}
+	f.received.Store(received)
+	f.parents.SetRelays(received.Relays)
+	f.hostState.SetHostCount(received.HostCount)
+	f.hostState.SetAdmittedShares(received.Admitted)
+}
+
 func decodeAdmittedShares(list []*followv1.AdmittedShare) map[string]float64 {
 	shares := make(map[string]float64, len(list))
 	for _, a := range list {
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -1,8 +1,11 @@
 // Package follow distributes the state of the platform's store through one host, so
 // that the other hosts need not read the store. The host that leads the assignment of
 // keys serves the configuration, the servers and the assignment map as a Source. The
-// other hosts poll it with a Follower, and read the store themselves while they have no
-// contact with a leader.
+// other hosts poll it with a Follower, in a large deployment through relays (package
+// followtree), and read the store themselves while what they know is too old.
+//
+// Each host knows the age of its state, which is the time since the store sent it. A
+// follower adds the time since the response to the age that its parent reported.
 package follow
 
 import (
@@ -15,6 +18,7 @@
 	"parsleyrelay.example/api/followv1"
 	"parsleyrelay.example/core/assignment"
 	"parsleyrelay.example/core/directory"
+	"parsleyrelay.example/core/followtree"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/edge"
 )
@@ -25,8 +29,6 @@
 	// computed. A follower that is further behind receives the whole state.
 	maxMapHistory    = 64
 	maxServerChanges = 1024
-	// followerTimeout is the time without a call after which a follower is forgotten.
-	followerTimeout = 5 * time.Second
 	// maxPeers is the number of other hosts that are sent to a follower, which asks them
 	// for the leader if it loses the store. If a third of the hosts lose the store
 	// together, all 8 peers of one in 6,561 (3^8) of them have lost it too.
@@ -49,23 +51,51 @@
 	RecordKnownMap(incarnation string, nextOffset uint64)
 }
 
+// Upstream is what a host that does not lead gets from the host that it follows. It is
+// implemented by Follower.
+type Upstream interface {
+	// CurrentLeader returns the incarnation of the leader that it is in contact with,
+	// directly or through a relay, or "".
+	CurrentLeader() string
+	// StateAge returns the age of the state that it received.
+	StateAge() time.Duration
+	// Received returns what is passed on to followers unchanged.
+	Received() Received
+}
+
+// Received holds the parts of a leader's response that relays pass on unchanged.
+type Received struct {
+	HostCount int
+	Admitted  map[string]float64 // see Assigner.AdmittedShares
+	Relays    []string           // of the zone of the receiver
+	Peers     []string
+}
+
 // Source answers the calls of followers. It implements followv1.Leader. A host that does
-// not lead answers with the incarnation of the leader that it follows.
+// not lead serves as a relay while its state is recent, and answers with the incarnation
+// of the leader that it follows.
 type Source struct {
-	incarnation    string // of this host
-	assigner       Assigner
-	followedLeader func() string
-
-	mu                    sync.Mutex
-	changed               chan struct{} // closed at the next change
-	configJSON            []byte
-	configVersion         uint64
-	servers               map[string]directory.Server
-	serversRevision       uint64
-	serverChanges         []serverChange    // oldest first
-	mapHistory            []*assignment.Map // oldest first
-	lastStoreContact      time.Time
-	lastCallByIncarnation map[string]time.Time // of followers
+	incarnation string // of this host
+	assigner    Assigner
+	upstream    Upstream
+	addReport   func(edge.LoadReport) // takes the reports of followers of a relay
+	startedAt   time.Time
+
+	mu              sync.Mutex
+	changed         chan struct{} // closed at the next change
+	configJSON      []byte
+	configVersion   uint64
+	servers         map[string]directory.Server
+	serversRevision uint64
+	serverChanges   []serverChange    // oldest first
+	mapHistory      []*assignment.Map // oldest first
+	configReadAt    time.Duration     // last response of the store about the configuration, after startedAt
+	serversReadAt   time.Duration     // likewise about the servers
+	registry        *followtree.Registry
+	// Responses that several followers get, until the next change.
+	mapChanges    map[uint64]*followv1.MapChange      // by MapEnd of the request
+	serverUpdates map[uint64][]*followv1.ServerChange // by ServersRevision of the request
+	allServers    []*followv1.ServerChange
 }
 
 // serverChange records that a server was added, changed or removed.
@@ -74,11 +104,25 @@
 	id       string // of the server
 }
 
-// NewSource returns the source of the host process that incarnation identifies.
-// followedLeader returns the incarnation of the leader that the follower of this
-// process is in contact with, or "".
-func NewSource(incarnation string, assigner Assigner, followedLeader func() string) *Source {
-	return &Source{incarnation: incarnation, assigner: assigner, followedLeader: followedLeader, changed: make(chan struct{}), servers: map[string]directory.Server{}, lastCallByIncarnation: map[string]time.Time{}}
+// NewSource returns the source of the host process that incarnation identifies. upstream
+// is the process's follower. addReport adds the load reports of a relay's followers to
+// its own.
+func NewSource(incarnation string, assigner Assigner, upstream Upstream, addReport func(edge.LoadReport)) *Source {
+	s := &Source{incarnation: incarnation, assigner: assigner, upstream: upstream, addReport: addReport, startedAt: time.Now(), changed: make(chan struct{}), servers: map[string]directory.Server{},
+		configReadAt: neverRead, serversReadAt: neverRead, registry: followtree.NewRegistry()}
+	s.forgetServerUpdatesLocked()
+	s.mapChanges = map[uint64]*followv1.MapChange{}
+	return s
+}
+
+// neverRead is the time of a read that has not happened.
+const neverRead = -time.Hour
+
+// now returns the time since the source was created.
+func (s *Source) now() time.Duration { return time.Since(s.startedAt) }
+
+func (s *Source) forgetServerUpdatesLocked() {
+	s.serverUpdates, s.allServers = map[uint64][]*followv1.ServerChange{}, nil
 }
 
 // wakeFollowersLocked wakes the calls that wait for a change. As for all methods with
@@ -120,6 +164,7 @@
 	}
 	s.servers = servers
 	if s.serversRevision != before {
+		s.forgetServerUpdatesLocked()
 		s.wakeFollowersLocked()
 	}
 }
@@ -140,36 +185,54 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mapHistory = append(s.mapHistory, m)
+	clear(s.mapChanges)
 	if len(s.mapHistory) > maxMapHistory {
 		s.mapHistory = append(s.mapHistory[:0], s.mapHistory[len(s.mapHistory)-maxMapHistory/2:]...)
 	}
 	s.wakeFollowersLocked()
 }
 
-// RecordStoreContact records that the store responded just now.
-func (s *Source) RecordStoreContact() {
+// RecordConfigRead records that the store responded just now to a read of the
+// configuration that waited for changes.
+func (s *Source) RecordConfigRead() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastStoreContact = time.Now()
+	s.configReadAt = s.now()
 }
 
-// Follow implements followv1.Leader. It responds at once if this host does not lead or the
-// follower lacks a change; otherwise it waits for the next change or the end of the wait.
+// RecordServersRead records that the store responded just now to a read of the servers.
+func (s *Source) RecordServersRead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serversReadAt = s.now()
+}
+
+// stateAgeLocked returns the age of the state that this host knows: of the older of its
+// reads of the store, or of what it received from the host that it follows.
+func (s *Source) stateAgeLocked() time.Duration {
+	return min(s.now()-min(s.configReadAt, s.serversReadAt), s.upstream.StateAge())
+}
+
+// Follow implements followv1.Leader. It responds at once if this host does not serve its
+// state or the follower lacks a change; otherwise it waits for the next change or the end
+// of the wait.
 func (s *Source) Follow(ctx context.Context, r *followv1.FollowRequest) (*followv1.FollowResponse, error) {
 	if len(r.Arrivals) > 0 {
-		s.assigner.RecordLoadReport(decodeLoadReport(r.Arrivals))
+		s.recordReport(decodeLoadReport(r.Arrivals))
 	}
 	s.assigner.RecordKnownMap(r.Host, r.MapEnd)
 	timer := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxLongPollWait))
 	defer timer.Stop()
 	for {
 		response, changed := s.respond(r)
-		if !response.Leading || response.Config != nil || response.Servers != nil || response.AllServers || response.Map != nil {
+		if changed == nil || response.Config != nil || response.Servers != nil || response.AllServers || response.Map != nil {
 			return response, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			// The age and the limits are those of the end of the wait.
+			response, _ = s.respond(r)
 			return response, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -177,6 +240,16 @@
 	}
 }
 
+// recordReport passes a load report to the leader: to the assigner of this host if it
+// leads, or with this host's next report.
+func (s *Source) recordReport(r edge.LoadReport) {
+	if s.assigner.Leading() {
+		s.assigner.RecordLoadReport(r)
+		return
+	}
+	s.addReport(r)
+}
+
 func decodeLoadReport(messages []*followv1.Arrivals) edge.LoadReport {
 	report := edge.LoadReport{RequestedKeys: map[string][]uint16{}, ServiceTimes: map[string]edge.ServiceTime{}}
 	for _, a := range messages {
@@ -191,23 +264,41 @@
 }
 
 // respond records the follower's call and returns the response at this moment. It also
-// returns a channel that is closed at the next change, or nil if this host does not lead.
+// returns a channel that is closed at the next change, or nil if this host does not serve
+// its state.
 func (s *Source) respond(r *followv1.FollowRequest) (*followv1.FollowResponse, <-chan struct{}) {
-	leading := s.assigner.Leading()
+	leading, received := s.assigner.Leading(), s.upstream.Received()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastCallByIncarnation[r.Host] = time.Now()
-	response := &followv1.FollowResponse{Host: s.incarnation, Leading: leading, AgeMs: uint32(time.Since(s.lastStoreContact).Milliseconds()), ServersRevision: s.serversRevision, Hosts: uint32(s.hostCountLocked())}
-	if !leading {
-		response.Leader = s.followedLeader()
-		return response, nil
+	now := s.now()
+	if r.Caller != nil {
+		var candidates []followtree.Host
+		for _, c := range r.Candidates {
+			candidates = append(candidates, decodeHostInfo(c))
+		}
+		s.registry.RecordCall(now, decodeHostInfo(r.Caller), int(r.Followers), candidates)
+	}
+	age := s.stateAgeLocked()
+	response := &followv1.FollowResponse{Host: s.incarnation, Leading: leading, Relaying: !leading && age < MaxStateAge, AgeMs: uint32(age.Milliseconds()), ServersRevision: s.serversRevision}
+	switch {
+	case leading:
+		response.Leader = s.incarnation
+		received = Received{HostCount: s.registry.HostCount(now), Admitted: s.assigner.AdmittedShares(), Peers: s.registry.Callers(r.Host, maxPeers)}
+		if r.Caller != nil {
+			received.Relays = s.registry.Relays(now, r.Caller.Zone)
+		}
+	default:
+		response.Leader = s.upstream.CurrentLeader()
+		if !response.Relaying {
+			return response, nil
+		}
 	}
-	response.Leader = s.incarnation
-	for id, share := range s.assigner.AdmittedShares() {
+	response.Hosts, response.Relays = uint32(received.HostCount), received.Relays
+	for id, share := range received.Admitted {
 		response.Admitted = append(response.Admitted, &followv1.AdmittedShare{Server: id, PerMille: uint32(share * 1000)})
 	}
 	if r.WantPeers {
-		response.Peers = s.peersForLocked(r.Host)
+		response.Peers = received.Peers
 	}
 	if r.ConfigVersion < s.configVersion {
 		response.Config = s.configJSON
@@ -219,36 +310,27 @@
 	return response, s.changed
 }
 
-// peersForLocked returns the incarnations of up to maxPeers other followers.
-func (s *Source) peersForLocked(follower string) []string {
-	var peers []string
-	for other := range s.lastCallByIncarnation { // in random order
-		if other != follower {
-			peers = append(peers, other)
-		}
-		if len(peers) == maxPeers {
-			break
-		}
-	}
-	return peers
+func decodeHostInfo(h *followv1.HostInfo) followtree.Host {
+	return followtree.Host{Incarnation: h.Incarnation, Zone: h.Zone, ProcessorShare: float64(h.ProcessorPerMille) / 1000}
+}
+
+func encodeHostInfo(h followtree.Host) *followv1.HostInfo {
+	return &followv1.HostInfo{Incarnation: h.Incarnation, Zone: h.Zone, ProcessorPerMille: uint32(h.ProcessorShare * 1000)}
 }
 
-// HostCount returns the number of hosts that called within followerTimeout, plus this
-// host.
+// HostCount returns the number of hosts that follow this one, directly or through relays,
+// plus this host.
 func (s *Source) HostCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.hostCountLocked()
+	return s.registry.HostCount(s.now())
 }
 
-// hostCountLocked removes hosts that stopped calling and returns the number of hosts.
-func (s *Source) hostCountLocked() int {
-	for host, at := range s.lastCallByIncarnation {
-		if time.Since(at) > followerTimeout {
-			delete(s.lastCallByIncarnation, host)
-		}
-	}
-	return len(s.lastCallByIncarnation) + 1
+// Candidates returns some of the hosts that follow this one, which may become relays.
+func (s *Source) Candidates() []followtree.Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Candidates(s.now())
 }
 
 // addServerChangesLocked adds the servers that changed since the follower's revision to
@@ -258,29 +340,47 @@
 		return
 	}
 	if r.ServersSource != s.incarnation || len(s.serverChanges) == 0 || s.serverChanges[0].revision > r.ServersRevision+1 {
-		response.AllServers = true
-		for _, v := range s.servers {
-			response.Servers = append(response.Servers, encodeServer(v))
+		if s.allServers == nil {
+			for _, v := range s.servers {
+				s.allServers = append(s.allServers, encodeServer(v))
+			}
 		}
+		response.AllServers, response.Servers = true, s.allServers
 		return
 	}
+	updates, ok := s.serverUpdates[r.ServersRevision]
+	if !ok {
+		updates = s.serverChangesSinceLocked(r.ServersRevision)
+		s.serverUpdates[r.ServersRevision] = updates
+	}
+	response.Servers = updates
+}
+
+// serverChangesSinceLocked returns the present state of the servers that changed after a
+// revision.
+func (s *Source) serverChangesSinceLocked(revision uint64) []*followv1.ServerChange {
+	var updates []*followv1.ServerChange
 	listed := map[string]bool{}
 	for _, c := range s.serverChanges {
-		if c.revision <= r.ServersRevision || listed[c.id] {
+		if c.revision <= revision || listed[c.id] {
 			continue
 		}
 		listed[c.id] = true
 		if v, ok := s.servers[c.id]; ok {
-			response.Servers = append(response.Servers, encodeServer(v))
+			updates = append(updates, encodeServer(v))
 		} else {
-			response.Servers = append(response.Servers, &followv1.ServerChange{Id: c.id, Removed: true})
+			updates = append(updates, &followv1.ServerChange{Id: c.id, Removed: true})
 		}
 	}
+	return updates
 }
 
 // mapChangeSinceLocked returns the difference between the map with nextOffset and the
 // newest map, or the whole newest map if the history does not contain the former.
 func (s *Source) mapChangeSinceLocked(nextOffset uint64) *followv1.MapChange {
+	if change, ok := s.mapChanges[nextOffset]; ok {
+		return change
+	}
 	newest := s.mapHistory[len(s.mapHistory)-1]
 	base := &assignment.Map{}
 	for _, m := range s.mapHistory {
@@ -308,6 +408,7 @@
 		}
 		change.Ranges = append(change.Ranges, r)
 	}
+	s.mapChanges[nextOffset] = change
 	return change
 }
 
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -53,7 +53,7 @@
 	{MetricCPU, ObservableCounter, "s", nil, "CPU time of the process, user and system."},
 	{MetricControlBytes, Counter, "By", []string{"peer_kind", "direction"}, "Bytes of control messages with daemons, servers and the platform."},
 	{MetricConfigEffectTime, Histogram, "s", nil, "Time from the acceptance of a change to its effect on this host."},
-	{MetricStoreCalls, ObservableCounter, "1", nil, "Calls to the platform's store, refused ones too."},
+	{MetricStoreCalls, ObservableCounter, "1", []string{"purpose", "role"}, "Calls to the platform's store, refused ones too."},
 	{MetricServerConnections, ObservableCounter, "1", nil, "Connections opened to backend servers."},
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
