Count the wait for former leaders' grants from the first sight of a move

Change: moves are numbered in the map (stored ranges have a fourth number; maps of earlier versions decode with none, and then the full wait holds). Leaders stop raising fences of previous holders 3 s after their last contact to the store.

Ruled out: shorter grants (they end in network interruptions of 5 s); wall clocks in the map (they jump by seconds).

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -49,6 +49,10 @@
 	// log (see Leader.ConfirmLeadership) after which a leader ends its term. It is
 	// longer than common outages of the log.
 	LeadershipConfirmationTimeout = 10 * time.Second
+	// moveConfirmationTimeout is the time after the last confirmation from the log after
+	// which a leader no longer asks previous holders to release. Without the log no move
+	// can be completed, and the next leader need not wait for it.
+	moveConfirmationTimeout = 3 * time.Second
 	// CallTimeout limits a grant call; the connection is reset after it.
 	CallTimeout = time.Second
 	// CallRetryDelay is the delay before a call is repeated after a failure.
@@ -82,6 +86,10 @@
 	// owner has not accepted a grant yet. It is not set for the first placement of a
 	// range, which has no previous holder.
 	GrantPending bool
+	// Move identifies the move for which the previous holder is to release the range: the
+	// term in which it began, shifted by fenceCounterBits, plus a number. It is 0 for
+	// none, and in maps of earlier versions.
+	Move uint64
 }
 
 // AwaitsRelease reports whether the previous holder may still hold the range.
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -73,7 +73,7 @@
 		case now >= t.latestGrantExpiry() || l.hasEnded(t.service, r.PreviousHolder):
 			l.completeRelease(now, t)
 			return Call{}, false
-		case now < t.nextCallAt:
+		case now < t.nextCallAt || now-l.leadershipConfirmedAt > moveConfirmationTimeout:
 			return Call{}, false
 		case !t.fenceConfirmed && t.latestGrantExpiry()-now < CallTimeout+FenceGrantDuration+GrantExpiryMargin:
 			return Call{}, false // an unanswered grant would delay the expiry
@@ -184,7 +184,7 @@
 // owner gets its grant once the log has acknowledged the map that says so.
 func (l *Leader) completeRelease(now time.Duration, t *trackedRange) {
 	r := l.ensureDraft().FindRange(t.service, t.from)
-	r.PreviousHolder, r.GrantPending = ServerIncarnation{}, true
+	r.PreviousHolder, r.GrantPending, r.Move = ServerIncarnation{}, true, 0
 	t.previousHolder, t.grantPending = r.PreviousHolder, true
 	t.stage, t.fenceConfirmed, t.nextCallAt = stageGranting, false, now
 	t.grantExpiry, t.formerGrantExpiry = 0, 0
--- a/core/assignment/codec.go
+++ b/core/assignment/codec.go
@@ -17,9 +17,10 @@
 }
 
 // storedRange is the stored form of a Range: the last key, the index of the owner
-// in storedMap.Servers, and the state. The state is 0 for a settled range,
-// storedGrantPending, or one plus the index of the previous holder.
-type storedRange [3]int
+// in storedMap.Servers, the state, and Range.Move. The state is 0 for a settled range,
+// storedGrantPending, or one plus the index of the previous holder. Earlier versions
+// store no move.
+type storedRange [4]int64
 
 // storedGrantPending is the state of a range with Range.GrantPending.
 const storedGrantPending = -1
@@ -51,10 +52,10 @@
 	for name, ranges := range m.Services {
 		list := make([]storedRange, len(ranges))
 		for i, r := range ranges {
-			list[i] = storedRange{int(r.To), serverIndex(r.Owner), 0}
+			list[i] = storedRange{int64(r.To), int64(serverIndex(r.Owner)), 0, int64(r.Move)}
 			switch {
 			case r.AwaitsRelease():
-				list[i][2] = 1 + serverIndex(r.PreviousHolder)
+				list[i][2] = 1 + int64(serverIndex(r.PreviousHolder))
 			case r.GrantPending:
 				list[i][2] = storedGrantPending
 			}
@@ -72,13 +73,13 @@
 	}
 	m := &Map{Offset: offset, NextOffset: nextOffset, Term: stored.Term, Leader: stored.Leader, Sequence: stored.Sequence, Resigned: stored.Resigned, Services: map[string][]Range{}}
 	for name, list := range stored.Services {
-		from := 0
+		from := int64(0)
 		ranges := make([]Range, 0, len(list))
 		for _, r := range list {
-			if r[0] < from || r[0] >= KeyCount || r[1] < 0 || r[1] >= len(stored.Servers) || r[2] < storedGrantPending || r[2] > len(stored.Servers) {
+			if r[0] < from || r[0] >= KeyCount || r[1] < 0 || r[1] >= int64(len(stored.Servers)) || r[2] < storedGrantPending || r[2] > int64(len(stored.Servers)) || r[3] < 0 {
 				return nil, &DecodeError{Offset: offset, Reason: fmt.Sprintf("service %q: invalid range that ends at key %d", name, r[0])}
 			}
-			decoded := Range{From: uint16(from), To: uint16(r[0]), Owner: stored.Servers[r[1]], GrantPending: r[2] == storedGrantPending}
+			decoded := Range{From: uint16(from), To: uint16(r[0]), Owner: stored.Servers[r[1]], GrantPending: r[2] == storedGrantPending, Move: uint64(r[3])}
 			if r[2] > 0 {
 				decoded.PreviousHolder = stored.Servers[r[2]-1]
 			}
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -50,6 +50,8 @@
 	// Other numbers are rounded up to one, and limited to maxRangesPerService. It is
 	// doubled until there are minStripesPerServer ranges for each server.
 	Stripes int
+	// Observations are those of this host until now; nil for none.
+	Observations *Observations
 }
 
 // Leader is the state machine of the leading host. It grants a range for
@@ -68,6 +70,7 @@
 	inFlight              *Map          // map of the open write; nil for none
 	leadershipConfirmedAt time.Duration // time of the last evidence that no other leader has written
 	fenceCounter          uint64
+	lastMove              uint64                   // number of the last move of the term
 	openCalls             map[uint64]*trackedRange // by call ID
 	lastCallID            uint64
 	trackedRanges         []*trackedRange
@@ -196,6 +199,11 @@
 			switch {
 			case r.AwaitsRelease():
 				t.stage = stageReleasing
+				if l.options.Observations != nil {
+					if expiry, known := l.options.Observations.grantExpiry(now, &r); known {
+						t.formerGrantExpiry = min(t.formerGrantExpiry, expiry)
+					}
+				}
 			case r.GrantPending:
 				t.stage = stageGranting
 			}
--- a/core/assignment/plan.go
+++ b/core/assignment/plan.go
@@ -159,7 +159,8 @@
 	r := l.ensureDraft().FindRange(t.service, t.from)
 	rangeCounts[r.Owner.ID]--
 	rangeCounts[newOwner.ID]++
-	r.PreviousHolder, r.Owner, r.GrantPending = r.Owner, IncarnationOf(newOwner), false
+	l.lastMove++
+	r.PreviousHolder, r.Owner, r.GrantPending, r.Move = r.Owner, IncarnationOf(newOwner), false, l.Term()<<fenceCounterBits|l.lastMove
 	t.owner, t.previousHolder, t.grantPending = r.Owner, r.PreviousHolder, false
 	t.stage, t.revertIfHolderReturns, t.handover, t.nextCallAt = stageReleasing, false, "", now
 }
@@ -170,7 +171,7 @@
 	r := l.ensureDraft().FindRange(t.service, t.from)
 	rangeCounts[r.Owner.ID]--
 	rangeCounts[r.PreviousHolder.ID]++
-	r.Owner, r.PreviousHolder = r.PreviousHolder, ServerIncarnation{}
+	r.Owner, r.PreviousHolder, r.Move = r.PreviousHolder, ServerIncarnation{}, 0
 	t.owner, t.previousHolder = r.Owner, r.PreviousHolder
 	t.stage, t.fenceConfirmed, t.nextCallAt = stageSettled, false, now
 }
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -65,6 +65,8 @@
 	random        *rand.Rand                   // selects the unanswered grants that are applied late; nil for none
 	checkedKeys   []uint16                     // keys whose holders are checked
 	grantedFences map[uint16]map[string]uint64 // by key and server ID; highest accepted fence
+	observations  *Observations                // of the hosts that may lead next
+	observed      *Map                         // the map that they saw last
 }
 
 // openWrite is a write of a map that the log has not completed.
@@ -81,7 +83,7 @@
 }
 
 func newSimulation(t *testing.T, ids ...string) *simulation {
-	sim := &simulation{t: t, now: time.Hour, appendedMap: &Map{}, servers: map[string]*fakeServer{}, grantedFences: map[uint16]map[string]uint64{}}
+	sim := &simulation{t: t, now: time.Hour, appendedMap: &Map{}, servers: map[string]*fakeServer{}, grantedFences: map[uint16]map[string]uint64{}, observations: NewObservations()}
 	for k := 0; k < KeyCount; k += 1024 {
 		sim.checkedKeys = append(sim.checkedKeys, uint16(k))
 	}
@@ -112,7 +114,16 @@
 }
 
 func (sim *simulation) newLeader(host string) *Leader {
-	return NewLeader(sim.now, sim.appendedMap.clone(), Options{HostIncarnation: host, Stripes: 8})
+	sim.observe()
+	return NewLeader(sim.now, sim.appendedMap.clone(), Options{HostIncarnation: host, Stripes: 8, Observations: sim.observations})
+}
+
+// observe lets the hosts that may lead next see the stored map.
+func (sim *simulation) observe() {
+	if sim.observed == nil || sim.observed.NextOffset != sim.appendedMap.NextOffset {
+		sim.observations.Record(sim.now, sim.appendedMap, sim.observed)
+		sim.observed = sim.appendedMap.clone()
+	}
 }
 
 // step advances the clock, applies late calls, runs one tick of each leader and
@@ -140,6 +151,10 @@
 		sim.advanceWrites(l)
 	}
 	sim.checkHolders()
+	// Under random faults the other hosts miss some maps.
+	if sim.random == nil || sim.random.IntN(3) == 0 {
+		sim.observe()
+	}
 }
 
 // showsNoOtherLeader reports whether a read of the log confirms a leader. A replaced
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -117,7 +117,8 @@
 	previousMapLeader string             // incarnation named by the map before this host's term; empty for none
 	newestMap         *assignment.Map    // has only NextOffset set if the store has no map
 	mapWasRead        bool               // a first read has succeeded, so newestMap is set
-	nextTermAttempt   time.Duration      // earliest start of another term
+	observations      *assignment.Observations
+	nextTermAttempt   time.Duration // earliest start of another term
 }
 
 // messageQueueSize leaves room for the call results of all ranges when a new leader
@@ -126,7 +127,7 @@
 
 // New returns an Assigner that does not run yet.
 func New(o Options) *Assigner {
-	return &Assigner{options: o, messages: make(chan message, messageQueueSize), resignDone: make(chan struct{})}
+	return &Assigner{options: o, messages: make(chan message, messageQueueSize), observations: assignment.NewObservations(), resignDone: make(chan struct{})}
 }
 
 // SetElected sets whether the platform's store elects this host as the leader.
@@ -297,7 +298,7 @@
 	if a.newestMap != nil && m.NextOffset <= a.newestMap.NextOffset {
 		return
 	}
-	a.publishMap(m)
+	a.publishMap(now, m)
 	a.options.Journal.LogRoutineEvent(event.MapObserved, "offset", m.Offset, "term", m.Term, "sequence", m.Sequence, "leader", m.Leader)
 	if a.leader != nil {
 		a.leader.ObserveMap(m)
@@ -305,8 +306,9 @@
 	}
 }
 
-// publishMap makes m the newest map and passes it on.
-func (a *Assigner) publishMap(m *assignment.Map) {
+// publishMap makes m, which was read or written, the newest map and passes it on.
+func (a *Assigner) publishMap(now time.Duration, m *assignment.Map) {
+	a.observations.Record(now, m, a.newestMap)
 	a.newestMap = m
 	a.publishedMap.Store(m)
 	a.options.OnMap(m)
@@ -341,7 +343,7 @@
 	wasLeading := a.leader.Leading()
 	m := a.leader.AcknowledgeMapWrite(now, w.offset, w.nextOffset)
 	if a.newestMap == nil || m.NextOffset > a.newestMap.NextOffset {
-		a.publishMap(m)
+		a.publishMap(now, m)
 	}
 	if !wasLeading && a.leader.Leading() {
 		a.options.Journal.LogEvent(event.TermStarted, "term", m.Term, "offset", m.Offset, "former", a.previousMapLeader)
@@ -394,7 +396,7 @@
 			m = &assignment.Map{}
 		}
 		a.previousMapLeader = m.Leader
-		a.leader = assignment.NewLeader(now, m, assignment.Options{HostIncarnation: a.options.HostIncarnation, Stripes: a.options.Stripes})
+		a.leader = assignment.NewLeader(now, m, assignment.Options{HostIncarnation: a.options.HostIncarnation, Stripes: a.options.Stripes, Observations: a.observations})
 	}
 	a.leader.SetServers(*servers)
 	for _, c := range a.leader.Tick(now) {
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -381,7 +381,7 @@
 		if int(r.Owner) >= len(servers) || int(r.Previous) > len(servers) || r.To >= assignment.KeyCount || r.From > r.To {
 			return fmt.Errorf("map change with next offset %d dropped: keys %d to %d do not form a valid range, or its server is not listed", c.End, r.From, r.To)
 		}
-		u := assignment.RangeUpdate{Service: r.Service, Range: assignment.Range{From: uint16(r.From), To: uint16(r.To), Owner: servers[r.Owner], GrantPending: r.Pending}}
+		u := assignment.RangeUpdate{Service: r.Service, Range: assignment.Range{From: uint16(r.From), To: uint16(r.To), Owner: servers[r.Owner], GrantPending: r.Pending, Move: r.Move}}
 		if r.Previous > 0 {
 			u.Range.PreviousHolder = servers[r.Previous-1]
 		}
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -402,7 +402,7 @@
 	}
 	for _, u := range newest.Diff(base) {
 		r := &followv1.Range{Service: u.Service, From: uint32(u.Range.From), To: uint32(u.Range.To), Owner: serverIndex(u.Range.Owner)}
-		r.Pending = u.Range.GrantPending
+		r.Pending, r.Move = u.Range.GrantPending, u.Range.Move
 		if u.Range.AwaitsRelease() {
 			r.Previous = serverIndex(u.Range.PreviousHolder) + 1 // 0 stands for no previous holder
 		}
