Check that a server stays right before a request is sent to it

Change: the list of servers is read again when the connection is open; an attempt that is not sent keeps its place in the retry budget and goes to another server. TestRequestIsNotSentToAServerThatLeftMeanwhile fails without the check.

--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -60,10 +60,11 @@
 	assignment atomic.Pointer[AssignmentView]
 	splitter   *routes.Splitter
 
+	servers atomic.Pointer[map[string]directory.Server] // known servers by id; the map is not changed
+
 	mu           sync.Mutex
 	pools        map[string]*servicePool // by service
-	servers      map[string]directory.Server
-	boundMetrics sync.Map // metric name and labels to telemetry.BoundMetric
+	boundMetrics sync.Map                // metric name and labels to telemetry.BoundMetric
 
 	loadReportMu sync.Mutex
 	loadReport   LoadReport
@@ -260,16 +261,32 @@
 	if e.routeTable.Load() == nil {
 		return false
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.servers) > 0
+	return len(e.knownServers()) > 0
+}
+
+// knownServers returns the known servers by id.
+func (e *Edge) knownServers() map[string]directory.Server {
+	if servers := e.servers.Load(); servers != nil {
+		return *servers
+	}
+	return nil
+}
+
+// checkServerStays returns an error if a server has left, or has announced that it will,
+// since it was selected.
+func (e *Edge) checkServerStays(id string) error {
+	if s, known := e.knownServers()[id]; !known || s.Draining {
+		return errServerLeaves
+	}
+	return nil
 }
 
 // SetServers replaces the known servers.
 func (e *Edge) SetServers(servers map[string]directory.Server) {
+	known := maps.Clone(servers)
+	e.servers.Store(&known)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.servers = maps.Clone(servers)
 	e.distributeServersLocked()
 }
 
@@ -279,7 +296,7 @@
 // dispatch.MaxHolderWait at most. e.mu must be held.
 func (e *Edge) distributeServersLocked() {
 	lists := map[string][]dispatch.Server{}
-	for _, s := range e.servers {
+	for _, s := range e.knownServers() {
 		if s.Draining {
 			continue
 		}
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -366,6 +366,8 @@
 func TestIdempotentRequestIsRetriedWhenServerHangs(t *testing.T) {
 	var hangs atomic.Bool
 	answer := func(r *http.Request) string {
+		// Six concurrent requests overlap, so that they do not all fit on s1.
+		time.Sleep(20 * time.Millisecond)
 		if hangs.Load() && r.Header.Get("X-Target") == "s2" {
 			time.Sleep(2 * time.Second)
 		}
@@ -415,3 +417,32 @@
 	slow.Store(true)
 	require.Equal(t, 200, sendRequest(e, context.Background(), "/safe/x").Status)
 }
+
+// Guards against a request that reaches a server long after its leaving was acknowledged,
+// because it was assigned to the server before and then waited for a connection.
+func TestRequestIsNotSentToAServerThatLeftMeanwhile(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		first, second := startScriptedServer(t, "s1", signedResponse), startScriptedServer(t, "s2", signedResponse)
+		e := newEdge(t, first)
+		r, err := http.NewRequest(http.MethodGet, "http://h/once/x", nil)
+		require.NoError(t, err)
+		r.RequestURI = "/once/x"
+		r.Header.Set("X-Id", "a1")
+		c, refusal := e.routeRequest(&ingress.Request{Request: r, ReceivedAt: time.Now()})
+		require.Nil(t, refusal)
+		decision, ok := c.acquireServer(context.Background())
+		require.True(t, ok)
+		require.Equal(t, "s1", decision.Server.ID)
+		known := map[string]directory.Server{"s2": {ID: "s2", Service: "s", Address: second.address, Slots: 2}}
+		if draining {
+			known["s1"] = directory.Server{ID: "s1", Service: "s", Address: first.address, Slots: 2, Draining: true}
+		}
+		e.SetServers(known)
+		response, retry := c.sendToServer(context.Background(), decision)
+		require.Nil(t, response)
+		require.True(t, retry)
+		require.Equal(t, 200, c.forward(context.Background()).Status)
+		require.Zero(t, first.requestCount())
+		require.Equal(t, 1, second.requestCount())
+	}
+}
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -204,6 +204,7 @@
 	start := time.Now()
 	response, err := c.edge.options.Client.Do(ctx, upstream.Exchange{
 		Address: s.Address, Method: c.request.Method, RawRequest: c.encodeRequest(s), Matches: c.matchesResponse,
+		BeforeSend: func() error { return c.edge.checkServerStays(s.ID) },
 	})
 	slow := stopTimer()
 	c.lastServerID = s.ID
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -77,6 +77,9 @@
 	Method     string
 	RawRequest []byte // header and body as written to the connection
 	Matches    func(http.Header) bool
+	// BeforeSend is called when the connection is open, before anything is written. If it
+	// returns an error, nothing is sent and the error is returned. nil for no check.
+	BeforeSend func() error
 }
 
 // Client pools connections by address. It is safe for concurrent use.
@@ -103,6 +106,12 @@
 	if err != nil {
 		return nil, &Error{Address: x.Address, Err: err}
 	}
+	if x.BeforeSend != nil {
+		if err := x.BeforeSend(); err != nil {
+			c.releaseConn(x.Address, cn)
+			return nil, &Error{Address: x.Address, Err: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	response, sent, reusable, err := cn.exchange(x)
 	if !stop() || err != nil {
