--- a/core/assignment/overload.go
+++ b/core/assignment/overload.go
@@ -19,17 +19,17 @@
 	overloadQueue = 1.0
 	// minOverloadDemand is the least demand at which requests are limited, relative to
 	// the capacity. Below it, moves and the hosts' own windows suffice.
-	minOverloadDemand = 1.3
+	minOverloadDemand = 2.0
 	// initialAdmittedLoad is the load that is let through at first, relative to the
 	// capacity. It is below 1 so that the queue shrinks.
-	initialAdmittedLoad = 0.6
+	initialAdmittedLoad = 0.9
 	// The admitted load is adjusted such that a few requests wait, because without any
 	// the slots would not stay busy.
 	longQueue, longQueueFactor   = 1.0, 0.85
 	highQueue, highQueueFactor   = 0.5, 0.93
 	shortQueue, shortQueueFactor = 1.0 / 4, 1.25
 	// Bounds of the admitted load.
-	minAdmittedLoad, maxAdmittedLoad = 0.4, 2.0
+	minAdmittedLoad, maxAdmittedLoad = 0.6, 2.0
 	// arrivalRatePerCount converts the decayed count of arrivals of shortTermPolicy, right
 	// after a decay, to arrivals per second: the sum of a steady rate's decayed counts is
 	// interval*factor/(1-factor) times the rate.
