Fit windows and limits to the number of hosts

Change: the ordinary window is six times a host's part of the slots, between one request and half of the slots; up to three hosts a slot a window keeps its part of 1.25 times the slots; the leader limits from 50 hosts on. Windows recover in 2 s instead of 1 s. TestFewHostsUseTheSlots and TestFewHostsAreNotLimited failed before.

--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -78,11 +78,12 @@
 	termBegun             bool                                   // the first write of the term was acknowledged
 	stopped               bool
 	resigning             bool
-	firstServerAt         map[string]time.Duration      // by service; time at which a server was first assignable
-	keyLoadsByService     map[string]*keyLoads          // by service
-	meanServiceTimes      map[string]*meanServiceTime   // by server ID
-	addressReused         map[ServerIncarnation]bool    // another server responded at the address
-	fillingServers        map[ServerIncarnation]bool    // servers that had no ranges and are getting their share
+	firstServerAt         map[string]time.Duration    // by service; time at which a server was first assignable
+	keyLoadsByService     map[string]*keyLoads        // by service
+	meanServiceTimes      map[string]*meanServiceTime // by server ID
+	addressReused         map[ServerIncarnation]bool  // another server responded at the address
+	fillingServers        map[ServerIncarnation]bool  // servers that had no ranges and are getting their share
+	hostCount             int
 	queueReports          map[string]queueReports       // by server ID
 	admittedLoads         map[string]map[string]float64 // of limited servers, by service and server ID
 	admittedShares        map[string]float64            // see AdmittedShares
--- a/core/assignment/overload.go
+++ b/core/assignment/overload.go
@@ -14,6 +14,9 @@
 
 // Parameters of the limits.
 const (
+	// minLimitingHosts is the least number of hosts with which servers are limited. With
+	// fewer, each host sees enough responses to adjust its window in time.
+	minLimitingHosts = 50
 	// overloadQueue is the mean number of waiting requests, relative to the slots, above
 	// which a server's requests are limited.
 	overloadQueue = 1.0
@@ -51,6 +54,9 @@
 	l.queueReports[server] = queueReports{count: q.count + count, waiting: q.waiting + waiting}
 }
 
+// SetHostCount sets the number of hosts that send requests to the servers.
+func (l *Leader) SetHostCount(n int) { l.hostCount = n }
+
 // AdmittedShares returns, by server ID, the share of the requests for its keys that
 // hosts may queue. Servers without an entry have no limit. The map must not be changed.
 func (l *Leader) AdmittedShares() map[string]float64 { return l.admittedShares }
@@ -58,6 +64,10 @@
 // limitOverload updates the limits of a service's servers by their loads and by the
 // queues that they reported since the last call.
 func (l *Leader) limitOverload(service string, loads []*serverLoad) {
+	if l.hostCount < minLimitingHosts {
+		l.admittedLoads, l.admittedShares = map[string]map[string]float64{}, nil
+		return
+	}
 	former, current := l.admittedLoads[service], map[string]float64{}
 	shares := maps.Clone(l.admittedShares)
 	for id := range former {
--- a/core/assignment/overload_test.go
+++ b/core/assignment/overload_test.go
@@ -34,6 +34,7 @@
 func newBusyKey(t *testing.T) *busyKey {
 	sim := newSimulation(t, "1", "2", "3", "4")
 	b := &busyKey{sim: sim, leader: sim.leaderAfterPlacement("a")}
+	b.leader.SetHostCount(300)
 	for id := range sim.servers {
 		b.leader.RecordServiceTimes(id, 20, 20*busyServiceTime)
 	}
@@ -112,3 +113,13 @@
 		require.Empty(t, b.leader.AdmittedShares())
 	}
 }
+
+// Guards against limits in a small deployment: its hosts keep the queues short by
+// themselves, and two controls of the same queue refuse too much.
+func TestFewHostsAreNotLimited(t *testing.T) {
+	b := newBusyKey(t)
+	b.leader.SetHostCount(minLimitingHosts - 1)
+	b.perSec = 10 * busyServedPerSec
+	b.run(2 * time.Second)
+	require.Empty(t, b.leader.AdmittedShares())
+}
--- a/core/dispatch/manyhosts_test.go
+++ b/core/dispatch/manyhosts_test.go
@@ -71,6 +71,7 @@
 		server: boundedServer{slots: 6, maxQueue: 24, serviceTime: 270 * time.Millisecond, resetsWhenFull: resetsWhenFull}}
 	for i := range hosts {
 		p := NewPool(fmt.Sprint("h", i), "a", func(uint16) (string, time.Duration) { return "s", 0 })
+		p.SetHostCount(hosts)
 		p.SetServers(0, []Server{{ID: "s", Zone: "a", Slots: l.server.slots}})
 		l.pools = append(l.pools, p)
 	}
@@ -230,3 +231,15 @@
 		}
 	}
 }
+
+// Pattern: a deployment of few hosts whose server is half busy. Guards against a window
+// of one request there: a request behind another one is expected to miss its target
+// latency and refused, although the server has free slots.
+func TestFewHostsUseTheSlots(t *testing.T) {
+	for _, hosts := range []int{3, 8, 12} {
+		l := newHotKeyLoad(hosts, false)
+		l.maxQueueWait = 240 * time.Millisecond
+		calm := l.run(10*time.Second, 0.6, 0)
+		require.LessOrEqual(t, float64(calm.refused), 0.02*float64(calm.asked), "%d hosts", hosts)
+	}
+}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -212,6 +212,7 @@
 	inflight      int              // requests in flight at all servers
 	host          string
 	zone          string
+	hostCount     int // hosts that send requests to the servers
 	lastSequence  uint64
 	shrunkAt      time.Duration
 	requestWaited bool // whether a request has had to wait after the last growth of commonWindow
@@ -229,7 +230,7 @@
 // NewPool returns a pool for one service at the given host and availability zone.
 // holderOf is nil for a service without keys.
 func NewPool(host, zone string, holderOf HolderLookup) *Pool {
-	return &Pool{servers: map[string]*serverState{}, holderOf: holderOf, host: host, zone: zone, commonWindow: initialCommonWindow, latencyEstimates: map[int]*latencyEstimate{}}
+	return &Pool{servers: map[string]*serverState{}, holderOf: holderOf, host: host, zone: zone, hostCount: 1, commonWindow: initialCommonWindow, latencyEstimates: map[int]*latencyEstimate{}}
 }
 
 // SetServers replaces the servers that requests may be sent to. Requests in flight
@@ -240,7 +241,7 @@
 		selected[s.ID] = true
 		state := p.servers[s.ID]
 		if state == nil {
-			state = &serverState{window: initialKeyedWindow, latency: InitialLatency.Seconds(), admission: admission{share: 1}, reservationOrder: hashFraction(s.ID)}
+			state = &serverState{window: p.ordinaryWindow(s.Slots), latency: InitialLatency.Seconds(), admission: admission{share: 1}, reservationOrder: hashFraction(s.ID)}
 			p.servers[s.ID] = state
 		}
 		state.Server, state.removed = s, false
--- a/core/dispatch/windows.go
+++ b/core/dispatch/windows.go
@@ -15,12 +15,14 @@
 
 // Parameters of the windows of servers with keys.
 const (
-	// initialKeyedWindow is the window of a server before any load report. Keys become
-	// busy at all hosts at once, so it is small; hosts that need more get it within a few
-	// responses.
-	initialKeyedWindow = 1.0
-	// keyedWindowStep is added to a window by a report without a queue, if the window has
-	// kept a request waiting.
+	// hostWindowFactor relates the ordinary window of a host, which it has before any load
+	// report, to its part of the server's slots. It is above 1 because the hosts do not
+	// use their windows at the same time. Keys become busy at all hosts at once, so the
+	// window is not larger in a deployment of many hosts; hosts that need more get it
+	// within a few responses.
+	hostWindowFactor = 6.0
+	// keyedWindowStep is added to a window by a report without a queue. A window above
+	// the ordinary one grows only if it has kept a request waiting.
 	keyedWindowStep = 0.25
 	// maxWindowGrowth limits the factor by which one report raises a window below 1.
 	maxWindowGrowth = 1.3
@@ -29,16 +31,39 @@
 	// maxWindowReduction limits the factor by which one report lowers a window. It is
 	// also the factor of a refusal without a load report.
 	maxWindowReduction = 0.25
+	// fewHosts is the number of hosts, relative to a server's slots, up to which a window
+	// keeps its part of leastOccupancy, which is relative to the slots, too. So few hosts
+	// get reports often enough to keep the queue short with larger windows, and smaller
+	// ones would leave slots idle. With more hosts the windows may fall to minKeyedWindow.
+	fewHosts       = 3.0
+	leastOccupancy = 1.25
+	minKeyedWindow = 0.02
 	// targetOccupancy is the number of requests at a server to which its windows are
 	// adjusted, relative to its slots. Above 1 the slots stay busy.
-	targetOccupancy = 1.125
+	targetOccupancy = 1.3
 	// windowRecoveryTime is the time in which a window below 1 doubles without a report.
-	windowRecoveryTime = time.Second
+	windowRecoveryTime = 2 * time.Second
 	// fullServerReportAge is the age up to which a load report with all slots taken says
 	// why a connection was closed.
 	fullServerReportAge = 2 * time.Second
 )
 
+// SetHostCount sets the number of hosts that send requests to the servers.
+func (p *Pool) SetHostCount(n int) {
+	p.hostCount = max(1, n)
+	for _, s := range p.servers {
+		if s.loadReceivedAt == 0 {
+			s.window = p.ordinaryWindow(s.Slots)
+		}
+	}
+}
+
+// ordinaryWindow returns the window at a server with keys that is not busy. It is at
+// least one request and at most half of the slots.
+func (p *Pool) ordinaryWindow(slots int) float64 {
+	return max(1, min(hostWindowFactor*float64(slots)/float64(p.hostCount), float64(slots)/2))
+}
+
 // hasCapacity reports whether this host may send another request to a server with
 // keys.
 func (p *Pool) hasCapacity(now time.Duration, s *serverState, request *queuedRequest) bool {
@@ -96,7 +121,7 @@
 			s.pausedUntil = max(s.pausedUntil, now+min(secondsToDuration((waiting-slots/2)/slots*s.latency/2), MaxServerQueuePause))
 		}
 	case waiting == 0:
-		s.raiseWindow(now, slots, occupancy)
+		s.raiseWindow(now, slots, occupancy, p.ordinaryWindow(s.load.Slots))
 		if p.requestWaited {
 			p.commonWindow = min(p.commonWindow+1, p.maxWindow())
 			p.requestWaited = false
@@ -111,17 +136,21 @@
 	if p.holderOf == nil || s.windowReducedAt > 0 && now-s.windowReducedAt < secondsToDuration(s.latency) {
 		return
 	}
-	s.window *= max(maxWindowReduction, min(1, factor))
+	least, slots := minKeyedWindow, float64(max(1, s.Slots))
+	if hosts := float64(p.hostCount); hosts <= fewHosts*slots {
+		least = min(1, leastOccupancy*slots/hosts)
+	}
+	s.window = max(least, s.window*max(maxWindowReduction, min(1, factor)))
 	s.windowReducedAt, s.windowAdjustedAt = now, now
 }
 
 // raiseWindow raises the window of a server that reported no queue.
-func (s *serverState) raiseWindow(now time.Duration, slots, occupancy float64) {
+func (s *serverState) raiseWindow(now time.Duration, slots, occupancy, ordinary float64) {
 	switch {
 	case s.window < 1:
 		s.window = min(1, s.window*min(maxWindowGrowth, targetOccupancy*slots/max(1, occupancy))+minWindowGrowth)
 		s.windowAdjustedAt = now
-	case s.windowLimited:
+	case s.windowLimited || s.window < ordinary:
 		s.window = min(s.window+keyedWindowStep, slots+1)
 		s.windowLimited = false
 	}
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -104,6 +104,7 @@
 	elected             atomic.Bool
 	leading             atomic.Bool
 	publishedMap        atomic.Pointer[assignment.Map]
+	hostCount           atomic.Int64
 	admittedShares      atomic.Pointer[map[string]float64]
 	resigning           atomic.Bool
 	resignDone          chan struct{} // closed when a resigning host leads no term any more
@@ -140,6 +141,9 @@
 // the first read. If the store has no map, only NextOffset is set.
 func (a *Assigner) NewestMap() *assignment.Map { return a.publishedMap.Load() }
 
+// SetHostCount sets the number of entry hosts, this one included.
+func (a *Assigner) SetHostCount(n int) { a.hostCount.Store(int64(n)) }
+
 // AdmittedShares returns the share of the requests that hosts may queue for each
 // overloaded server, by server ID. It is empty if this host does not lead. The map must
 // not be changed.
@@ -399,6 +403,7 @@
 		a.leader = assignment.NewLeader(now, m, assignment.Options{HostIncarnation: a.options.HostIncarnation, Stripes: a.options.Stripes, Observations: a.observations})
 	}
 	a.leader.SetServers(*servers)
+	a.leader.SetHostCount(int(a.hostCount.Load()))
 	for _, c := range a.leader.Tick(now) {
 		go a.sendCall(ctx, now, c)
 	}
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -213,7 +213,7 @@
 	}
 	e.options.Budget.HostCount = n
 	for _, p := range e.pools {
-		p.setRetrySlack(e.slackPerHost())
+		p.setHostCount(n, e.slackPerHost())
 	}
 }
 
@@ -402,6 +402,7 @@
 		holder = func(key uint16) (string, time.Duration) { return e.keyHolder(service, key) }
 	}
 	p.dispatchPool = dispatch.NewPool(e.options.Host, e.options.Zone, holder)
+	p.dispatchPool.SetHostCount(e.options.Budget.HostCount)
 	p.retryBudget = retry.HostBudget{Ratio: e.options.Budget.Ratio, Slack: e.slackPerHost(), Window: e.options.Budget.Window}
 	return p
 }
@@ -418,10 +419,11 @@
 	p.dispatchPool.SetAdmittedShares(p.clock(), shares)
 }
 
-func (p *servicePool) setRetrySlack(slack float64) {
+func (p *servicePool) setHostCount(n int, retrySlack float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.retryBudget.Slack = slack
+	p.retryBudget.Slack = retrySlack
+	p.dispatchPool.SetHostCount(n)
 }
 
 func (p *servicePool) dispatchWaiting() {
