--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -446,3 +446,23 @@
 		require.Equal(t, 1, second.requestCount())
 	}
 }
+
+// Guards against a request that reaches its server after the caller's deadline, because
+// it waited for a connection until then.
+func TestRequestIsNotSentAtItsDeadline(t *testing.T) {
+	server := startScriptedServer(t, "s1", signedResponse)
+	e := newEdge(t, server)
+	r, err := http.NewRequest(http.MethodGet, "http://h/once/x", nil)
+	require.NoError(t, err)
+	r.RequestURI = "/once/x"
+	r.Header.Set("X-Id", "a1")
+	c, refusal := e.routeRequest(&ingress.Request{Request: r, ReceivedAt: time.Now()})
+	require.Nil(t, refusal)
+	decision, ok := c.acquireServer(context.Background())
+	require.True(t, ok)
+	c.deadline = time.Now().Add(minAttemptTime / 2)
+	response, retry := c.sendToServer(context.Background(), decision)
+	require.False(t, retry)
+	require.Equal(t, 503, response.Status)
+	require.Zero(t, server.requestCount())
+}
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -204,7 +204,7 @@
 	start := time.Now()
 	response, err := c.edge.options.Client.Do(ctx, upstream.Exchange{
 		Address: s.Address, Method: c.request.Method, RawRequest: c.encodeRequest(s), Matches: c.matchesResponse,
-		BeforeSend: func() error { return c.edge.checkServerStays(s.ID) },
+		BeforeSend: func() error { return c.checkBeforeSend(s) },
 	})
 	slow := stopTimer()
 	c.lastServerID = s.ID
@@ -218,6 +218,15 @@
 	return c.handleResponse(callerCtx, s, latency, response)
 }
 
+// checkBeforeSend returns an error if the request must not be sent any more when the
+// connection to its server is open.
+func (c *callerRequest) checkBeforeSend(s dispatch.Server) error {
+	if time.Until(c.deadline) < minAttemptTime {
+		return errDeadlineTooClose
+	}
+	return c.edge.checkServerStays(s.ID)
+}
+
 // startSlowTimer starts a timer that cancels an attempt which exceeds the server's
 // usual latency, if another server has free capacity and the retry budget allows a
 // retry. This saves requests that were sent over a broken link or to a server that
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -21,14 +21,20 @@
 // errSlowAttempt is the error of an attempt that the slow timer canceled.
 var errSlowAttempt = errors.New("no response within the usual latency; another server takes the request")
 
-// errServerLeaves is the error of an attempt that was not sent, because its server left
-// while the request waited for a connection.
-var errServerLeaves = errors.New("the server leaves")
+// Errors of attempts that were not sent when the connection to the server was open.
+var (
+	errServerLeaves     = errors.New("the server leaves")
+	errDeadlineTooClose = errors.New("the deadline is too close")
+)
 
 // handleExchangeError decides what follows an attempt without a complete response.
 func (c *callerRequest) handleExchangeError(ctx context.Context, s dispatch.Server, latency time.Duration, slow bool, err error) (*ingress.Response, bool) {
 	var exchangeError *upstream.Error
 	sent := errors.As(err, &exchangeError) && exchangeError.Sent
+	if errors.Is(err, errDeadlineTooClose) {
+		c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		return c.giveUp("deadline"), false
+	}
 	if errors.Is(err, errServerLeaves) {
 		c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		c.triedServerIDs = append(c.triedServerIDs, s.ID)
