--- a/core/followtree/followtree.go
+++ b/core/followtree/followtree.go
@@ -33,7 +33,7 @@
 	hostTTL = 5 * time.Second
 	// failedRelayPause is the time for which a host passes over a relay that did not serve
 	// it.
-	failedRelayPause = 5 * time.Second
+	failedRelayPause = 2 * time.Second
 )
 
 // Host describes a host that may become a relay.
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -155,6 +155,12 @@
 // InContact reports whether the state is younger than MaxStateAge.
 func (f *Follower) InContact() bool { return f.StateAge() < MaxStateAge }
 
+// FollowsRelay reports whether this host has relays and is none itself.
+func (f *Follower) FollowsRelay() bool {
+	relays := f.received.Load().Relays
+	return len(relays) > 0 && !slices.Contains(relays, f.incarnation)
+}
+
 // Received implements Upstream.
 func (f *Follower) Received() Received { return *f.received.Load() }
 
