--- a/core/assignment/observations_test.go
+++ b/core/assignment/observations_test.go
@@ -37,12 +37,7 @@
 func TestWaitCoversTheLeaderBeforeTheMove(t *testing.T) {
 	sim := newSimulation(t, "1", "2", "3", "4")
 	sim.leaderAfterPlacement("a")
-	var renewal Call
-	for _, c := range sim.sentCalls {
-		if c.Server.ID == "1" && c.GrantDuration == GrantDuration {
-			renewal = c
-		}
-	}
+	renewal := sim.lastRenewal("1")
 	sim.servers["1"].unreachable = true
 	second := sim.newLeader("b")
 	second.SetServers(sim.serversExcept("1"))
--- a/core/assignment/overload_test.go
+++ b/core/assignment/overload_test.go
@@ -15,7 +15,6 @@
 	sim      *simulation
 	leader   *Leader
 	perSec   float64 // requests for the key
-	running  int
 	queue    int
 	rejected int
 	arrivals int
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -286,3 +286,14 @@
 	sim.run(4*time.Second, l)
 	return l
 }
+
+// lastRenewal returns the last grant of full duration that was sent to a server.
+func (sim *simulation) lastRenewal(server string) (renewal Call) {
+	for _, c := range sim.sentCalls {
+		if c.Server.ID == server && c.GrantDuration == GrantDuration {
+			renewal = c
+		}
+	}
+	require.NotZero(sim.t, renewal)
+	return renewal
+}
--- a/core/assignment/takeover_test.go
+++ b/core/assignment/takeover_test.go
@@ -13,13 +13,7 @@
 func TestNewLeaderOutwaitsTheLastCallOfTheFormer(t *testing.T) {
 	sim := newSimulation(t, "1", "2", "3", "4")
 	sim.leaderAfterPlacement("a")
-	var renewal Call
-	for _, c := range sim.sentCalls {
-		if c.Server.ID == "1" && c.GrantDuration == GrantDuration {
-			renewal = c
-		}
-	}
-	require.NotZero(t, renewal)
+	renewal := sim.lastRenewal("1")
 	sim.servers["1"].unreachable = true
 	successor := sim.newLeader("b")
 	successor.SetServers(sim.serversExcept("1"))
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -70,102 +70,6 @@
 	loadReport   LoadReport
 }
 
-// LoadReport tells the leader which load the keyed services had at this host since
-// the last report.
-type LoadReport struct {
-	RequestedKeys map[string][]uint16    // key of each request, by service
-	ServiceTimes  map[string]ServiceTime // by server id
-}
-
-// ServiceTime sums the latencies of the keyed requests whose response reported a
-// free slot and an empty queue, so that they include no time in the server's queue. It
-// also sums the queue lengths that all responses to keyed requests reported.
-type ServiceTime struct {
-	Count   int // responses with a free slot and an empty queue
-	Sum     time.Duration
-	Reports int // responses that reported a queue length
-	Waiting int // sum of the waiting requests in these reports
-}
-
-// maxReportedKeys limits the keys recorded per service in one report.
-const maxReportedKeys = 512
-
-// maxRelayedKeys limits the keys recorded per service in the report of a relay, which
-// includes those of its followers.
-const maxRelayedKeys = 32 * maxReportedKeys
-
-// recordKeyRequest adds the key of a request to the load report.
-func (e *Edge) recordKeyRequest(service string, key uint16) {
-	e.loadReportMu.Lock()
-	defer e.loadReportMu.Unlock()
-	if e.loadReport.RequestedKeys == nil {
-		e.loadReport.RequestedKeys = map[string][]uint16{}
-	}
-	if len(e.loadReport.RequestedKeys[service]) < maxReportedKeys {
-		e.loadReport.RequestedKeys[service] = append(e.loadReport.RequestedKeys[service], key)
-	}
-}
-
-// recordServerLoad adds the load that a server reported with the response to a keyed
-// request to the load report, and the latency of a request that did not wait in the
-// server's queue.
-func (e *Edge) recordServerLoad(server string, load dispatch.Load, served bool, latency time.Duration) {
-	e.loadReportMu.Lock()
-	defer e.loadReportMu.Unlock()
-	if e.loadReport.ServiceTimes == nil {
-		e.loadReport.ServiceTimes = map[string]ServiceTime{}
-	}
-	t := e.loadReport.ServiceTimes[server]
-	t.Reports++
-	t.Waiting += load.Waiting
-	if served && load.HasFreeSlot() {
-		t.Count++
-		t.Sum += latency
-	}
-	e.loadReport.ServiceTimes[server] = t
-}
-
-// SetAdmittedShares sets the share of the requests that this host may queue for each
-// overloaded server, by server id.
-func (e *Edge) SetAdmittedShares(shares map[string]float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, p := range e.pools {
-		p.setAdmittedShares(shares)
-	}
-}
-
-// AddLoadReport adds the report of another host, which follows this one, to this host's
-// next report.
-func (e *Edge) AddLoadReport(r LoadReport) {
-	e.loadReportMu.Lock()
-	defer e.loadReportMu.Unlock()
-	if e.loadReport.RequestedKeys == nil {
-		e.loadReport.RequestedKeys = map[string][]uint16{}
-	}
-	if e.loadReport.ServiceTimes == nil {
-		e.loadReport.ServiceTimes = map[string]ServiceTime{}
-	}
-	for service, keys := range r.RequestedKeys {
-		own := e.loadReport.RequestedKeys[service]
-		room := max(0, maxRelayedKeys-len(own))
-		e.loadReport.RequestedKeys[service] = append(own, keys[:min(room, len(keys))]...)
-	}
-	for server, t := range r.ServiceTimes {
-		own := e.loadReport.ServiceTimes[server]
-		e.loadReport.ServiceTimes[server] = ServiceTime{Count: own.Count + t.Count, Sum: own.Sum + t.Sum, Reports: own.Reports + t.Reports, Waiting: own.Waiting + t.Waiting}
-	}
-}
-
-// TakeLoadReport returns the load since the last call and starts a new report.
-func (e *Edge) TakeLoadReport() LoadReport {
-	e.loadReportMu.Lock()
-	defer e.loadReportMu.Unlock()
-	taken := e.loadReport
-	e.loadReport = LoadReport{}
-	return taken
-}
-
 // AssignmentView is the assignment map by which requests are routed to key
 // holders.
 type AssignmentView struct {
@@ -222,6 +126,16 @@
 	return e.options.Budget.Slack / float64(max(1, e.options.Budget.HostCount))
 }
 
+// SetAdmittedShares sets the share of the requests that this host may queue for each
+// overloaded server, by server id.
+func (e *Edge) SetAdmittedShares(shares map[string]float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		p.setAdmittedShares(shares)
+	}
+}
+
 // Configure applies a configuration. It returns false if the current one has the
 // same or a newer version.
 func (e *Edge) Configure(c routes.Config) bool {
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -19,6 +19,7 @@
 
 	"parsleyrelay.example/core/assignment"
 	"parsleyrelay.example/core/directory"
+	"parsleyrelay.example/core/dispatch"
 	"parsleyrelay.example/core/retry"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/ingress"
@@ -418,20 +419,26 @@
 	require.Equal(t, 200, sendRequest(e, context.Background(), "/safe/x").Status)
 }
 
+// assignRequest assigns a request to a server without sending it.
+func assignRequest(t *testing.T, e *Edge) (*callerRequest, dispatch.Decision) {
+	r, err := http.NewRequest(http.MethodGet, "http://h/once/x", nil)
+	require.NoError(t, err)
+	r.RequestURI = "/once/x"
+	r.Header.Set("X-Id", "a1")
+	c, refusal := e.routeRequest(&ingress.Request{Request: r, ReceivedAt: time.Now()})
+	require.Nil(t, refusal)
+	decision, ok := c.acquireServer(context.Background())
+	require.True(t, ok)
+	return c, decision
+}
+
 // Guards against a request that reaches a server long after its leaving was acknowledged,
 // because it was assigned to the server before and then waited for a connection.
 func TestRequestIsNotSentToAServerThatLeftMeanwhile(t *testing.T) {
 	for _, draining := range []bool{false, true} {
 		first, second := startScriptedServer(t, "s1", signedResponse), startScriptedServer(t, "s2", signedResponse)
 		e := newEdge(t, first)
-		r, err := http.NewRequest(http.MethodGet, "http://h/once/x", nil)
-		require.NoError(t, err)
-		r.RequestURI = "/once/x"
-		r.Header.Set("X-Id", "a1")
-		c, refusal := e.routeRequest(&ingress.Request{Request: r, ReceivedAt: time.Now()})
-		require.Nil(t, refusal)
-		decision, ok := c.acquireServer(context.Background())
-		require.True(t, ok)
+		c, decision := assignRequest(t, e)
 		require.Equal(t, "s1", decision.Server.ID)
 		known := map[string]directory.Server{"s2": {ID: "s2", Service: "s", Address: second.address, Slots: 2}}
 		if draining {
@@ -452,14 +459,7 @@
 func TestRequestIsNotSentAtItsDeadline(t *testing.T) {
 	server := startScriptedServer(t, "s1", signedResponse)
 	e := newEdge(t, server)
-	r, err := http.NewRequest(http.MethodGet, "http://h/once/x", nil)
-	require.NoError(t, err)
-	r.RequestURI = "/once/x"
-	r.Header.Set("X-Id", "a1")
-	c, refusal := e.routeRequest(&ingress.Request{Request: r, ReceivedAt: time.Now()})
-	require.Nil(t, refusal)
-	decision, ok := c.acquireServer(context.Background())
-	require.True(t, ok)
+	c, decision := assignRequest(t, e)
 	c.deadline = time.Now().Add(minAttemptTime / 2)
 	response, retry := c.sendToServer(context.Background(), decision)
 	require.False(t, retry)
