Send state only to hosts that follow this one

Cause: a host that does not lead, but knows recent state, sent the whole list of servers with each answer to hosts that looked for the leader and did not use it; after a change of leader that is a poll of each host every 0.2 s. Change: the request says whether the caller takes the state from a host that does not lead. TestStateIsSentOnlyToFollowers failed before.

--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -443,3 +443,17 @@
 	defer u.mu.Unlock()
 	u.stateAt = time.Now().Add(-age)
 }
+
+// Guards against a former leader or relay that sends its whole state, again and again, to
+// hosts that look for the leader and do not use it.
+func TestStateIsSentOnlyToFollowers(t *testing.T) {
+	relay := &sourceHost{knownNextOffsets: map[string]uint64{}}
+	relay.source = NewSource("relay", relay, fakeUpstream{}, func(edge.LoadReport) {})
+	recordReads(relay.source)
+	relay.source.SetServers(map[string]directory.Server{"1": testServer("1")})
+	for fromRelay, servers := range map[bool]int{false: 0, true: 1} {
+		response, err := relay.source.Follow(context.Background(), &followv1.FollowRequest{Host: "h", FromRelay: fromRelay})
+		require.NoError(t, err)
+		require.Len(t, response.Servers, servers)
+	}
+}
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -274,12 +274,13 @@
 func (f *Follower) pollParent(ctx context.Context, parent string) error {
 	request := f.newRequest()
 	request.WaitMs, request.WantPeers = uint32(longPollWait.Milliseconds()), time.Since(f.peersUpdatedAt) > peersRefreshInterval
+	request.FromRelay = slices.Contains(f.parents.Relays(), parent)
 	request.Arrivals = encodeLoadReport(f.hostState.TakeLoadReport())
 	r, err := f.clientFor(parent).Follow(ctx, request)
 	if err != nil {
 		return err
 	}
-	if !r.Leading && !(r.Relaying && slices.Contains(f.parents.Relays(), parent)) {
+	if !r.Leading && !(r.Relaying && request.FromRelay) {
 		return &NoContactError{Reason: NotLeading}
 	}
 	f.applyReceived(r)
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -289,7 +289,8 @@
 		}
 	default:
 		response.Leader = s.upstream.CurrentLeader()
-		if !response.Relaying {
+		if !response.Relaying || !r.FromRelay {
+			// A caller that looks for the leader would not use the state.
 			return response, nil
 		}
 	}
