--- a/core/assignment/observations_test.go
+++ b/core/assignment/observations_test.go
@@ -36,14 +36,7 @@
 // have renewed the grant until its LeadershipConfirmationTimeout.
 func TestWaitCoversTheLeaderBeforeTheMove(t *testing.T) {
 	sim := newSimulation(t, "1", "2", "3", "4")
-	sim.leaderAfterPlacement("a")
-	renewal := sim.lastRenewal("1")
-	sim.servers["1"].unreachable = true
-	second := sim.newLeader("b")
-	second.SetServers(sim.serversExcept("1"))
-	sim.step(second)
-	arrival := sim.now + LeadershipConfirmationTimeout + CallTimeout
-	sim.lateCalls = append(sim.lateCalls, lateCall{appliedAt: arrival, arrivedAt: arrival, call: renewal})
+	second := sim.takeOverBeforeALateRenewal()
 	sim.run(2*time.Second, second)
 	third := sim.newLeader("c")
 	third.SetServers(sim.serversExcept("1"))
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -297,3 +297,17 @@
 	require.NotZero(sim.t, renewal)
 	return renewal
 }
+
+// takeOverBeforeALateRenewal returns a second leader, which cannot reach server 1. The
+// first leader renews the grant of that server as late as it may.
+func (sim *simulation) takeOverBeforeALateRenewal() *Leader {
+	sim.leaderAfterPlacement("a")
+	renewal := sim.lastRenewal("1")
+	sim.servers["1"].unreachable = true
+	l := sim.newLeader("b")
+	l.SetServers(sim.serversExcept("1"))
+	sim.step(l)
+	arrival := sim.now + LeadershipConfirmationTimeout + CallTimeout
+	sim.lateCalls = append(sim.lateCalls, lateCall{appliedAt: arrival, arrivedAt: arrival, call: renewal})
+	return l
+}
--- a/core/assignment/takeover_test.go
+++ b/core/assignment/takeover_test.go
@@ -12,14 +12,7 @@
 // CallTimeout to arrive at a server that the new leader cannot reach.
 func TestNewLeaderOutwaitsTheLastCallOfTheFormer(t *testing.T) {
 	sim := newSimulation(t, "1", "2", "3", "4")
-	sim.leaderAfterPlacement("a")
-	renewal := sim.lastRenewal("1")
-	sim.servers["1"].unreachable = true
-	successor := sim.newLeader("b")
-	successor.SetServers(sim.serversExcept("1"))
-	sim.step(successor)
-	arrival := sim.now + LeadershipConfirmationTimeout + CallTimeout
-	sim.lateCalls = append(sim.lateCalls, lateCall{appliedAt: arrival, arrivedAt: arrival, call: renewal})
+	successor := sim.takeOverBeforeALateRenewal()
 	sim.run(LeadershipConfirmationTimeout+CallTimeout+GrantDuration+2*time.Second, successor)
 	require.Zero(t, sim.rangesByOwner()["moving"])
 	require.Zero(t, sim.rangesByOwner()["1"])
