Log where a host's configuration and servers came from, and how old they were

What was missing: a follower wrote no line when the leader's list changed its servers, and config_applied did not say where a configuration came from.

Change: servers_received (212) with the numbers of usable, leaving and gone servers and some ids, at most one line for each response that changes them; source and state_age_ms in config_applied; gauge parsleyrelay_state_age_seconds. No decision changes, except that the directory's times are taken from the boot-time clock.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -61,6 +61,7 @@
 	ServerSeen         Code = 209
 	ServerGone         Code = 210
 	StoreCallsCounted  Code = 211
+	ServersReceived    Code = 212
 	LeaseGained        Code = 301
 	LeaseLost          Code = 302
 	WitnessesProposed  Code = 303
@@ -132,6 +133,7 @@
 	{ServerSeen, "server_seen", "A backend server's entry appeared or changed."},
 	{ServerGone, "server_gone", "A backend server's entry is gone."},
 	{StoreCallsCounted, "store_calls", "The calls of this host to the platform's store since the last line, by role and purpose."},
+	{ServersReceived, "servers_received", "The list of servers that this host got from the host that it follows differs from what it knew."},
 	{LeaseGained, "lease_gained", "The daemon holds its prefix lease."},
 	{LeaseLost, "lease_lost", "The prefix lease expired; the daemon dispatches and grants nothing."},
 	{WitnessesProposed, "witnesses_proposed", "A new witness set was proposed."},
--- a/relay/clock/clock.go
+++ b/relay/clock/clock.go
@@ -17,3 +17,20 @@
 	}
 	return time.Duration(t.Nano()), nil
 }
+
+// NewSinceBoot returns SinceBoot as a function that cannot fail, or an error if the
+// clock cannot be read.
+func NewSinceBoot() (func() time.Duration, error) {
+	begin, err := SinceBoot()
+	if err != nil {
+		return nil, err
+	}
+	created := time.Now()
+	return func() time.Duration {
+		now, err := SinceBoot()
+		if err != nil {
+			return begin + time.Since(created)
+		}
+		return now
+	}, nil
+}
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -56,7 +56,7 @@
 	defer state.mu.Unlock()
 	return state.addresses[incarnation]
 }
-func (state *followerState) ApplyConfig(c routes.Config) {
+func (state *followerState) ApplyConfig(c routes.Config, _ Origin) {
 	state.locked(func() { state.configVersion = c.Version })
 }
 func (state *followerState) ObserveMap(m *assignment.Map) {
@@ -70,7 +70,7 @@
 	state.locked(func() { r, state.report = state.report, edge.LoadReport{} })
 	return r
 }
-func (state *followerState) ReplaceServers(s map[string]directory.Server) {
+func (state *followerState) ReplaceServers(s map[string]directory.Server, _ Origin) {
 	state.locked(func() {
 		state.servers = map[string]directory.Server{}
 		for id, v := range s {
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -60,9 +60,9 @@
 	// accepts calls of other hosts.
 	AddressOf(incarnation string) string
 	// ApplyConfig applies a configuration if it is newer than the one in force.
-	ApplyConfig(routes.Config)
+	ApplyConfig(routes.Config, Origin)
 	// ReplaceServers replaces all known servers, by ID.
-	ReplaceServers(map[string]directory.Server)
+	ReplaceServers(map[string]directory.Server, Origin)
 	// ObserveMap applies a map if it is newer than the newest one.
 	ObserveMap(*assignment.Map)
 	// SetHostCount sets the number of entry hosts, this one included.
@@ -78,6 +78,15 @@
 	Followers() (count int, candidates []followtree.Host)
 }
 
+// Origin says where a host got a state from, for the log.
+type Origin struct {
+	Source string        // incarnation of the host that sent it, or OriginStore
+	Age    time.Duration // time since the store sent it
+}
+
+// OriginStore is the Origin.Source of a state that the host itself read from the store.
+const OriginStore = "store"
+
 // Follower keeps a host up to date by long polls of the leader or, in a large deployment,
 // of a relay, which is called its parent. It is in contact while its state is younger than
 // MaxStateAge. It implements Upstream.
@@ -342,12 +351,13 @@
 }
 
 func (f *Follower) applyResponse(r *followv1.FollowResponse) error {
+	origin := Origin{Source: r.Host, Age: time.Duration(r.AgeMs) * time.Millisecond}
 	if len(r.Config) > 0 {
 		var c routes.Config
 		if err := json.Unmarshal(r.Config, &c); err != nil {
 			return fmt.Errorf("decode configuration from the leader: %w", err)
 		}
-		f.hostState.ApplyConfig(c)
+		f.hostState.ApplyConfig(c, origin)
 	}
 	if r.AllServers || r.Host != f.serversSource {
 		f.servers = map[string]directory.Server{}
@@ -362,7 +372,7 @@
 			Slots: int(c.Slots), Draining: c.Draining, Cold: c.Cold}
 	}
 	if len(r.Servers) > 0 || r.AllServers {
-		f.hostState.ReplaceServers(f.servers)
+		f.hostState.ReplaceServers(f.servers, origin)
 	}
 	if r.Map != nil {
 		return f.applyMapChange(r.Map)
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -207,6 +207,13 @@
 	s.serversReadAt = s.now()
 }
 
+// StateAge returns the time since the store sent the state that this host decides by.
+func (s *Source) StateAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stateAgeLocked()
+}
+
 // stateAgeLocked returns the age of the state that this host knows: of the older of its
 // reads of the store, or of what it received from the host that it follows.
 func (s *Source) stateAgeLocked() time.Duration {
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -27,6 +27,7 @@
 	MetricServerConnections   = "parsleyrelay_server_connections_total"
 	MetricLinesOmitted        = "parsleyrelay_log_lines_omitted_total"
 	MetricConfigVersion       = "parsleyrelay_configuration_version"
+	MetricStateAge            = "parsleyrelay_state_age_seconds"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -57,4 +58,5 @@
 	{MetricServerConnections, ObservableCounter, "1", nil, "Connections opened to backend servers."},
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
+	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
 }
