Pass the clock and the dialer to the parts of a host

Needed for tests of whole hosts in virtual time: the assigner read the boot-time clock itself, the follower and the source used the monotonic one, and connections to the store and to other hosts were opened by net.Dialer.

DialTimeout is now the deadline of the dialer's context. No decision changes.

--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -14,7 +14,6 @@
 	"parsleyrelay.example/core/assignment"
 	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/event"
-	"parsleyrelay.example/relay/clock"
 	"parsleyrelay.example/relay/edge"
 	"parsleyrelay.example/relay/telemetry"
 )
@@ -63,6 +62,7 @@
 	CallSender      CallSender
 	Journal         *telemetry.Journal
 	OnMap           func(*assignment.Map) // called for each newer map that was read or written
+	Now             func() time.Duration  // time since boot; see package clock
 }
 
 // message is an input of the loop in Run. Only one kind of input is set; it is
@@ -247,7 +247,7 @@
 }
 
 // Run processes messages and runs the state machine at intervals until ctx ends. It
-// returns an error if the clock cannot be read.
+// never returns an error.
 func (a *Assigner) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -256,25 +256,18 @@
 		case <-ctx.Done():
 			return nil
 		case m := <-a.messages:
-			if err := a.handleMessage(ctx, m); err != nil {
-				return err
-			}
+			a.handleMessage(m)
 			a.leading.Store(a.leader != nil && a.leader.Leading())
 			continue
 		case <-ticker.C:
 		}
-		if err := a.tick(ctx); err != nil {
-			return err
-		}
+		a.tick(ctx)
 		a.leading.Store(a.leader != nil && a.leader.Leading())
 	}
 }
 
-func (a *Assigner) handleMessage(ctx context.Context, m message) error {
-	now, err := clock.SinceBoot()
-	if err != nil {
-		return err
-	}
+func (a *Assigner) handleMessage(m message) {
+	now := a.options.Now()
 	switch {
 	case m.observedMap != nil:
 		a.handleObservedMap(now, m.observedMap)
@@ -292,7 +285,6 @@
 	case a.leader != nil: // the message is a confirmedAt
 		a.leader.ConfirmLeadership(m.confirmedAt)
 	}
-	return nil
 }
 
 // handleObservedMap publishes a map that is newer than the known one, and ends the term
@@ -377,22 +369,19 @@
 
 // tick starts a term if this host is elected and has none. It then starts the calls and
 // the write that are due.
-func (a *Assigner) tick(ctx context.Context) error {
-	now, err := clock.SinceBoot()
-	if err != nil {
-		return err
-	}
+func (a *Assigner) tick(ctx context.Context) {
+	now := a.options.Now()
 	if a.resigning.Load() {
 		if a.leader == nil {
 			a.resignDoneOnce.Do(func() { close(a.resignDone) })
-			return nil
+			return
 		}
 		a.leader.Resign()
 	}
 	servers := a.servers.Load()
 	if a.leader == nil {
 		if a.resigning.Load() || !a.mapWasRead || !a.elected.Load() || servers == nil || now < a.nextTermAttempt {
-			return nil
+			return
 		}
 		a.nextTermAttempt = now + time.Second // at most one attempt a second
 		m := a.newestMap
@@ -414,7 +403,6 @@
 	}
 	a.dropStoppedLeader("no read or write of the map succeeded in time")
 	a.publishAdmittedShares()
-	return nil
 }
 
 // sendCall sends a call that was started at startedAt, by package clock, when its server
@@ -435,7 +423,7 @@
 	case slots <- struct{}{}:
 		// The clock is read again because the machine may have been suspended, during
 		// which timers stand still.
-		if now, err := clock.SinceBoot(); err == nil && now-startedAt < maxWait && a.leading.Load() {
+		if a.options.Now()-startedAt < maxWait && a.leading.Load() {
 			result = a.options.CallSender.Call(ctx, c)
 		}
 		<-slots
--- a/relay/assigner/assigner_test.go
+++ b/relay/assigner/assigner_test.go
@@ -48,6 +48,12 @@
 	return m.NextOffset, m.NextOffset + 1, nil
 }
 
+func testClock(t *testing.T) func() time.Duration {
+	now, err := clock.NewSinceBoot()
+	require.NoError(t, err)
+	return now
+}
+
 // startTermAfter starts a term after a map of a former leader and returns once the term
 // has begun. The new leader is h2/1, and its first map has the next offset 8.
 func startTermAfter(t *testing.T, former string) (*Assigner, *journalOutput) {
@@ -56,7 +62,7 @@
 	t.Cleanup(journal.Close)
 	a := New(Options{
 		HostIncarnation: "h2/1", HostOf: func(incarnation string) string { return incarnation[:2] }, Stripes: 4, Store: acceptingStore{}, CallSender: succeedingSender{},
-		Journal: journal, OnMap: func(*assignment.Map) {},
+		Journal: journal, OnMap: func(*assignment.Map) {}, Now: testClock(t),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -111,12 +117,12 @@
 // that long, so that two servers could hold a key.
 func TestGrantThatWaitsForOtherCallsIsNotSentLate(t *testing.T) {
 	sender := &blockingSender{released: make(chan struct{})}
-	a := New(Options{CallSender: sender})
+	now := testClock(t)
+	a := New(Options{CallSender: sender, Now: now})
 	a.leading.Store(true)
 	ctx := context.Background()
 	call := assignment.Call{Kind: assignment.GrantCall, Server: assignment.ServerIncarnation{Address: "a"}}
-	startedAt, err := clock.SinceBoot()
-	require.NoError(t, err)
+	startedAt := now()
 	for range maxCallsPerServer {
 		go a.sendCall(ctx, startedAt, call)
 	}
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -22,6 +22,7 @@
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/edge"
 	"parsleyrelay.example/relay/telemetry"
+	"parsleyrelay.example/relay/upstream"
 )
 
 // followerState keeps the state of a follower's host in memory. It implements HostState.
@@ -79,6 +80,12 @@
 	})
 }
 
+// testOptions returns options of a host with the clock of package time.
+func testOptions(incarnation string) Options {
+	start := time.Now()
+	return Options{Incarnation: incarnation, Now: func() time.Duration { return time.Since(start) }, Dial: upstream.DialTCP}
+}
+
 func testServer(id string) directory.Server {
 	return directory.Server{ID: id, Born: 7, Service: "s", Address: "a", Zone: "z", Slots: 2}
 }
@@ -146,12 +153,12 @@
 
 func startLeaderAndFollowerWithJournal(t *testing.T, out io.Writer) (*sourceHost, *followerState, *Follower) {
 	leader := &sourceHost{leading: true, knownNextOffsets: map[string]uint64{}}
-	leader.source = NewSource("leader", leader, fakeUpstream{}, func(edge.LoadReport) {})
+	leader.source = NewSource(testOptions("leader"), leader, fakeUpstream{}, func(edge.LoadReport) {})
 	h := httptest.NewServer(followv1.NewLeaderServer(leader.source))
 	t.Cleanup(h.Close)
 	state := &followerState{leader: "leader", addresses: map[string]string{"leader": h.Listener.Addr().String()}}
 	journal := telemetry.NewJournal(out, "f", "z")
-	f := NewFollower("follower", state, journal)
+	f := NewFollower(testOptions("follower"), state, journal)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.Run(ctx) }()
@@ -238,12 +245,12 @@
 		require.Eventually(t, ok, 2*MaxStateAge+2*time.Second, 5*time.Millisecond, what)
 	}
 	newLeader := &sourceHost{leading: true, knownNextOffsets: map[string]uint64{}}
-	newLeader.source = NewSource("new", newLeader, fakeUpstream{}, func(edge.LoadReport) {})
+	newLeader.source = NewSource(testOptions("new"), newLeader, fakeUpstream{}, func(edge.LoadReport) {})
 	newLeader.source.SetMap(&assignment.Map{Offset: 1, NextOffset: 2, Term: 2, Leader: "new", Services: testRanges("1")})
 	other := &sourceHost{knownNextOffsets: map[string]uint64{}}
 	var otherFollows atomic.Value
 	otherFollows.Store("")
-	other.source = NewSource("other", other, fakeUpstream{leader: func() string { return otherFollows.Load().(string) }}, func(edge.LoadReport) {})
+	other.source = NewSource(testOptions("other"), other, fakeUpstream{leader: func() string { return otherFollows.Load().(string) }}, func(edge.LoadReport) {})
 	for name, source := range map[string]*Source{"new": newLeader.source, "other": other.source} {
 		h := httptest.NewServer(followv1.NewLeaderServer(source))
 		t.Cleanup(h.Close)
@@ -358,7 +365,7 @@
 	relay := &sourceHost{knownNextOffsets: map[string]uint64{}}
 	var reports atomic.Int32
 	upstream := &relayUpstream{received: Received{HostCount: 300, Admitted: map[string]float64{"1": 0.5}, Relays: []string{"unreachable 1", "relay"}}}
-	relay.source = NewSource("relay", relay, upstream, func(r edge.LoadReport) { reports.Add(int32(len(r.RequestedKeys["s"]))) })
+	relay.source = NewSource(testOptions("relay"), relay, upstream, func(r edge.LoadReport) { reports.Add(int32(len(r.RequestedKeys["s"]))) })
 	h := httptest.NewServer(followv1.NewLeaderServer(relay.source))
 	t.Cleanup(h.Close)
 	state.locked(func() { state.addresses["relay"] = h.Listener.Addr().String() })
@@ -448,7 +455,7 @@
 // hosts that look for the leader and do not use it.
 func TestStateIsSentOnlyToFollowers(t *testing.T) {
 	relay := &sourceHost{knownNextOffsets: map[string]uint64{}}
-	relay.source = NewSource("relay", relay, fakeUpstream{}, func(edge.LoadReport) {})
+	relay.source = NewSource(testOptions("relay"), relay, fakeUpstream{}, func(edge.LoadReport) {})
 	recordReads(relay.source)
 	relay.source.SetServers(map[string]directory.Server{"1": testServer("1")})
 	for fromRelay, servers := range map[bool]int{false: 0, true: 1} {
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -95,14 +96,13 @@
 // contact therefore asks other hosts which leader they follow, so that such a host can
 // continue with the state in force.
 type Follower struct {
-	incarnation string
-	hostState   HostState
-	journal     *telemetry.Journal
-	http        *http.Client
-	createdAt   time.Time
-	stateAt     atomic.Int64             // when the store sent the state that was received last, as time after createdAt
-	lastLeader  atomic.Pointer[string]   // incarnation of the leader that the state came from; empty if a relay had none
-	received    atomic.Pointer[Received] // by the last successful poll
+	options    Options
+	hostState  HostState
+	journal    *telemetry.Journal
+	http       *http.Client
+	stateAt    atomic.Int64             // when the store sent the state that was received last, by Options.Now
+	lastLeader atomic.Pointer[string]   // incarnation of the leader that the state came from; empty if a relay had none
+	received   atomic.Pointer[Received] // by the last successful poll
 
 	// The remaining fields are used only by Run.
 	parents         *followtree.Parents
@@ -146,20 +146,18 @@
 }
 
 // NewFollower returns a follower that does not run yet.
-func NewFollower(incarnation string, hostState HostState, journal *telemetry.Journal) *Follower {
-	f := &Follower{incarnation: incarnation, hostState: hostState, journal: journal, createdAt: time.Now(), parents: followtree.NewParents(incarnation)}
-	f.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}, Timeout: longPollWait + responseTimeout}
+func NewFollower(o Options, hostState HostState, journal *telemetry.Journal) *Follower {
+	f := &Follower{options: o, hostState: hostState, journal: journal, parents: followtree.NewParents(o.Incarnation)}
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return o.Dial(ctx, address) }
+	f.http = &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}, Timeout: longPollWait + responseTimeout}
 	f.stateAt.Store(int64(neverRead))
 	f.received.Store(&Received{})
 	return f
 }
 
-// now returns the time since the follower was created.
-func (f *Follower) now() time.Duration { return time.Since(f.createdAt) }
-
 // StateAge implements Upstream. It returns the time since the store sent the state that
 // this host received last.
-func (f *Follower) StateAge() time.Duration { return f.now() - time.Duration(f.stateAt.Load()) }
+func (f *Follower) StateAge() time.Duration { return f.options.Now() - time.Duration(f.stateAt.Load()) }
 
 // InContact reports whether the state is younger than MaxStateAge.
 func (f *Follower) InContact() bool { return f.StateAge() < MaxStateAge }
@@ -167,7 +165,7 @@
 // FollowsRelay reports whether this host has relays and is none itself.
 func (f *Follower) FollowsRelay() bool {
 	relays := f.received.Load().Relays
-	return len(relays) > 0 && !slices.Contains(relays, f.incarnation)
+	return len(relays) > 0 && !slices.Contains(relays, f.options.Incarnation)
 }
 
 // Received implements Upstream.
@@ -186,9 +184,9 @@
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		leader := f.leaderToFollow()
-		parent := f.parents.Next(f.now(), leader)
+		parent := f.parents.Next(f.options.Now(), leader)
 		err, wait := error(&NoContactError{Reason: NoLeader}), leaderLookupInterval
-		if parent != "" && parent != f.incarnation {
+		if parent != "" && parent != f.options.Incarnation {
 			err = f.pollParent(ctx, parent)
 			wait = failureRetryDelay
 		}
@@ -198,11 +196,11 @@
 		}
 		if parent != leader {
 			// Another relay or the leader is tried soon.
-			f.parents.RecordFailure(f.now(), parent)
+			f.parents.RecordFailure(f.options.Now(), parent)
 			sleep(ctx, leaderLookupInterval)
 			continue
 		}
-		if leader != f.incarnation && len(f.peers) > 0 && !f.InContact() {
+		if leader != f.options.Incarnation && len(f.peers) > 0 && !f.InContact() {
 			f.referral = referral{} // the leader of the referral failed, or there is no referral
 			f.queryNextPeer(ctx)
 			wait = failureRetryDelay
@@ -243,7 +241,7 @@
 // proof that an earlier process of this host has ended; see
 // assigner.Assigner.RecordKnownMap.
 func (f *Follower) newRequest() *followv1.FollowRequest {
-	request := &followv1.FollowRequest{Host: f.incarnation, ConfigVersion: f.hostState.ConfigVersion(), ServersSource: f.serversSource, ServersRevision: f.serversRevision}
+	request := &followv1.FollowRequest{Host: f.options.Incarnation, ConfigVersion: f.hostState.ConfigVersion(), ServersSource: f.serversSource, ServersRevision: f.serversRevision}
 	request.Caller = encodeHostInfo(f.hostState.Description())
 	count, candidates := f.hostState.Followers()
 	request.Followers = uint32(count)
@@ -301,7 +299,7 @@
 		return &NoContactError{Reason: LeaderWithoutStore, StoreAge: age}
 	}
 	f.lastLeader.Store(&r.Leader)
-	f.stateAt.Store(int64(f.now() - age))
+	f.stateAt.Store(int64(f.options.Now() - age))
 	return nil
 }
 
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -21,6 +21,7 @@
 	"parsleyrelay.example/core/followtree"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/edge"
+	"parsleyrelay.example/relay/upstream"
 )
 
 // Limits and times of a Source.
@@ -75,11 +76,10 @@
 // not lead serves as a relay while its state is recent, and answers with the incarnation
 // of the leader that it follows.
 type Source struct {
-	incarnation string // of this host
-	assigner    Assigner
-	upstream    Upstream
-	addReport   func(edge.LoadReport) // takes the reports of followers of a relay
-	startedAt   time.Time
+	options   Options
+	assigner  Assigner
+	upstream  Upstream
+	addReport func(edge.LoadReport) // takes the reports of followers of a relay
 
 	mu              sync.Mutex
 	changed         chan struct{} // closed at the next change
@@ -89,7 +89,7 @@
 	serversRevision uint64
 	serverChanges   []serverChange    // oldest first
 	mapHistory      []*assignment.Map // oldest first
-	configReadAt    time.Duration     // last response of the store about the configuration, after startedAt
+	configReadAt    time.Duration     // last response of the store about the configuration, by Options.Now
 	serversReadAt   time.Duration     // likewise about the servers
 	registry        *followtree.Registry
 	// Responses that several followers get, until the next change.
@@ -104,11 +104,17 @@
 	id       string // of the server
 }
 
-// NewSource returns the source of the host process that incarnation identifies. upstream
-// is the process's follower. addReport adds the load reports of a relay's followers to
-// its own.
-func NewSource(incarnation string, assigner Assigner, upstream Upstream, addReport func(edge.LoadReport)) *Source {
-	s := &Source{incarnation: incarnation, assigner: assigner, upstream: upstream, addReport: addReport, startedAt: time.Now(), changed: make(chan struct{}), servers: map[string]directory.Server{},
+// Options are common to the Source and the Follower of a host.
+type Options struct {
+	Incarnation string               // identifies the host's process
+	Now         func() time.Duration // time since boot; see package clock
+	Dial        upstream.DialFunc    // opens connections to other hosts
+}
+
+// NewSource returns the source of a host. follower is the host's own follower.
+// addReport adds the load reports of a relay's followers to the host's own.
+func NewSource(o Options, assigner Assigner, follower Upstream, addReport func(edge.LoadReport)) *Source {
+	s := &Source{options: o, assigner: assigner, upstream: follower, addReport: addReport, changed: make(chan struct{}), servers: map[string]directory.Server{},
 		configReadAt: neverRead, serversReadAt: neverRead, registry: followtree.NewRegistry()}
 	s.forgetServerUpdatesLocked()
 	s.mapChanges = map[uint64]*followv1.MapChange{}
@@ -118,9 +124,6 @@
 // neverRead is the time of a read that has not happened.
 const neverRead = -time.Hour
 
-// now returns the time since the source was created.
-func (s *Source) now() time.Duration { return time.Since(s.startedAt) }
-
 func (s *Source) forgetServerUpdatesLocked() {
 	s.serverUpdates, s.allServers = map[uint64][]*followv1.ServerChange{}, nil
 }
@@ -197,14 +200,14 @@
 func (s *Source) RecordConfigRead() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.configReadAt = s.now()
+	s.configReadAt = s.options.Now()
 }
 
 // RecordServersRead records that the store responded just now to a read of the servers.
 func (s *Source) RecordServersRead() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.serversReadAt = s.now()
+	s.serversReadAt = s.options.Now()
 }
 
 // StateAge returns the time since the store sent the state that this host decides by.
@@ -217,7 +220,7 @@
 // stateAgeLocked returns the age of the state that this host knows: of the older of its
 // reads of the store, or of what it received from the host that it follows.
 func (s *Source) stateAgeLocked() time.Duration {
-	return min(s.now()-min(s.configReadAt, s.serversReadAt), s.upstream.StateAge())
+	return min(s.options.Now()-min(s.configReadAt, s.serversReadAt), s.upstream.StateAge())
 }
 
 // Follow implements followv1.Leader. It responds at once if this host does not serve its
@@ -277,7 +280,7 @@
 	leading, received := s.assigner.Leading(), s.upstream.Received()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
+	now := s.options.Now()
 	if r.Caller != nil {
 		var candidates []followtree.Host
 		for _, c := range r.Candidates {
@@ -286,10 +289,10 @@
 		s.registry.RecordCall(now, decodeHostInfo(r.Caller), int(r.Followers), candidates)
 	}
 	age := s.stateAgeLocked()
-	response := &followv1.FollowResponse{Host: s.incarnation, Leading: leading, Relaying: !leading && age < MaxStateAge, AgeMs: uint32(age.Milliseconds()), ServersRevision: s.serversRevision}
+	response := &followv1.FollowResponse{Host: s.options.Incarnation, Leading: leading, Relaying: !leading && age < MaxStateAge, AgeMs: uint32(age.Milliseconds()), ServersRevision: s.serversRevision}
 	switch {
 	case leading:
-		response.Leader = s.incarnation
+		response.Leader = s.options.Incarnation
 		received = Received{HostCount: s.registry.HostCount(now), Admitted: s.assigner.AdmittedShares(), Peers: s.registry.Callers(r.Host, maxPeers)}
 		if r.Caller != nil {
 			received.Relays = s.registry.Relays(now, r.Caller.Zone)
@@ -331,23 +334,23 @@
 func (s *Source) HostCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.HostCount(s.now())
+	return s.registry.HostCount(s.options.Now())
 }
 
 // Candidates returns some of the hosts that follow this one, which may become relays.
 func (s *Source) Candidates() []followtree.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.Candidates(s.now())
+	return s.registry.Candidates(s.options.Now())
 }
 
 // addServerChangesLocked adds the servers that changed since the follower's revision to
 // the response, or all servers if the history does not reach back to it.
 func (s *Source) addServerChangesLocked(r *followv1.FollowRequest, response *followv1.FollowResponse) {
-	if r.ServersSource == s.incarnation && r.ServersRevision == s.serversRevision {
+	if r.ServersSource == s.options.Incarnation && r.ServersRevision == s.serversRevision {
 		return
 	}
-	if r.ServersSource != s.incarnation || len(s.serverChanges) == 0 || s.serverChanges[0].revision > r.ServersRevision+1 {
+	if r.ServersSource != s.options.Incarnation || len(s.serverChanges) == 0 || s.serverChanges[0].revision > r.ServersRevision+1 {
 		if s.allServers == nil {
 			for _, v := range s.servers {
 				s.allServers = append(s.allServers, encodeServer(v))
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -82,8 +82,18 @@
 	BeforeSend func() error
 }
 
+// DialFunc opens a connection to a host:port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP opens a TCP connection without keep-alive probes.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Client pools connections by address. It is safe for concurrent use.
 type Client struct {
+	dial         DialFunc
 	mu           sync.Mutex
 	idle         map[string][]*conn
 	DialAttempts atomic.Uint64 // connections opened, including failed attempts
@@ -96,8 +106,11 @@
 	idleTimeout time.Duration
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client { return &Client{idle: map[string][]*conn{}} }
+// NewClient returns a client without connections, which opens them with DialTCP.
+func NewClient() *Client { return NewClientWithDial(DialTCP) }
+
+// NewClientWithDial returns a client without connections, which opens them with dial.
+func NewClientWithDial(dial DialFunc) *Client { return &Client{dial: dial, idle: map[string][]*conn{}} }
 
 // Do runs an exchange. All errors are *Error. When ctx ends, the connection is
 // reset, upon which most servers stop running the request.
@@ -144,8 +157,9 @@
 		cn.reset()
 	}
 	c.DialAttempts.Add(1)
-	dialer := net.Dialer{Timeout: DialTimeout, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	nc, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
