Let hosts that reach the store refute the leader's outage

Cause: a host that lost the store took that for an outage of the store, in which entries of live servers expire, and kept servers without an entry for 2.2 s more. If that host was the leader, all hosts that follow it did so, too, and hosts that had read the store themselves replaced what they knew. The opposite fault came from the same belief: a reader that stopped reading counted as the end of the outage, so that the grace time passed while the store was still down, and live servers were taken for gone at the first read after it.

Change: an outage is a span in which the store answered no host (core/directory/ outage.go). Hosts tell the one that they follow when the store answered them, or hosts that follow them; that refutes an outage that the called host assumed, and it removes the servers at once. The follower, the source and the directory use the boot-time clock, which goes on in a suspension.

Tests: TestLeaderThatLostTheStoreDoesNotKeepRemovedServers failed before ("leader without the store for 600ms: a follower uses a server 2s after its removal"), and TestServersSurviveAnOutageOfTheStore ("a live server is taken for gone 650ms after the outage"); both run whole hosts in virtual time. core/directory has the cases of the detector. The tests of the directory are carried over to reads instead of changes of a flag; TestResetFromLeaderEndsAnEarlierOutage, now TestFollowingTheLeaderEndsAnEarlierOutage, with the leader's reads in between, as they come with each response.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -11,11 +11,6 @@
 	"time"
 )
 
-// ReregistrationGrace is the time within which live servers have registered again
-// after an outage of the store. Until it has passed, a missing entry does not mean
-// that the server is gone.
-const ReregistrationGrace = 2200 * time.Millisecond
-
 // Server is one incarnation of a backend server: a restart under the same ID gives
 // another incarnation.
 type Server struct {
@@ -31,18 +26,29 @@
 
 // Directory is the set of known servers.
 type Directory struct {
-	servers          map[string]Server
-	missing          map[string]time.Duration // by ID of a server that is kept: when its entry was found gone
-	storeDown        bool
-	storeRecoveredAt time.Duration // end of the last outage of the store
-	storeRecovered   bool          // there was an outage, and it has ended
+	servers map[string]Server
+	missing map[string]bool // ids of servers that are kept although their entries are gone
+	outages outageDetector
 }
 
-// New returns an empty directory.
-func New() *Directory {
-	return &Directory{servers: map[string]Server{}, missing: map[string]time.Duration{}}
+// New returns an empty directory. maxGap is the longest time without contact to the
+// store that is not taken for an outage, in which entries of live servers expire.
+func New(maxGap time.Duration) *Directory {
+	return &Directory{servers: map[string]Server{}, missing: map[string]bool{}, outages: outageDetector{maxGap: maxGap}}
 }
 
+// RecordContact records that the store answered a host, this one or another, during a
+// span of time. It must be called for each read before the read is applied.
+func (d *Directory) RecordContact(c Contact) { d.outages.record(c) }
+
+// Contact returns the newest contact of any host with the store, and false if none is
+// known.
+func (d *Directory) Contact() (Contact, bool) { return d.outages.contact, d.outages.known }
+
+// LastOutage returns the newest outage of the store that has ended, and false if there
+// was none.
+func (d *Directory) LastOutage() (begin, end time.Duration, ok bool) { return d.outages.lastOutage() }
+
 // Put adds or updates a server and reports whether that changed the directory. An
 // older incarnation than the known one is ignored.
 func (d *Directory) Put(s Server) bool {
@@ -62,10 +68,8 @@
 	if _, ok := d.servers[id]; !ok {
 		return false
 	}
-	if d.storeDown || d.storeRecovered && now-d.storeRecoveredAt < ReregistrationGrace {
-		if _, ok := d.missing[id]; !ok {
-			d.missing[id] = now
-		}
+	if d.outages.entriesMayBeMissing(now) {
+		d.missing[id] = true
 		return false
 	}
 	delete(d.servers, id)
@@ -91,28 +95,17 @@
 	return changed
 }
 
-// ResetFromLeader replaces all servers by those of the leader host. The leader has
-// itself waited for servers to register again, so an outage that this host saw
-// earlier is forgotten.
+// ResetFromLeader replaces all servers by those of the leader host, which has itself
+// waited for servers to register again.
 func (d *Directory) ResetFromLeader(servers map[string]Server) {
 	d.servers = maps.Clone(servers)
 	clear(d.missing)
-	d.storeDown, d.storeRecovered = false, false
-}
-
-// SetStoreReachable records whether the store can be reached.
-func (d *Directory) SetStoreReachable(now time.Duration, reachable bool) {
-	if d.storeDown && reachable {
-		d.storeRecoveredAt, d.storeRecovered = now, true
-	}
-	d.storeDown = !reachable
 }
 
-// RemoveMissing removes the servers that were kept by Remove and have not registered
-// again within ReregistrationGrace after the outage of the store. It returns their
-// IDs.
+// RemoveMissing removes the servers that were kept by Remove, once no outage of the
+// store explains that their entries are missing. It returns their IDs.
 func (d *Directory) RemoveMissing(now time.Duration) []string {
-	if d.storeDown || now-d.storeRecoveredAt < ReregistrationGrace {
+	if d.outages.entriesMayBeMissing(now) {
 		return nil
 	}
 	var removed []string
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -62,6 +62,8 @@
 	ServerGone         Code = 210
 	StoreCallsCounted  Code = 211
 	ServersReceived    Code = 212
+	StoreOutage        Code = 213
+	StoreOutageRefuted Code = 214
 	LeaseGained        Code = 301
 	LeaseLost          Code = 302
 	WitnessesProposed  Code = 303
@@ -133,7 +135,9 @@
 	{ServerSeen, "server_seen", "A backend server's entry appeared or changed."},
 	{ServerGone, "server_gone", "A backend server's entry is gone."},
 	{StoreCallsCounted, "store_calls", "The calls of this host to the platform's store since the last line, by role and purpose."},
-	{ServersReceived, "servers_received", "The list of servers that this host got from the host that it follows differs from what it knew."},
+	{ServersReceived, "servers_received", "A list of servers, from the host that this host follows or from the store, differs from what it knew."},
+	{StoreOutage, "store_outage", "The store answered no host for so long that entries of live servers may have expired; servers without an entry are kept for a while."},
+	{StoreOutageRefuted, "store_outage_refuted", "Another host reached the store in what this host took for an outage; servers without an entry are gone."},
 	{LeaseGained, "lease_gained", "The daemon holds its prefix lease."},
 	{LeaseLost, "lease_lost", "The prefix lease expired; the daemon dispatches and grants nothing."},
 	{WitnessesProposed, "witnesses_proposed", "A new witness set was proposed."},
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -83,7 +83,7 @@
 // testOptions returns options of a host with the clock of package time.
 func testOptions(incarnation string) Options {
 	start := time.Now()
-	return Options{Incarnation: incarnation, Now: func() time.Duration { return time.Since(start) }, Dial: upstream.DialTCP}
+	return Options{Incarnation: incarnation, Now: func() time.Duration { return time.Since(start) }, Dial: upstream.DialTCP, MaxStateAge: MaxStateAge, OnStoreContact: func(directory.Contact) {}}
 }
 
 func testServer(id string) directory.Server {
@@ -96,6 +96,11 @@
 	return map[string][]assignment.Range{"s": {{From: 0, To: 9, Owner: assignment.ServerIncarnation{ID: owner}}, {From: 10, To: 65535, Owner: assignment.ServerIncarnation{ID: "1"}, GrantPending: true}}}
 }
 
+func (state *followerState) RecordStoreContact(directory.Contact) {}
+func (state *followerState) StoreContact() (directory.Contact, bool) {
+	return directory.Contact{}, false
+}
+
 func (state *followerState) Description() followtree.Host {
 	return followtree.Host{Incarnation: "follower", Zone: "z", ProcessorShare: 0.2}
 }
@@ -110,7 +115,7 @@
 	}
 	return u.leader()
 }
-func (fakeUpstream) StateAge() time.Duration { return -neverRead }
+func (fakeUpstream) StateAge() time.Duration { return neverReadAge }
 func (fakeUpstream) Received() Received      { return Received{} }
 
 // recordReads records that the store responded to all reads just now.
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -28,10 +28,10 @@
 	longPollWait = 350 * time.Millisecond
 	// responseTimeout is the time that a call may take beyond longPollWait.
 	responseTimeout = 500 * time.Millisecond
-	// MaxStateAge is the age of its state from which a host no longer relies on the host
-	// that it follows and reads the store itself. It leaves time for that read within the
-	// two seconds in which hosts must apply a new configuration and stop sending to a
-	// server that leaves. The state of a follower of a relay is usually younger than 1.2 s.
+	// MaxStateAge limits Options.MaxStateAge. It leaves time for a read of the store
+	// within the two seconds in which hosts must apply a new configuration and stop
+	// sending to a server that leaves. The state of a follower of a relay is usually
+	// younger than 1.2 s.
 	MaxStateAge = 1600 * time.Millisecond
 	// failureRetryDelay is the delay after a failed call, before the leader or another
 	// host is called.
@@ -66,6 +66,11 @@
 	ReplaceServers(map[string]directory.Server, Origin)
 	// ObserveMap applies a map if it is newer than the newest one.
 	ObserveMap(*assignment.Map)
+	// RecordStoreContact records that the store answered this host or another.
+	RecordStoreContact(directory.Contact)
+	// StoreContact returns the newest contact of any host with the store that this host
+	// knows of, and false for none.
+	StoreContact() (directory.Contact, bool)
 	// SetHostCount sets the number of entry hosts, this one included.
 	SetHostCount(int)
 	// SetAdmittedShares sets the share of the requests that the host may queue for each
@@ -90,7 +95,7 @@
 
 // Follower keeps a host up to date by long polls of the leader or, in a large deployment,
 // of a relay, which is called its parent. It is in contact while its state is younger than
-// MaxStateAge. It implements Upstream.
+// Options.MaxStateAge. It implements Upstream.
 //
 // A host that loses the store may miss a change of the leader. A follower without
 // contact therefore asks other hosts which leader they follow, so that such a host can
@@ -159,8 +164,8 @@
 // this host received last.
 func (f *Follower) StateAge() time.Duration { return f.options.Now() - time.Duration(f.stateAt.Load()) }
 
-// InContact reports whether the state is younger than MaxStateAge.
-func (f *Follower) InContact() bool { return f.StateAge() < MaxStateAge }
+// InContact reports whether the state is younger than Options.MaxStateAge.
+func (f *Follower) InContact() bool { return f.StateAge() < f.options.MaxStateAge }
 
 // FollowsRelay reports whether this host has relays and is none itself.
 func (f *Follower) FollowsRelay() bool {
@@ -251,6 +256,9 @@
 	if m := f.hostState.NewestMap(); m != nil {
 		request.MapEnd = m.NextOffset
 	}
+	if c, ok := f.hostState.StoreContact(); ok {
+		request.StoreContact = encodeContact(f.options.Now(), c)
+	}
 	return request
 }
 
@@ -291,15 +299,19 @@
 		return &NoContactError{Reason: NotLeading}
 	}
 	f.applyReceived(r)
+	age := time.Duration(r.AgeMs) * time.Millisecond
+	stateAt := f.options.Now() - age
+	if age < neverReadAge {
+		f.hostState.RecordStoreContact(directory.Contact{Begin: stateAt, End: stateAt})
+	}
 	if err := f.applyResponse(r); err != nil {
 		return err
 	}
-	age := time.Duration(r.AgeMs) * time.Millisecond
-	if age >= MaxStateAge {
+	if age >= f.options.MaxStateAge {
 		return &NoContactError{Reason: LeaderWithoutStore, StoreAge: age}
 	}
 	f.lastLeader.Store(&r.Leader)
-	f.stateAt.Store(int64(f.options.Now() - age))
+	f.stateAt.Store(int64(stateAt))
 	return nil
 }
 
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -108,7 +108,12 @@
 type Options struct {
 	Incarnation string               // identifies the host's process
 	Now         func() time.Duration // time since boot; see package clock
-	Dial        upstream.DialFunc    // opens connections to other hosts
+	// MaxStateAge is the age of its state from which a host no longer relies on the host
+	// that it follows, reads the store itself and is no relay.
+	MaxStateAge time.Duration
+	// OnStoreContact is called with the contact to the store that a follower reports.
+	OnStoreContact func(directory.Contact)
+	Dial           upstream.DialFunc // opens connections to other hosts
 }
 
 // NewSource returns the source of a host. follower is the host's own follower.
@@ -121,8 +126,12 @@
 	return s
 }
 
-// neverRead is the time of a read that has not happened.
-const neverRead = -time.Hour
+// neverRead is the time of a read that has not happened. The state is then older than
+// neverReadAge.
+const (
+	neverRead    = -neverReadAge
+	neverReadAge = time.Hour
+)
 
 func (s *Source) forgetServerUpdatesLocked() {
 	s.serverUpdates, s.allServers = map[uint64][]*followv1.ServerChange{}, nil
@@ -231,6 +240,9 @@
 		s.recordReport(decodeLoadReport(r.Arrivals))
 	}
 	s.assigner.RecordKnownMap(r.Host, r.MapEnd)
+	if r.StoreContact != nil {
+		s.options.OnStoreContact(decodeContact(s.options.Now(), r.StoreContact))
+	}
 	timer := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxLongPollWait))
 	defer timer.Stop()
 	for {
@@ -289,7 +301,7 @@
 		s.registry.RecordCall(now, decodeHostInfo(r.Caller), int(r.Followers), candidates)
 	}
 	age := s.stateAgeLocked()
-	response := &followv1.FollowResponse{Host: s.options.Incarnation, Leading: leading, Relaying: !leading && age < MaxStateAge, AgeMs: uint32(age.Milliseconds()), ServersRevision: s.serversRevision}
+	response := &followv1.FollowResponse{Host: s.options.Incarnation, Leading: leading, Relaying: !leading && age < s.options.MaxStateAge, AgeMs: uint32(age.Milliseconds()), ServersRevision: s.serversRevision}
 	switch {
 	case leading:
 		response.Leader = s.options.Incarnation
@@ -423,6 +435,15 @@
 	return change
 }
 
+func encodeContact(now time.Duration, c directory.Contact) *followv1.StoreContact {
+	ago := func(at time.Duration) uint32 { return uint32(min(max(0, now-at), neverReadAge).Milliseconds()) }
+	return &followv1.StoreContact{BeginMsAgo: ago(c.Begin), EndMsAgo: ago(c.End)}
+}
+
+func decodeContact(now time.Duration, c *followv1.StoreContact) directory.Contact {
+	return directory.Contact{Begin: now - time.Duration(c.BeginMsAgo)*time.Millisecond, End: now - time.Duration(c.EndMsAgo)*time.Millisecond}
+}
+
 func encodeServer(s directory.Server) *followv1.ServerChange {
 	return &followv1.ServerChange{Id: s.ID, Born: s.Born, Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: uint32(s.Slots), Draining: s.Draining, Cold: s.Cold}
 }
