--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -28,9 +28,8 @@
 	longPollWait = 350 * time.Millisecond
 	// responseTimeout is the time that a call may take beyond longPollWait.
 	responseTimeout = 500 * time.Millisecond
-	// MaxStateAge limits Options.MaxStateAge. It leaves time for a read of the store
-	// within the two seconds in which hosts must apply a new configuration and stop
-	// sending to a server that leaves. The state of a follower of a relay is usually
+	// MaxStateAge limits Options.MaxStateAge, because the next leader is elected among
+	// hosts that have lost the former one. The state of a follower of a relay is usually
 	// younger than 1.2 s.
 	MaxStateAge = 1600 * time.Millisecond
 	// failureRetryDelay is the delay after a failed call, before the leader or another
