Count the age of a state from the moment at which the store had it

Cause: ages began when a response arrived. A response of the leader that was held up on its way (a cut that heals, a leader that freezes between looking at its state and writing) counted as just sent, for up to the time-out of the poll; a read of the store, too. A read of the configuration counted before the configuration was applied.

Change: the follower counts from the sending of its request plus the time for which the called host held it (held_ms; 0 from older hosts, which makes the state look older).

--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -120,8 +120,9 @@
 
 // recordReads records that the store responded to all reads just now.
 func recordReads(s *Source) {
-	s.RecordConfigRead()
-	s.RecordServersRead()
+	now := s.options.Now()
+	s.RecordConfigRead(now)
+	s.RecordServersRead(now)
 }
 
 // sourceHost is a host with a source, and records what the source receives. It
@@ -397,7 +398,7 @@
 			recordReads(leader.source)
 			upstream.setAge(100 * time.Millisecond)
 			for _, other := range others {
-				leader.source.respond(&followv1.FollowRequest{Host: other.Incarnation, Caller: other})
+				leader.source.respond(&followv1.FollowRequest{Host: other.Incarnation, Caller: other}, leader.source.options.Now())
 			}
 		}
 	}()
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -133,12 +133,13 @@
 	NoLeader           NoContactReason = "the newest map names no other host as the leader"
 	NotLeading         NoContactReason = "the called host does not lead and is no relay"
 	LeaderWithoutStore NoContactReason = "the called host has lost contact with the store"
+	LateResponse       NoContactReason = "the response was held up, and its state is too old"
 )
 
 // NoContactError reports that a host is in no contact with a leader.
 type NoContactError struct {
 	Reason   NoContactReason
-	StoreAge time.Duration // of the called host's state, for LeaderWithoutStore
+	StoreAge time.Duration // of the state, for LeaderWithoutStore and LateResponse
 }
 
 // Error implements error.
@@ -290,6 +291,7 @@
 	request.WaitMs, request.WantPeers = uint32(longPollWait.Milliseconds()), time.Since(f.peersUpdatedAt) > peersRefreshInterval
 	request.FromRelay = slices.Contains(f.parents.Relays(), parent)
 	request.Arrivals = encodeLoadReport(f.hostState.TakeLoadReport())
+	sentAt := f.options.Now()
 	r, err := f.clientFor(parent).Follow(ctx, request)
 	if err != nil {
 		return err
@@ -299,11 +301,13 @@
 	}
 	f.applyReceived(r)
 	age := time.Duration(r.AgeMs) * time.Millisecond
-	stateAt := f.options.Now() - age
+	// The way of the response is unknown and may take as long as the poll. The called host
+	// looked at its state HeldMs after the request arrived there.
+	stateAt := sentAt + time.Duration(r.HeldMs)*time.Millisecond - age
 	if age < neverReadAge {
 		f.hostState.RecordStoreContact(directory.Contact{Begin: stateAt, End: stateAt})
 	}
-	if err := f.applyResponse(r); err != nil {
+	if err := f.applyResponse(r, stateAt); err != nil {
 		return err
 	}
 	if age >= f.options.MaxStateAge {
@@ -311,6 +315,9 @@
 	}
 	f.lastLeader.Store(&r.Leader)
 	f.stateAt.Store(int64(stateAt))
+	if !f.InContact() {
+		return &NoContactError{Reason: LateResponse, StoreAge: f.StateAge()}
+	}
 	return nil
 }
 
@@ -359,8 +366,9 @@
 	return messages
 }
 
-func (f *Follower) applyResponse(r *followv1.FollowResponse) error {
-	origin := Origin{Source: r.Host, Age: time.Duration(r.AgeMs) * time.Millisecond}
+// applyResponse applies the state that the store had at a time, by Options.Now.
+func (f *Follower) applyResponse(r *followv1.FollowResponse, stateAt time.Duration) error {
+	origin := Origin{Source: r.Host, Age: f.options.Now() - stateAt}
 	if len(r.Config) > 0 {
 		var c routes.Config
 		if err := json.Unmarshal(r.Config, &c); err != nil {
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -204,19 +204,20 @@
 	s.wakeFollowersLocked()
 }
 
-// RecordConfigRead records that the store responded just now to a read of the
-// configuration that waited for changes.
-func (s *Source) RecordConfigRead() {
+// RecordConfigRead records that this host has the configuration that the store had at a
+// time, by Options.Now. It must be called after SetConfig.
+func (s *Source) RecordConfigRead(at time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.configReadAt = s.options.Now()
+	s.configReadAt = max(s.configReadAt, at)
 }
 
-// RecordServersRead records that the store responded just now to a read of the servers.
-func (s *Source) RecordServersRead() {
+// RecordServersRead records that this host has the servers that the store had at a time,
+// by Options.Now. It must be called after SetServers.
+func (s *Source) RecordServersRead(at time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.serversReadAt = s.options.Now()
+	s.serversReadAt = max(s.serversReadAt, at)
 }
 
 // StateAge returns the time since the store sent the state that this host decides by.
@@ -239,6 +240,7 @@
 	if len(r.Arrivals) > 0 {
 		s.recordReport(decodeLoadReport(r.Arrivals))
 	}
+	arrived := s.options.Now()
 	s.assigner.RecordKnownMap(r.Host, r.MapEnd)
 	if r.StoreContact != nil {
 		s.options.OnStoreContact(decodeContact(s.options.Now(), r.StoreContact))
@@ -246,7 +248,7 @@
 	timer := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxLongPollWait))
 	defer timer.Stop()
 	for {
-		response, changed := s.respond(r)
+		response, changed := s.respond(r, arrived)
 		if changed == nil || response.Config != nil || response.Servers != nil || response.AllServers || response.Map != nil {
 			return response, nil
 		}
@@ -254,7 +256,7 @@
 		case <-changed:
 		case <-timer.C:
 			// The age and the limits are those of the end of the wait.
-			response, _ = s.respond(r)
+			response, _ = s.respond(r, arrived)
 			return response, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -285,10 +287,10 @@
 	return report
 }
 
-// respond records the follower's call and returns the response at this moment. It also
-// returns a channel that is closed at the next change, or nil if this host does not serve
+// respond records the follower's call, which arrived at a time, and returns the response at
+// this moment. It also returns a channel that is closed at the next change, or nil if this host does not serve
 // its state.
-func (s *Source) respond(r *followv1.FollowRequest) (*followv1.FollowResponse, <-chan struct{}) {
+func (s *Source) respond(r *followv1.FollowRequest, arrived time.Duration) (*followv1.FollowResponse, <-chan struct{}) {
 	leading, received := s.assigner.Leading(), s.upstream.Received()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -301,7 +303,7 @@
 		s.registry.RecordCall(now, decodeHostInfo(r.Caller), int(r.Followers), candidates)
 	}
 	age := s.stateAgeLocked()
-	response := &followv1.FollowResponse{Host: s.options.Incarnation, Leading: leading, Relaying: !leading && age < s.options.MaxStateAge, AgeMs: uint32(age.Milliseconds()), ServersRevision: s.serversRevision}
+	response := &followv1.FollowResponse{Host: s.options.Incarnation, Leading: leading, Relaying: !leading && age < s.options.MaxStateAge, AgeMs: roundUpMs(age), HeldMs: uint32((now - arrived).Milliseconds()), ServersRevision: s.serversRevision}
 	switch {
 	case leading:
 		response.Leader = s.options.Incarnation
@@ -333,6 +335,9 @@
 	return response, s.changed
 }
 
+// roundUpMs returns a duration in milliseconds; a state must not look younger than it is.
+func roundUpMs(d time.Duration) uint32 { return uint32((d + time.Millisecond - 1).Milliseconds()) }
+
 func decodeHostInfo(h *followv1.HostInfo) followtree.Host {
 	return followtree.Host{Incarnation: h.Incarnation, Zone: h.Zone, ProcessorShare: float64(h.ProcessorPerMille) / 1000}
 }
