Never replace a host's servers by an older list

Cause: a host gets its servers from the leader and, without contact to one, from the store. Each list replaced the other in the order of arrival. A list of a leader that had just lost the store, or a read that was under way, brought removed servers back; the reader continued with later records only, so that nothing removed them again until the next list. Configurations and maps have versions that never go back; lists had none.

Change: a list carries the offset of the store's log of registrations that it reflects (servers_offset; 0 from older hosts, whose lists are used as before). The directory ignores listings, records and leaders' lists before its own offset (servers_ignored, 215). A follower that is back in contact passes the leader's list on again, since the host has read the store meanwhile.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -24,9 +24,12 @@
 	Cold     bool // has just started and is still slow
 }
 
-// Directory is the set of known servers.
+// Directory is the set of known servers. It reflects the records of the store's log of
+// entries before an offset that never goes back, whether they came from the store or from
+// another host.
 type Directory struct {
 	servers map[string]Server
+	offset  uint64
 	missing map[string]bool // ids of servers that are kept although their entries are gone
 	outages outageDetector
 }
@@ -49,6 +52,12 @@
 // was none.
 func (d *Directory) LastOutage() (begin, end time.Duration, ok bool) { return d.outages.lastOutage() }
 
+// Offset returns the offset of the log of entries up to which the directory reflects it.
+func (d *Directory) Offset() uint64 { return d.offset }
+
+// Advance records that the directory reflects the log of entries before an offset.
+func (d *Directory) Advance(offset uint64) { d.offset = max(d.offset, offset) }
+
 // Put adds or updates a server and reports whether that changed the directory. An
 // older incarnation than the known one is ignored.
 func (d *Directory) Put(s Server) bool {
@@ -77,10 +86,14 @@
 	return true
 }
 
-// ApplyListing updates the directory to a complete listing of the store's entries
-// and reports whether anything changed. Servers that are not listed are removed
-// under the rules of Remove.
-func (d *Directory) ApplyListing(now time.Duration, list map[string]Server) bool {
+// ApplyListing updates the directory to a complete listing of the store's entries before
+// an offset, and reports whether anything changed. Servers that are not listed are removed
+// under the rules of Remove. A listing that is older than the directory is ignored.
+func (d *Directory) ApplyListing(now time.Duration, list map[string]Server, offset uint64) bool {
+	if offset < d.offset {
+		return false
+	}
+	d.offset = offset
 	changed := false
 	for id := range d.servers {
 		if _, ok := list[id]; !ok && d.Remove(now, id) {
@@ -96,10 +109,17 @@
 }
 
 // ResetFromLeader replaces all servers by those of the leader host, which has itself
-// waited for servers to register again.
-func (d *Directory) ResetFromLeader(servers map[string]Server) {
+// waited for servers to register again. offset is that of the leader's directory, 0 if it
+// is unknown. It returns false and changes nothing if the leader's servers are older than
+// the directory.
+func (d *Directory) ResetFromLeader(servers map[string]Server, offset uint64) bool {
+	if offset != 0 && offset < d.offset {
+		return false
+	}
+	d.Advance(offset)
 	d.servers = maps.Clone(servers)
 	clear(d.missing)
+	return true
 }
 
 // RemoveMissing removes the servers that were kept by Remove, once no outage of the
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -27,7 +27,7 @@
 	read(d, time.Second)
 	require.False(t, d.Remove(3*time.Second, "1"))
 	read(d, 3*time.Second)
-	require.False(t, d.ApplyListing(3*time.Second, nil))
+	require.False(t, d.ApplyListing(3*time.Second, nil, 1))
 	d.Put(newServer("1", 1))
 	read(d, 4*time.Second)
 	require.Empty(t, d.RemoveMissing(4*time.Second))
@@ -46,7 +46,7 @@
 	read(d, 0)
 	require.Empty(t, d.RemoveMissing(8*time.Second))
 	read(d, 10*time.Second)
-	require.False(t, d.ApplyListing(10*time.Second, nil))
+	require.False(t, d.ApplyListing(10*time.Second, nil, 1))
 	read(d, 11*time.Second)
 	require.Empty(t, d.RemoveMissing(10*time.Second+ReregistrationGrace-1))
 }
@@ -97,10 +97,10 @@
 	read(d, 0)
 	for at := 3 * time.Second; at <= 6*time.Second; at += time.Second {
 		read(d, at) // by the leader
-		d.ResetFromLeader(map[string]Server{"1": {ID: "1"}, "2": {ID: "2"}})
+		d.ResetFromLeader(map[string]Server{"1": {ID: "1"}, "2": {ID: "2"}}, 1)
 	}
 	read(d, 7*time.Second)
-	require.True(t, d.ApplyListing(7*time.Second, map[string]Server{"2": {ID: "2"}}))
+	require.True(t, d.ApplyListing(7*time.Second, map[string]Server{"2": {ID: "2"}}, 2))
 	require.NotContains(t, d.All(), "1")
 }
 
@@ -118,3 +118,18 @@
 	require.True(t, d.Remove(afterGrace, "1"))
 	require.Empty(t, d.RemoveMissing(afterGrace))
 }
+
+// Guards against a server that has left and is used again, because a list of servers that
+// was under way arrives after a newer one from another source.
+func TestOlderListDoesNotReplaceANewerOne(t *testing.T) {
+	d := New(maxGap)
+	older, newer := map[string]Server{"1": {ID: "1"}, "2": {ID: "2"}}, map[string]Server{"2": {ID: "2"}}
+	require.True(t, d.ResetFromLeader(newer, 8))
+	require.False(t, d.ApplyListing(time.Second, older, 7))
+	require.False(t, d.ResetFromLeader(older, 7))
+	require.Equal(t, newer, d.All())
+	require.True(t, d.ApplyListing(time.Second, older, 8))
+	require.Equal(t, uint64(8), d.Offset())
+	require.True(t, d.ResetFromLeader(newer, 0), "a leader of an older version names no offset")
+	require.Equal(t, uint64(8), d.Offset())
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -64,6 +64,7 @@
 	ServersReceived    Code = 212
 	StoreOutage        Code = 213
 	StoreOutageRefuted Code = 214
+	ServersIgnored     Code = 215
 	LeaseGained        Code = 301
 	LeaseLost          Code = 302
 	WitnessesProposed  Code = 303
@@ -138,6 +139,7 @@
 	{ServersReceived, "servers_received", "A list of servers, from the host that this host follows or from the store, differs from what it knew."},
 	{StoreOutage, "store_outage", "The store answered no host for so long that entries of live servers may have expired; servers without an entry are kept for a while."},
 	{StoreOutageRefuted, "store_outage_refuted", "Another host reached the store in what this host took for an outage; servers without an entry are gone."},
+	{ServersIgnored, "servers_ignored", "A list of servers is older than what this host knows, and was not used."},
 	{LeaseGained, "lease_gained", "The daemon holds its prefix lease."},
 	{LeaseLost, "lease_lost", "The prefix lease expired; the daemon dispatches and grants nothing."},
 	{WitnessesProposed, "witnesses_proposed", "A new witness set was proposed."},
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -71,13 +71,14 @@
 	state.locked(func() { r, state.report = state.report, edge.LoadReport{} })
 	return r
 }
-func (state *followerState) ReplaceServers(s map[string]directory.Server, _ Origin) {
+func (state *followerState) ReplaceServers(s map[string]directory.Server, _ uint64, _ Origin) bool {
 	state.locked(func() {
 		state.servers = map[string]directory.Server{}
 		for id, v := range s {
 			state.servers[id] = v
 		}
 	})
+	return true
 }
 
 // testOptions returns options of a host with the clock of package time.
@@ -122,7 +123,7 @@
 func recordReads(s *Source) {
 	now := s.options.Now()
 	s.RecordConfigRead(now)
-	s.RecordServersRead(now)
+	s.RecordServersRead(now, 1)
 }
 
 // sourceHost is a host with a source, and records what the source receives. It
@@ -190,7 +191,7 @@
 		}
 	}()
 	require.NoError(t, leader.source.SetConfig(routes.Config{Version: 3}))
-	leader.source.SetServers(map[string]directory.Server{"1": testServer("1"), "2": testServer("2")})
+	leader.source.SetServers(map[string]directory.Server{"1": testServer("1"), "2": testServer("2")}, 1)
 	leader.source.SetMap(&assignment.Map{Offset: 1, NextOffset: 2, Term: 1, Services: testRanges("1")})
 	eventually := func(what string, f func() bool) {
 		require.Eventually(t, func() (ok bool) { state.locked(func() { ok = f() }); return ok }, 2*time.Second, 5*time.Millisecond, what)
@@ -200,7 +201,7 @@
 	eventually("map", func() bool { return state.newestMap != nil && state.newestMap.NextOffset == 2 })
 	require.Eventually(t, func() bool { return f.StateAge() < MaxStateAge }, 2*time.Second, 5*time.Millisecond)
 
-	leader.source.SetServers(map[string]directory.Server{"2": testServer("2"), "3": testServer("3")})
+	leader.source.SetServers(map[string]directory.Server{"2": testServer("2"), "3": testServer("3")}, 1)
 	next := &assignment.Map{Offset: 2, NextOffset: 3, Term: 1, Sequence: 1, Services: testRanges("2")}
 	leader.source.SetMap(next)
 	eventually("a removed and a new server", func() bool { _, present := state.servers["1"]; return !present && len(state.servers) == 2 })
@@ -408,7 +409,7 @@
 	}
 	eventually("the follower gets its state from the relay", func() bool { return relay.source.HostCount() == 2 })
 	require.NoError(t, relay.source.SetConfig(routes.Config{Version: 4}))
-	relay.source.SetServers(map[string]directory.Server{"1": testServer("1")})
+	relay.source.SetServers(map[string]directory.Server{"1": testServer("1")}, 1)
 	relay.source.SetMap(&assignment.Map{Offset: 1, NextOffset: 2, Term: 1, Leader: "leader", Services: testRanges("1")})
 	eventually("the state of the relay", func() (ok bool) {
 		state.locked(func() {
@@ -463,7 +464,7 @@
 	relay := &sourceHost{knownNextOffsets: map[string]uint64{}}
 	relay.source = NewSource(testOptions("relay"), relay, fakeUpstream{}, func(edge.LoadReport) {})
 	recordReads(relay.source)
-	relay.source.SetServers(map[string]directory.Server{"1": testServer("1")})
+	relay.source.SetServers(map[string]directory.Server{"1": testServer("1")}, 1)
 	for fromRelay, servers := range map[bool]int{false: 0, true: 1} {
 		response, err := relay.source.Follow(context.Background(), &followv1.FollowRequest{Host: "h", FromRelay: fromRelay})
 		require.NoError(t, err)
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -61,8 +61,10 @@
 	AddressOf(incarnation string) string
 	// ApplyConfig applies a configuration if it is newer than the one in force.
 	ApplyConfig(routes.Config, Origin)
-	// ReplaceServers replaces all known servers, by ID.
-	ReplaceServers(map[string]directory.Server, Origin)
+	// ReplaceServers replaces all known servers, by ID. They reflect the store's log of
+	// registrations before an offset, 0 if it is unknown. It returns false and changes
+	// nothing if they are older than the known ones.
+	ReplaceServers(servers map[string]directory.Server, offset uint64, o Origin) bool
 	// ObserveMap applies a map if it is newer than the newest one.
 	ObserveMap(*assignment.Map)
 	// RecordStoreContact records that the store answered this host or another.
@@ -114,6 +116,7 @@
 	serversSource   string // incarnation of the host that sent servers
 	serversRevision uint64 // revision of servers at that host
 	servers         map[string]directory.Server
+	serversUnused   bool     // the host has other servers than these
 	loggedInContact bool     // contact at the last check; changes are logged
 	peers           []string // incarnations of other hosts
 	peersUpdatedAt  time.Time
@@ -388,8 +391,9 @@
 		f.servers[c.Id] = directory.Server{ID: c.Id, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone,
 			Slots: int(c.Slots), Draining: c.Draining, Cold: c.Cold}
 	}
-	if len(r.Servers) > 0 || r.AllServers {
-		f.hostState.ReplaceServers(f.servers, origin)
+	// Without contact the host has read the servers itself.
+	if len(r.Servers) > 0 || r.AllServers || f.serversUnused || !f.InContact() {
+		f.serversUnused = !f.hostState.ReplaceServers(f.servers, r.ServersOffset, origin)
 	}
 	if r.Map != nil {
 		return f.applyMapChange(r.Map)
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -86,6 +86,7 @@
 	configJSON      []byte
 	configVersion   uint64
 	servers         map[string]directory.Server
+	serversOffset   uint64 // the servers reflect the store's log of registrations before it
 	serversRevision uint64
 	serverChanges   []serverChange    // oldest first
 	mapHistory      []*assignment.Map // oldest first
@@ -159,10 +160,12 @@
 	return nil
 }
 
-// SetServers sets all known servers, by ID. The map must not be changed afterwards.
-func (s *Source) SetServers(servers map[string]directory.Server) {
+// SetServers sets all known servers, by ID, which reflect the store's log of registrations
+// before an offset. The map must not be changed afterwards.
+func (s *Source) SetServers(servers map[string]directory.Server, offset uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.serversOffset = max(s.serversOffset, offset)
 	before := s.serversRevision
 	for id, v := range servers {
 		if s.servers[id] != v {
@@ -213,10 +216,12 @@
 }
 
 // RecordServersRead records that this host has the servers that the store had at a time,
-// by Options.Now. It must be called after SetServers.
-func (s *Source) RecordServersRead(at time.Duration) {
+// by Options.Now, and at an offset of its log of registrations. It must be called after
+// SetServers.
+func (s *Source) RecordServersRead(at time.Duration, offset uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.serversOffset = max(s.serversOffset, offset)
 	s.serversReadAt = max(s.serversReadAt, at)
 }
 
@@ -303,7 +308,7 @@
 		s.registry.RecordCall(now, decodeHostInfo(r.Caller), int(r.Followers), candidates)
 	}
 	age := s.stateAgeLocked()
-	response := &followv1.FollowResponse{Host: s.options.Incarnation, Leading: leading, Relaying: !leading && age < s.options.MaxStateAge, AgeMs: roundUpMs(age), HeldMs: uint32((now - arrived).Milliseconds()), ServersRevision: s.serversRevision}
+	response := &followv1.FollowResponse{Host: s.options.Incarnation, Leading: leading, Relaying: !leading && age < s.options.MaxStateAge, AgeMs: roundUpMs(age), HeldMs: uint32((now - arrived).Milliseconds()), ServersRevision: s.serversRevision, ServersOffset: s.serversOffset}
 	switch {
 	case leading:
 		response.Leader = s.options.Incarnation
