Send no request whose caller or attempt has ended

Cause: a host that is behind reads a request and the close of its connection at once. The request got a server although its context had ended (select takes either), a request that may run only once was sent because its attempt ignores the caller from the start, and any request was written to an idle connection before the reset of the ended context took effect.

Change: the caller is checked when the connection to the server is open, and upstream.Client.Do sends nothing after the end of its context.

Ruled out here: a check of the time on which the host read a request.

--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -204,7 +204,7 @@
 	start := time.Now()
 	response, err := c.edge.options.Client.Do(ctx, upstream.Exchange{
 		Address: s.Address, Method: c.request.Method, RawRequest: c.encodeRequest(s), Matches: c.matchesResponse,
-		BeforeSend: func() error { return c.checkBeforeSend(s) },
+		BeforeSend: func() error { return c.checkBeforeSend(callerCtx, s) },
 	})
 	slow := stopTimer()
 	c.lastServerID = s.ID
@@ -220,7 +220,10 @@
 
 // checkBeforeSend returns an error if the request must not be sent any more when the
 // connection to its server is open.
-func (c *callerRequest) checkBeforeSend(s dispatch.Server) error {
+func (c *callerRequest) checkBeforeSend(callerCtx context.Context, s dispatch.Server) error {
+	if callerCtx.Err() != nil {
+		return errCallerLeft
+	}
 	if time.Until(c.deadline) < minAttemptTime {
 		return errDeadlineTooClose
 	}
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -25,6 +25,7 @@
 var (
 	errServerLeaves     = errors.New("the server leaves")
 	errDeadlineTooClose = errors.New("the deadline is too close")
+	errCallerLeft       = errors.New("the caller has left")
 )
 
 // handleExchangeError decides what follows an attempt without a complete response.
@@ -35,6 +36,10 @@
 		c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.giveUp("deadline"), false
 	}
+	if errors.Is(err, errCallerLeft) {
+		c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		return c.abandon(), false
+	}
 	if errors.Is(err, errServerLeaves) {
 		c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		c.triedServerIDs = append(c.triedServerIDs, s.ID)
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -112,8 +112,9 @@
 // NewClientWithDial returns a client without connections, which opens them with dial.
 func NewClientWithDial(dial DialFunc) *Client { return &Client{dial: dial, idle: map[string][]*conn{}} }
 
-// Do runs an exchange. All errors are *Error. When ctx ends, the connection is
-// reset, upon which most servers stop running the request.
+// Do runs an exchange. All errors are *Error. Nothing is sent after the end of ctx. When
+// ctx ends later, the connection is reset, upon which most servers stop running the
+// request.
 func (c *Client) Do(ctx context.Context, x Exchange) (*Response, error) {
 	cn, err := c.acquireConn(ctx, x.Address)
 	if err != nil {
@@ -125,6 +126,10 @@
 			return nil, &Error{Address: x.Address, Err: err}
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		c.releaseConn(x.Address, cn)
+		return nil, &Error{Address: x.Address, Err: err}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	response, sent, reusable, err := cn.exchange(x)
 	if !stop() || err != nil {
--- a/relay/upstream/upstream_test.go
+++ b/relay/upstream/upstream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -147,3 +148,21 @@
 	require.Equal(t, time.Duration(0), announcedIdleTimeout(http.Header{"Keep-Alive": {"timeout=1"}}))
 	require.Equal(t, defaultIdleTimeout, announcedIdleTimeout(http.Header{}))
 }
+
+// Guards against a request that reaches a server although its attempt was given up before
+// it was sent: an idle connection was at hand, and the reset came after the write.
+func TestNothingIsSentAfterTheEndOfTheContext(t *testing.T) {
+	address := startScriptedServer(t, slices.Repeat([]string{responseA}, 50)...)
+	c := NewClient()
+	for range 50 {
+		_, err := doExchange(c, address, "a")
+		require.NoError(t, err)
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = c.Do(ended, newExchange(address, "late"))
+		var failed *Error
+		require.ErrorAs(t, err, &failed)
+		require.False(t, failed.Sent)
+	}
+	require.Equal(t, uint64(1), c.DialAttempts.Load(), "a connection was reset")
+}
