Go on with the leader's servers only when its state is recent

Cause: a follower without contact passed the leader's list of servers on with each response, also while the leader had no contact to the store. A list of the same offset took back what the host had decided in the meantime, and each response rebuilt the pools of all services.

Change: only a response with a recent state ends the time in which the host goes by its own reads.

--- a/relay/follow/age_test.go
+++ b/relay/follow/age_test.go
@@ -31,17 +31,17 @@
 
 // newVirtualPair returns a leader whose state was read just now, and a follower whose polls
 // go through the transport. It must be called in a synctest bubble.
-func newVirtualPair(t *testing.T) (leader *sourceHost, follower *Follower, transport *delayingTransport) {
+func newVirtualPair(t *testing.T) (leader *sourceHost, state *followerState, follower *Follower, transport *delayingTransport) {
 	leader = &sourceHost{leading: true, knownNextOffsets: map[string]uint64{}}
 	leader.source = NewSource(testOptions("leader"), leader, fakeUpstream{}, func(edge.LoadReport) {})
-	state := &followerState{leader: "leader", addresses: map[string]string{"leader": "leader:1"}}
+	state = &followerState{leader: "leader", addresses: map[string]string{"leader": "leader:1"}}
 	journal := telemetry.NewJournal(io.Discard, "f", "z")
 	t.Cleanup(journal.Close)
 	follower = NewFollower(testOptions("follower"), state, journal)
 	transport = &delayingTransport{handler: followv1.NewLeaderServer(leader.source)}
 	follower.http.Transport = transport
 	recordReads(leader.source)
-	return leader, follower, transport
+	return leader, state, follower, transport
 }
 
 // Guards against a host that takes a state for younger than it is, because the leader's
@@ -50,7 +50,7 @@
 func TestDelayOfAResponseCountsAsAge(t *testing.T) {
 	const delay = 400 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		_, f, transport := newVirtualPair(t)
+		_, _, f, transport := newVirtualPair(t)
 		transport.responseDelay = delay
 		require.NoError(t, f.pollParent(t.Context(), "leader"))
 		require.GreaterOrEqual(t, f.StateAge(), delay)
@@ -61,7 +61,7 @@
 // hosts would read the store although the leader is well.
 func TestWaitOfALongPollIsNoAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		leader, f, _ := newVirtualPair(t)
+		leader, _, f, _ := newVirtualPair(t)
 		stop := time.AfterFunc(longPollWait-50*time.Millisecond, func() { recordReads(leader.source) })
 		defer stop.Stop()
 		require.NoError(t, f.pollParent(t.Context(), "leader"))
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -391,8 +391,10 @@
 		f.servers[c.Id] = directory.Server{ID: c.Id, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone,
 			Slots: int(c.Slots), Draining: c.Draining, Cold: c.Cold}
 	}
-	// Without contact the host has read the servers itself.
-	if len(r.Servers) > 0 || r.AllServers || f.serversUnused || !f.InContact() {
+	// Without contact the host has read the servers itself, and goes on with those of the
+	// called host when that is up to date.
+	contactRegained := !f.InContact() && origin.Age < f.options.MaxStateAge
+	if len(r.Servers) > 0 || r.AllServers || f.serversUnused || contactRegained {
 		f.serversUnused = !f.hostState.ReplaceServers(f.servers, r.ServersOffset, origin)
 	}
 	if r.Map != nil {
