--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -87,14 +87,14 @@
 }
 
 // ApplyListing updates the directory to a complete listing of the store's entries before
-// an offset, and reports whether anything changed. Servers that are not listed are removed
-// under the rules of Remove. A listing that is older than the directory is ignored.
-func (d *Directory) ApplyListing(now time.Duration, list map[string]Server, offset uint64) bool {
+// an offset, and reports whether that changed it. Servers that are not listed are removed
+// under the rules of Remove. A listing that is older than the directory changes nothing,
+// and applied is false.
+func (d *Directory) ApplyListing(now time.Duration, list map[string]Server, offset uint64) (changed, applied bool) {
 	if offset < d.offset {
-		return false
+		return false, false
 	}
 	d.offset = offset
-	changed := false
 	for id := range d.servers {
 		if _, ok := list[id]; !ok && d.Remove(now, id) {
 			changed = true
@@ -105,7 +105,7 @@
 			changed = true
 		}
 	}
-	return changed
+	return changed, true
 }
 
 // ResetFromLeader replaces all servers by those of the leader host, which has itself
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -27,7 +27,8 @@
 	read(d, time.Second)
 	require.False(t, d.Remove(3*time.Second, "1"))
 	read(d, 3*time.Second)
-	require.False(t, d.ApplyListing(3*time.Second, nil, 1))
+	changed, _ := d.ApplyListing(3*time.Second, nil, 1)
+	require.False(t, changed)
 	d.Put(newServer("1", 1))
 	read(d, 4*time.Second)
 	require.Empty(t, d.RemoveMissing(4*time.Second))
@@ -46,7 +47,8 @@
 	read(d, 0)
 	require.Empty(t, d.RemoveMissing(8*time.Second))
 	read(d, 10*time.Second)
-	require.False(t, d.ApplyListing(10*time.Second, nil, 1))
+	changed, _ := d.ApplyListing(10*time.Second, nil, 1)
+	require.False(t, changed)
 	read(d, 11*time.Second)
 	require.Empty(t, d.RemoveMissing(10*time.Second+ReregistrationGrace-1))
 }
@@ -100,7 +102,8 @@
 		d.ResetFromLeader(map[string]Server{"1": {ID: "1"}, "2": {ID: "2"}}, 1)
 	}
 	read(d, 7*time.Second)
-	require.True(t, d.ApplyListing(7*time.Second, map[string]Server{"2": {ID: "2"}}, 2))
+	changed, _ := d.ApplyListing(7*time.Second, map[string]Server{"2": {ID: "2"}}, 2)
+	require.True(t, changed)
 	require.NotContains(t, d.All(), "1")
 }
 
@@ -125,10 +128,12 @@
 	d := New(maxGap)
 	older, newer := map[string]Server{"1": {ID: "1"}, "2": {ID: "2"}}, map[string]Server{"2": {ID: "2"}}
 	require.True(t, d.ResetFromLeader(newer, 8))
-	require.False(t, d.ApplyListing(time.Second, older, 7))
+	_, applied := d.ApplyListing(time.Second, older, 7)
+	require.False(t, applied)
 	require.False(t, d.ResetFromLeader(older, 7))
 	require.Equal(t, newer, d.All())
-	require.True(t, d.ApplyListing(time.Second, older, 8))
+	_, applied = d.ApplyListing(time.Second, older, 8)
+	require.True(t, applied)
 	require.Equal(t, uint64(8), d.Offset())
 	require.True(t, d.ResetFromLeader(newer, 0), "a leader of an older version names no offset")
 	require.Equal(t, uint64(8), d.Offset())
