--- a/relay/follow/age_test.go
+++ b/relay/follow/age_test.go
@@ -18,8 +18,8 @@
 // delayingTransport passes requests to a handler in the same process and delays the
 // responses.
 type delayingTransport struct {
-	handler                     http.Handler
-	requestDelay, responseDelay time.Duration
+	handler       http.Handler
+	responseDelay time.Duration
 }
 
 func (t *delayingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
