Log on which evidence a key range was freed

Cause: after an incident of two holders the log shows only that a range has a new owner. Change: the leader keeps the freed ranges with their evidence, fence and the rest of the last grant; the assigner logs them as range_freed (423). Lines of failed calls carry the incarnation of the server. Conclusion: the decisions are unchanged; a log tells the hypotheses apart.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -69,9 +69,13 @@
 	case stageSettled:
 		return l.startCall(now, t, GrantCall, r.Owner, "", GrantDuration), true
 	case stageReleasing:
+		evidence, freed := l.hasEnded(t.service, r.PreviousHolder)
+		if !freed && now >= t.latestGrantExpiry() {
+			evidence, freed = GrantExpired, true
+		}
 		switch {
-		case now >= t.latestGrantExpiry() || l.hasEnded(t.service, r.PreviousHolder):
-			l.completeRelease(now, t)
+		case freed:
+			l.completeRelease(now, t, evidence)
 			return Call{}, false
 		case now < t.nextCallAt || now-l.leadershipConfirmedAt > moveConfirmationTimeout:
 			return Call{}, false
@@ -88,24 +92,24 @@
 	}
 }
 
-// hasEnded reports whether an incarnation is known to have ended: another server
-// responded at its address, a newer server of any service is listed with its address,
-// or a newer incarnation in the same service has its ID.
-func (l *Leader) hasEnded(service string, incarnation ServerIncarnation) bool {
+// hasEnded reports whether an incarnation is known to have ended, and the evidence:
+// another server responded at its address, a newer server of any service is listed with
+// its address, or a newer incarnation in the same service has its ID.
+func (l *Leader) hasEnded(service string, incarnation ServerIncarnation) (ReleaseEvidence, bool) {
 	if l.addressReused[incarnation] {
-		return true
+		return AddressTakenOver, true
 	}
 	for name, servers := range l.servers {
 		if s, ok := servers[incarnation.ID]; ok && name == service && s.Born > incarnation.Born {
-			return true
+			return NewerIncarnationListed, true
 		}
 		for _, s := range servers {
 			if s.ID != incarnation.ID && s.Address == incarnation.Address && s.Born > incarnation.Born {
-				return true
+				return NewerServerAtAddress, true
 			}
 		}
 	}
-	return false
+	return "", false
 }
 
 // startCall records a call as open and returns it. A grant gets a new fence unless
@@ -142,7 +146,7 @@
 		t.fenceConfirmed, t.nextCallAt = false, now
 	case call.Kind == ReleaseCall && result.Status == CallSucceeded:
 		t.handover = result.Handover
-		l.completeRelease(now, t)
+		l.completeRelease(now, t, ReleasedByHolder)
 	case call.Kind == ReleaseCall:
 		t.nextCallAt = now + CallRetryDelay
 	case result.Status != CallSucceeded:
@@ -182,8 +186,10 @@
 
 // completeRelease records that the previous holder no longer holds the range. The
 // owner gets its grant once the log has acknowledged the map that says so.
-func (l *Leader) completeRelease(now time.Duration, t *trackedRange) {
+func (l *Leader) completeRelease(now time.Duration, t *trackedRange, evidence ReleaseEvidence) {
 	r := l.ensureDraft().FindRange(t.service, t.from)
+	l.recordRelease(CompletedRelease{Service: t.service, From: t.from, To: t.to, Holder: r.PreviousHolder, Owner: r.Owner,
+		Evidence: evidence, Fence: t.fence, GrantLeft: max(0, t.latestGrantExpiry()-now)})
 	r.PreviousHolder, r.GrantPending, r.Move = ServerIncarnation{}, true, 0
 	t.previousHolder, t.grantPending = r.PreviousHolder, true
 	t.stage, t.fenceConfirmed, t.nextCallAt = stageGranting, false, now
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -87,6 +87,7 @@
 	queueReports          map[string]queueReports       // by server ID
 	admittedLoads         map[string]map[string]float64 // of limited servers, by service and server ID
 	admittedShares        map[string]float64            // see AdmittedShares
+	completedReleases     []CompletedRelease            // since the last TakeCompletedReleases
 }
 
 // NewLeader returns a leader for the term after that of the acknowledged map. The
--- /dev/null
+++ b/core/assignment/releases_test.go
@@ -0,0 +1,40 @@
+package assignment
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an incident of two holders that cannot be traced, because the log does
+// not show on which evidence the leader took a range for free.
+func TestFreedRangesNameTheEvidence(t *testing.T) {
+	for evidence, end := range map[ReleaseEvidence]func(*simulation, *fakeServer) []string{
+		ReleasedByHolder: func(_ *simulation, s *fakeServer) []string { s.Draining = true; return nil },
+		GrantExpired:     func(_ *simulation, s *fakeServer) []string { s.unreachable = true; return []string{"1"} },
+		AddressTakenOver: func(_ *simulation, s *fakeServer) []string { s.addressReused = true; return nil },
+		NewerServerAtAddress: func(sim *simulation, s *fakeServer) []string {
+			s.heldUntil = map[uint16]time.Duration{}
+			sim.addServer("5").Address = s.Address
+			return []string{"1"}
+		},
+	} {
+		sim := newSimulation(t, "1", "2", "3", "4")
+		l := sim.leaderAfterPlacement("a")
+		ranges := sim.rangesByOwner()["1"]
+		sim.now += time.Millisecond
+		l.SetServers(sim.serversExcept(end(sim, sim.servers["1"])...))
+		sim.run(GrantDuration+2*time.Second, l)
+		freed := 0
+		for _, r := range l.TakeCompletedReleases() {
+			if r.Holder.ID == "1" {
+				require.Equal(t, evidence, r.Evidence)
+				require.Equal(t, sim.servers["1"].Born, r.Holder.Born)
+				freed++
+			}
+		}
+		require.Equal(t, ranges, freed, evidence)
+		require.Empty(t, l.TakeCompletedReleases())
+	}
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -95,6 +95,7 @@
 	LoadLimited        Code = 420
 	LoadUnlimited      Code = 421
 	ParentChanged      Code = 422
+	RangeFreed         Code = 423
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -170,6 +171,7 @@
 	{LoadLimited, "load_limited", "The leader limits the requests for the keys of a server that gets more than it can serve."},
 	{LoadUnlimited, "load_unlimited", "The leader no longer limits the requests for the keys of a server."},
 	{ParentChanged, "parent_changed", "This host gets the state of the store from another host than before."},
+	{RangeFreed, "range_freed", "The previous holder of a key range cannot hold it any more; the line names the evidence."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
 	{SliceReleased, "slice_released", "A server released a slice."},
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -316,7 +316,7 @@
 // of the servers logs AddressReused.
 func (a *Assigner) handleCompletedCall(now time.Duration, c completedCall) {
 	if code, ok := failureEvents[c.result.Status]; ok {
-		a.options.Journal.LogEvent(code, "service", c.call.Service, "server", c.call.Server.ID, "call", c.call.Kind,
+		a.options.Journal.LogEvent(code, "service", c.call.Service, "server", c.call.Server.ID, "born", c.call.Server.Born, "call", c.call.Kind,
 			"from", c.call.From, "to", c.call.To, "fence", c.call.Fence, "error", c.result.Err)
 	}
 	if a.leader != nil {
@@ -401,10 +401,27 @@
 			go a.writeMap(ctx, w.Map)
 		}
 	}
+	a.logReleases()
 	a.dropStoppedLeader("no read or write of the map succeeded in time")
 	a.publishAdmittedShares()
 }
 
+// logReleases logs the ranges that were freed since the last tick, and the evidence. A
+// release by the holder is the usual case, of which some lines may be left out.
+func (a *Assigner) logReleases() {
+	if a.leader == nil {
+		return
+	}
+	for _, r := range a.leader.TakeCompletedReleases() {
+		log := a.options.Journal.LogEvent
+		if r.Evidence == assignment.ReleasedByHolder {
+			log = a.options.Journal.LogRoutineEvent
+		}
+		log(event.RangeFreed, "term", a.leader.Term(), "service", r.Service, "from", r.From, "to", r.To, "evidence", r.Evidence,
+			"holder", r.Holder.ID, "holder_born", r.Holder.Born, "owner", r.Owner.ID, "owner_born", r.Owner.Born, "fence", r.Fence, "grant_left_ms", r.GrantLeft.Milliseconds())
+	}
+}
+
 // sendCall sends a call that was started at startedAt, by package clock, when its server
 // has a free call slot, and queues the result. A call that cannot be sent in time is
 // not sent, because the state machine and later leaders rely on its end within
