End grants in the time that later leaders wait for

Cause: a grant may wait half of CallTimeout for a call slot of its server, and its call had a whole CallTimeout from then on, so it could be under way for 1.5 s while the next leader counts on 1 s. The age of a call was checked before the connection was opened; a machine that is suspended meanwhile, during which timers stand still, sent the grant late. Change: the time-out of a grant counts from its start, and the sender asks once more, when the connection is open, whether the term goes on and the call is recent. Measured: TestGrantEndsInTimeAfterASlowStart, in virtual time; with the former rule in place of the new one it fails with 'the call may end too late'. The packages relay/assigner and platform pass with the race detector.

--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -34,6 +34,9 @@
 	// maxReleaseSlotWait limits the wait of a release, which may be queued behind others
 	// that take as long as the running work.
 	maxReleaseSlotWait = 3 * time.Second
+	// maxReleaseAge limits the time from the start of a release to its end. It leaves
+	// time for the server to finish the running work after the wait for a slot.
+	maxReleaseAge = 2 * maxReleaseSlotWait
 )
 
 // ErrConflict is returned for a map whose NextOffset is not the next offset of the log.
@@ -50,9 +53,17 @@
 
 // CallSender sends grant and release calls to servers.
 type CallSender interface {
-	Call(ctx context.Context, c assignment.Call) assignment.CallResult
+	// Call sends c and returns its result. mayBeSent is asked when the connection is
+	// open; if it returns an error, nothing is sent. The connection is reset when ctx ends.
+	Call(ctx context.Context, c assignment.Call, mayBeSent func() error) assignment.CallResult
 }
 
+// Reasons for which a call is not sent.
+var (
+	errTermEnded  = errors.New("the term has ended")
+	errCallTooOld = errors.New("the call was started too long ago")
+)
+
 // Options configure an Assigner.
 type Options struct {
 	HostIncarnation string                          // identifies this run of the host's process
@@ -423,25 +434,34 @@
 }
 
 // sendCall sends a call that was started at startedAt, by package clock, when its server
-// has a free call slot, and queues the result. A call that cannot be sent in time is
-// not sent, because the state machine and later leaders rely on its end within
-// assignment.CallTimeout.
+// has a free call slot, and queues the result. A grant that was sent ends within
+// assignment.CallTimeout of startedAt, because the state machine and later leaders rely on
+// that.
 func (a *Assigner) sendCall(ctx context.Context, startedAt time.Duration, c assignment.Call) {
 	result := assignment.CallResult{Status: assignment.CallNotExecuted}
 	value, _ := a.callSlotsByAddress.LoadOrStore(c.Server.Address, make(chan struct{}, maxCallsPerServer))
 	slots := value.(chan struct{})
-	maxWait := maxGrantSlotWait
+	maxWait, maxAge := maxGrantSlotWait, assignment.CallTimeout
 	if c.Kind == assignment.ReleaseCall {
-		maxWait = maxReleaseSlotWait
+		maxWait, maxAge = maxReleaseSlotWait, maxReleaseAge
+	}
+	// The clock is read, beside the timers, because the machine may have been suspended,
+	// during which timers stand still.
+	mayBeSent := func() error {
+		switch {
+		case !a.leading.Load():
+			return errTermEnded
+		case a.options.Now()-startedAt >= maxAge:
+			return errCallTooOld
+		}
+		return nil
 	}
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	select {
 	case slots <- struct{}{}:
-		// The clock is read again because the machine may have been suspended, during
-		// which timers stand still.
-		if a.options.Now()-startedAt < maxWait && a.leading.Load() {
-			result = a.options.CallSender.Call(ctx, c)
+		if result.Err = mayBeSent(); result.Err == nil && a.options.Now()-startedAt < maxWait {
+			result = a.call(ctx, c, maxAge-(a.options.Now()-startedAt), mayBeSent)
 		}
 		<-slots
 	case <-timer.C:
@@ -450,6 +470,13 @@
 	a.messages <- message{completedCall: &completedCall{call: c, result: result}}
 }
 
+// call sends a call that has to end within a time.
+func (a *Assigner) call(ctx context.Context, c assignment.Call, within time.Duration, mayBeSent func() error) assignment.CallResult {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	return a.options.CallSender.Call(ctx, c, mayBeSent)
+}
+
 // writeMap repeats a write until it is acknowledged or refused with ErrConflict. The
 // state machine has one write open at a time, so a repeated write cannot replace a
 // newer map of this host.
--- a/relay/assigner/assigner_test.go
+++ b/relay/assigner/assigner_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -37,7 +38,7 @@
 // succeedingSender answers every call with success.
 type succeedingSender struct{}
 
-func (succeedingSender) Call(context.Context, assignment.Call) assignment.CallResult {
+func (succeedingSender) Call(context.Context, assignment.Call, func() error) assignment.CallResult {
 	return assignment.CallResult{Status: assignment.CallSucceeded}
 }
 
@@ -106,7 +107,7 @@
 	sent     atomic.Int32
 }
 
-func (s *blockingSender) Call(context.Context, assignment.Call) assignment.CallResult {
+func (s *blockingSender) Call(context.Context, assignment.Call, func() error) assignment.CallResult {
 	s.sent.Add(1)
 	<-s.released
 	return assignment.CallResult{Status: assignment.CallSucceeded}
@@ -150,3 +151,46 @@
 	}
 	require.EqualValues(t, maxCallsPerServer, sender.sent.Load())
 }
+
+// slowSender takes a time to open the connection of each call. It records when the call
+// would have to end, and the error that kept the call from being sent.
+type slowSender struct {
+	openConnection func()
+	deadline       time.Time
+	notSent        error
+}
+
+func (s *slowSender) Call(ctx context.Context, _ assignment.Call, mayBeSent func() error) assignment.CallResult {
+	s.deadline, _ = ctx.Deadline()
+	s.openConnection()
+	s.notSent = mayBeSent()
+	return assignment.CallResult{Status: assignment.CallNotExecuted, Err: s.notSent}
+}
+
+// Guards against a grant that is under way for longer than the next leader waits for it:
+// the wait for a call slot was not counted, and nothing was checked after the connection
+// had been opened, which a suspension of the machine may delay.
+func TestGrantEndsInTimeAfterASlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin, suspended := time.Now(), time.Duration(0)
+		sender := &slowSender{openConnection: func() {}}
+		a := New(Options{CallSender: sender, Now: func() time.Duration { return time.Since(begin) + suspended }})
+		a.leading.Store(true)
+		call := assignment.Call{Kind: assignment.GrantCall, Server: assignment.ServerIncarnation{Address: "a"}}
+		send := func() error {
+			sender.notSent = nil
+			startedAt := a.options.Now()
+			time.Sleep(maxGrantSlotWait / 2) // as if the slots of the server had been taken
+			a.sendCall(t.Context(), startedAt, call)
+			return (<-a.messages).completedCall.result.Err
+		}
+		startedAt := time.Now()
+		require.NoError(t, send())
+		require.False(t, sender.deadline.IsZero() || sender.deadline.After(startedAt.Add(assignment.CallTimeout)), "the call may end too late")
+
+		sender.openConnection = func() { suspended += assignment.CallTimeout }
+		require.ErrorIs(t, send(), errCallTooOld)
+		sender.openConnection = func() { a.leading.Store(false) }
+		require.ErrorIs(t, send(), errTermEnded)
+	})
+}
