Keep the relays of a former leader until the new one knows all hosts

Cause: a new leader of a large deployment has heard of no host. The first relays that call it heard that there are no relays, passed that on, and their followers turned to the leader; they were counted there and at their relays for five seconds. Change: the relays that a former leader selected stay for the time within which the new one hears of all hosts. Not played on the large deployment.

--- a/core/followtree/followtree.go
+++ b/core/followtree/followtree.go
@@ -168,9 +168,12 @@
 
 // Parents selects the host that a host follows. It is not safe for concurrent use.
 type Parents struct {
-	self     string // incarnation of this host
-	relays   []string
-	failedAt map[string]time.Duration // by incarnation of a relay
+	self         string // incarnation of this host
+	relays       []string
+	relaysLeader string                   // incarnation of the leader that selected relays
+	leader       string                   // incarnation of the newest known leader
+	leaderSince  time.Duration            // when this host first heard of leader
+	failedAt     map[string]time.Duration // by incarnation of a relay
 }
 
 // NewParents returns the selection of the host process that self identifies. Without
@@ -179,9 +182,17 @@
 	return &Parents{self: self, failedAt: map[string]time.Duration{}}
 }
 
-// SetRelays sets the relays of this host's zone.
-func (p *Parents) SetRelays(relays []string) {
-	p.relays = relays
+// SetRelays sets the relays of this host's zone as a leader selected them; leader is "" if
+// it is unknown. The relays of a former leader stay for hostTTL, within which the new one
+// hears of all hosts. Before that it may know too few to select any.
+func (p *Parents) SetRelays(now time.Duration, leader string, relays []string) {
+	if leader != "" && leader != p.leader {
+		p.leader, p.leaderSince = leader, now
+	}
+	if len(p.relays) > 0 && p.relaysLeader != p.leader && now-p.leaderSince < hostTTL {
+		return
+	}
+	p.relays, p.relaysLeader = relays, p.leader
 	for id := range p.failedAt {
 		if !slices.Contains(relays, id) {
 			delete(p.failedAt, id)
--- a/core/followtree/followtree_test.go
+++ b/core/followtree/followtree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -14,6 +15,8 @@
 	registry *Registry
 	leader   string
 	hosts    map[string]*member
+	order    []*member // in which the hosts poll in the next round
+	random   *rand.Rand
 	polls    map[string]int // by polled host
 }
 
@@ -25,14 +28,19 @@
 	served    bool // its last poll was served
 }
 
-func newFleet(hosts, zones int) *fleet {
-	f := &fleet{registry: NewRegistry(), leader: "leader", hosts: map[string]*member{}, polls: map[string]int{}}
+func newFleet(hosts, zones int) *fleet { return newFleetWithSeed(hosts, zones, 0) }
+
+// newFleetWithSeed returns a fleet whose hosts poll in an order that depends on seed.
+func newFleetWithSeed(hosts, zones int, seed uint64) *fleet {
+	f := &fleet{registry: NewRegistry(), leader: "leader", hosts: map[string]*member{}, random: rand.New(rand.NewPCG(seed, 3)), polls: map[string]int{}}
 	for i := range hosts {
 		h := Host{Incarnation: fmt.Sprint("h", i), Zone: fmt.Sprint("z", i%zones), ProcessorShare: 0.2}
 		if i < 3*zones {
 			h.ProcessorShare = 0.8
 		}
-		f.hosts[h.Incarnation] = &member{Host: h, parents: NewParents(h.Incarnation), followers: NewRegistry()}
+		m := &member{Host: h, parents: NewParents(h.Incarnation), followers: NewRegistry()}
+		f.hosts[h.Incarnation] = m
+		f.order = append(f.order, m)
 	}
 	return f
 }
@@ -42,7 +50,8 @@
 	for range rounds {
 		f.now += time.Second
 		clear(f.polls)
-		for _, m := range f.hosts {
+		f.random.Shuffle(len(f.order), func(i, j int) { f.order[i], f.order[j] = f.order[j], f.order[i] })
+		for _, m := range f.order {
 			if !m.dead {
 				f.poll(m)
 			}
@@ -71,7 +80,7 @@
 			return false
 		}
 		f.registry.RecordCall(f.now, m.Host, followers, m.followers.Candidates(f.now))
-		m.parents.SetRelays(f.registry.Relays(f.now, m.Zone))
+		m.parents.SetRelays(f.now, parent, f.registry.Relays(f.now, m.Zone))
 		return true
 	}
 	p := f.hosts[parent]
@@ -79,7 +88,7 @@
 		return false
 	}
 	p.followers.RecordCall(f.now, m.Host, followers, nil)
-	m.parents.SetRelays(p.parents.Relays())
+	m.parents.SetRelays(f.now, p.parents.leader, p.parents.Relays())
 	return true
 }
 
@@ -141,17 +150,24 @@
 }
 
 // Pattern: the leader is lost ("node_kill", how leader). Guards against hosts that leave
-// their relays: each of them would read the store.
+// their relays: each of them would read the store. Also guards against a new leader that
+// names no relays, because it has not heard of all hosts yet: hundreds would turn to it and
+// be counted twice.
 func TestHostsStayWithRelaysWithoutALeader(t *testing.T) {
-	f := newFleet(295, 5)
-	f.run(10)
-	f.leader = ""
-	f.run(5)
-	require.LessOrEqual(t, f.unserved(), 5*RelaysPerZone, "only relays read the store")
-	f.leader = "new"
-	f.registry = NewRegistry()
-	f.run(10)
-	require.Zero(t, f.unserved())
-	require.LessOrEqual(t, f.polls["new"], 5*RelaysPerZone)
-	require.Equal(t, 296, f.registry.HostCount(f.now))
+	for seed := range uint64(20) {
+		f := newFleetWithSeed(295, 5, seed)
+		f.run(10)
+		f.leader = ""
+		f.run(5)
+		require.LessOrEqual(t, f.unserved(), 5*RelaysPerZone, "only relays read the store")
+		f.leader = "new"
+		f.registry = NewRegistry()
+		for range 10 {
+			f.run(1)
+			require.LessOrEqual(t, f.polls["new"], 5*RelaysPerZone)
+			require.LessOrEqual(t, f.registry.HostCount(f.now), 296)
+		}
+		require.Zero(t, f.unserved())
+		require.Equal(t, 296, f.registry.HostCount(f.now))
+	}
 }
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -334,8 +334,9 @@
 		// A relay that has read the store itself since its start knows no relays.
 		received.Relays = f.parents.Relays()
 	}
+	f.parents.SetRelays(f.options.Now(), r.Leader, received.Relays)
+	received.Relays = f.parents.Relays()
 	f.received.Store(received)
-	f.parents.SetRelays(received.Relays)
 	f.hostState.SetHostCount(received.HostCount)
 	f.hostState.SetAdmittedShares(received.Admitted)
 }
