Give each grant a new fence

Cause: a renewal had the fence of the first grant. A server that starts again at its address has seen no fence and accepted it, although the key had that fence in its former incarnation. A call that failed while it connected was repeated with the same fence as well. Keys may reach another life of a server only with a higher fence. Change: each grant has a new fence. A call reaches one process only, and calls for a range follow one another, so two incarnations never accept the same fence. The counter counts the grants of a range, not those of all ranges: with one counter, 2,048 ranges renewed every 3.2 s would use 2^24 in 7 h; per range it lasts 621 days. The leader resigns when 2^16 counts are left and stops when there are none, also for the numbers of moves, which share the bits. Fences stay below 2^53 up to term 2^29. Weighed: the protocol names the same call sent again as a renewal, and does not say whether a grant with a higher fence to the holder counts as an arrival of the keys (slow without the handover). Grants with a new fence to the same holder are sent today after each change of leader and after each unanswered grant. Gain: a late copy of an earlier grant is refused and cannot shorten a newer one. A renewal on the connection of the last grant could keep the fence, but pools do not tell connections apart, and a closed connection would need the new fence anyway. TestTermEndsBeforeItsCountsOverflow is new. Conclusion: no fence is accepted by two incarnations under one leader.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -58,9 +58,13 @@
 	// CallRetryDelay is the delay before a call is repeated after a failure.
 	CallRetryDelay = 400 * time.Millisecond
 	// fenceCounterBits is the number of low bits of a fence that count the grants
-	// within a term; the term is in the bits above. Fences stay below 2^53, so
+	// of a range within a term; the term is in the bits above. Fences stay below 2^53, so
 	// that JSON numbers represent them exactly.
 	fenceCounterBits = 24
+	// maxFenceCounter is the highest count within a term. The leader resigns when
+	// resignationReserve counts are left, and stops when there are none.
+	maxFenceCounter    = 1<<fenceCounterBits - 1
+	resignationReserve = 1 << 16
 )
 
 // ServerIncarnation identifies one run of a backend server's process.
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -112,13 +112,13 @@
 	return "", false
 }
 
-// startCall records a call as open and returns it. A grant gets a new fence unless
-// fenceConfirmed is set. Any call gets one if the range has none in this term.
+// startCall records a call as open and returns it. Each grant has a new fence: the former
+// one may have been accepted by an incarnation of the server that has ended since.
 func (l *Leader) startCall(now time.Duration, t *trackedRange, kind CallKind, server ServerIncarnation, handover string, grantDuration time.Duration) Call {
-	if kind == GrantCall && !t.fenceConfirmed || t.fence == 0 {
-		l.fenceCounter++
-		t.fence = l.acknowledged.Term<<fenceCounterBits | l.fenceCounter
+	if kind == GrantCall || t.fenceCounter == 0 {
+		t.fenceCounter++
 	}
+	t.fence = l.acknowledged.Term<<fenceCounterBits | t.fenceCounter
 	l.lastCallID++
 	t.callOpen, t.lastCallAt = true, now
 	if kind == GrantCall {
@@ -128,6 +128,17 @@
 	return Call{ID: l.lastCallID, Kind: kind, Service: t.service, Server: server, From: t.from, To: t.to, Fence: t.fence, GrantDuration: grantDuration, Handover: handover}
 }
 
+// checkFenceCounters ends the term before a count of the term would run into the bits of
+// the next term.
+func (l *Leader) checkFenceCounters() {
+	highest := l.lastMove
+	for _, t := range l.trackedRanges {
+		highest = max(highest, t.fenceCounter)
+	}
+	l.resigning = l.resigning || highest > maxFenceCounter-resignationReserve
+	l.stopped = l.stopped || highest >= maxFenceCounter
+}
+
 // HandleCallResult updates the range of a call that has ended. CallFenced ends the
 // term, and results after the end of the term are ignored. After CallAddressReused the
 // server counts as ended. Other failed calls are repeated after CallRetryDelay.
@@ -150,8 +161,7 @@
 	case call.Kind == ReleaseCall:
 		t.nextCallAt = now + CallRetryDelay
 	case result.Status != CallSucceeded:
-		// After an unanswered grant the next one needs a higher fence, because the
-		// unanswered one may still arrive.
+		// An unanswered grant may still be applied.
 		t.fenceConfirmed = t.fenceConfirmed && result.Status == CallNotExecuted
 		t.nextCallAt = now + CallRetryDelay
 		if result.Status == CallNotExecuted {
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -24,6 +24,7 @@
 	lastCallAt     time.Duration // start of the last call
 	nextCallAt     time.Duration // earliest start of the next call
 	fence          uint64        // fence of the last grant
+	fenceCounter   uint64        // number of the last grant in this term; 0 for none
 	fenceConfirmed bool          // no earlier grant may still arrive: the holder accepted the fence, or the former leader resigned
 	// The holder may hold the range until the later of grantExpiry (grants of this
 	// term) and formerGrantExpiry (grants of former leaders).
@@ -65,11 +66,10 @@
 // write begins the term. A Leader must not be used concurrently.
 type Leader struct {
 	options               Options
-	acknowledged          *Map          // last map that the log acknowledged
-	draft                 *Map          // map of the next write; nil if nothing changed
-	inFlight              *Map          // map of the open write; nil for none
-	leadershipConfirmedAt time.Duration // time of the last evidence that no other leader has written
-	fenceCounter          uint64
+	acknowledged          *Map                     // last map that the log acknowledged
+	draft                 *Map                     // map of the next write; nil if nothing changed
+	inFlight              *Map                     // map of the open write; nil for none
+	leadershipConfirmedAt time.Duration            // time of the last evidence that no other leader has written
 	lastMove              uint64                   // number of the last move of the term
 	openCalls             map[uint64]*trackedRange // by call ID
 	lastCallID            uint64
@@ -225,6 +225,9 @@
 		l.stopped = true
 		return nil
 	}
+	if l.checkFenceCounters(); l.stopped {
+		return nil
+	}
 	if l.resigning {
 		l.draftResignation()
 		if l.newestMap().Resigned {
--- a/core/assignment/restart_test.go
+++ b/core/assignment/restart_test.go
@@ -80,3 +80,32 @@
 	require.Equal(t, 8, freed)
 	require.Empty(t, s.heldUntil)
 }
+
+// Guards against a count of a term that runs into the bits of the term: the fences of the
+// next leader would not be above those of this one. Also guards against a leader that
+// waits too long for open moves before it resigns.
+func TestTermEndsBeforeItsCountsOverflow(t *testing.T) {
+	for name, count := range map[string]func(l *Leader, n uint64){
+		"fences": func(l *Leader, n uint64) { l.trackedRanges[0].fenceCounter = n },
+		"moves":  func(l *Leader, n uint64) { l.lastMove = n },
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, "1", "2", "3", "4")
+			l := sim.leaderAfterPlacement("a")
+			count(l, maxFenceCounter-resignationReserve+1)
+			sim.run(time.Second, l)
+			require.True(t, sim.appendedMap.Resigned)
+			l = sim.leaderAfterPlacement("b")
+			require.Equal(t, map[string]int{"1": 8, "2": 8, "3": 8, "4": 8}, sim.rangesByOwner())
+
+			sim.servers["1"].unreachable = true
+			sim.run(RenewalInterval, l)
+			count(l, maxFenceCounter)
+			sent := len(sim.sentCalls)
+			sim.run(time.Second, l)
+			require.True(t, l.Stopped())
+			require.False(t, sim.appendedMap.Resigned)
+			require.Len(t, sim.sentCalls, sent)
+		})
+	}
+}
