Wait before a call to a reused address is repeated

Cause: after a response of another server at a server's address, the next call for the range was due at once. If no other server can take the range, it was sent in each tick (50 ms). Change: CallRetryDelay applies. A range that can move does not wait for it, since the move and the end of the holder are checked before nextCallAt. Conclusion: a server that refuses calls for another one gets few of them.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -154,7 +154,7 @@
 		l.stopped = true
 	case result.Status == CallAddressReused:
 		l.addressReused[call.Server] = true
-		t.fenceConfirmed, t.nextCallAt = false, now
+		t.fenceConfirmed, t.nextCallAt = false, now+CallRetryDelay
 	case call.Kind == ReleaseCall && result.Status == CallSucceeded:
 		t.handover = result.Handover
 		l.completeRelease(now, t, ReleasedByHolder)
--- a/core/assignment/leader_test.go
+++ b/core/assignment/leader_test.go
@@ -94,6 +94,18 @@
 	require.Equal(t, map[string]int{"1": 8, "2": 8, "3": 8, "4": 8}, sim.rangesByOwner())
 }
 
+// Guards against calls at each tick to the address of the only server, at which another
+// one responds.
+func TestOnlyServerWithReusedAddressIsCalledWithDelay(t *testing.T) {
+	sim := newSimulation(t, "1")
+	l := sim.leaderAfterPlacement("a")
+	sim.servers["1"].addressReused = true
+	sim.run(RenewalInterval, l)
+	sim.sentCalls = nil
+	sim.run(time.Second, l)
+	require.LessOrEqual(t, len(sim.sentCalls), 3*len(sim.appendedMap.Services["stock"]))
+}
+
 // Guards against keys that stay unserved after a server was unreachable for a short
 // time: a range whose release was not answered goes back to the returning holder.
 func TestReturningHolderKeepsItsKeys(t *testing.T) {
