Keep the ranges of a server that restarts at its address

Cause: the leader took a newer incarnation in the list as proof that the holder of a range had ended, and freed the range at once. A call names an id and an address, and the list lags: renewals for the former incarnation had reached the new one, which held the range for up to 8 s while another server got it. Change: what runs under an id at an address is one holder. If the list shows a newer incarnation there, the map names it and it keeps its ranges; it gets a grant with a new fence at once, without a release, a wait, or the write. If the range is to be released, the new incarnation is asked, and its fence is raised first. Times until which earlier grants hold stay, and those of a former leader count again, since the new incarnation has not seen the fences of this term. A newer incarnation at another address and another server at the address remain evidence. Another server's entry that lies between two incarnations is none, and a response of another server proves nothing for a range with a later call. Servers are compared by id and address also where the list is older than the map: a new leader no longer moves the ranges of an incarnation that its list does not show yet. Event 424 (owner_restarted) has one line for each server and service. Weighed: the write could come before the grant. It does not make the grant safer, as only that id and address can hold the range, and the keys would be unserved for the time of a write.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -11,6 +11,9 @@
 //     which a former leader may still send grants.
 //   - The fences of a term are higher than those of all earlier terms. A server
 //     that has accepted a grant of a term refuses the grants of former leaders.
+//   - A call names the ID and the address of a server, which keeps both if it starts
+//     again. So whatever runs there counts as the holder of a range, and each grant
+//     has a new fence, as the former incarnation may have accepted the last one.
 //   - A range moves to another server only after the previous holder has released
 //     it, is known to have ended, or has outlived the last grant that may have
 //     reached it.
@@ -74,6 +77,12 @@
 	Address string `json:"address"`
 }
 
+// endpoint is what a call names. Calls reach whichever incarnation of the server runs
+// at the address.
+type endpoint struct{ id, address string }
+
+func (i ServerIncarnation) endpoint() endpoint { return endpoint{id: i.ID, address: i.Address} }
+
 // IncarnationOf returns the incarnation of a server.
 func IncarnationOf(s directory.Server) ServerIncarnation {
 	return ServerIncarnation{ID: s.ID, Born: s.Born, Address: s.Address}
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -58,7 +58,7 @@
 // any more, which changes the draft map.
 func (l *Leader) startDueCall(now time.Duration, t *trackedRange) (Call, bool) {
 	r := l.acknowledged.FindRange(t.service, t.from)
-	if r == nil || r.Owner != t.owner || r.PreviousHolder != t.previousHolder || r.GrantPending != t.grantPending {
+	if r == nil || r.Owner.endpoint() != t.owner.endpoint() || r.PreviousHolder.endpoint() != t.previousHolder.endpoint() || r.GrantPending != t.grantPending {
 		return Call{}, false // the log has not acknowledged the latest change of the range yet
 	}
 	// The end of the previous holder's grant is checked even before nextCallAt.
@@ -69,7 +69,7 @@
 	case stageSettled:
 		return l.startCall(now, t, GrantCall, r.Owner, "", GrantDuration), true
 	case stageReleasing:
-		evidence, freed := l.hasEnded(t.service, r.PreviousHolder)
+		evidence, freed := l.hasEnded(t, r.PreviousHolder)
 		if !freed && now >= t.latestGrantExpiry() {
 			evidence, freed = GrantExpired, true
 		}
@@ -92,19 +92,26 @@
 	}
 }
 
-// hasEnded reports whether an incarnation is known to have ended, and the evidence:
-// another server responded at its address, a newer server of any service is listed with
-// its address, or a newer incarnation in the same service has its ID.
-func (l *Leader) hasEnded(service string, incarnation ServerIncarnation) (ReleaseEvidence, bool) {
-	if l.addressReused[incarnation] {
+// hasEnded reports whether the holder of a range is known to have ended, and the
+// evidence: another server responded at its address, a newer server of any service is
+// listed with its address, or a newer incarnation in the same service has its ID and
+// another address. A newer incarnation at the address is no evidence, because calls for
+// the former one may have reached it.
+func (l *Leader) hasEnded(t *trackedRange, holder ServerIncarnation) (ReleaseEvidence, bool) {
+	// A call that was started after the response may have reached a newer incarnation.
+	if reuse, ok := l.addressReused[holder.endpoint()]; ok && t.lastCallAt <= reuse.seenAt {
 		return AddressTakenOver, true
 	}
-	for name, servers := range l.servers {
-		if s, ok := servers[incarnation.ID]; ok && name == service && s.Born > incarnation.Born {
+	newest := holder.Born
+	if s, ok := l.servers[t.service][holder.ID]; ok && s.Born > newest {
+		if s.Address != holder.Address {
 			return NewerIncarnationListed, true
 		}
+		newest = s.Born
+	}
+	for _, servers := range l.servers {
 		for _, s := range servers {
-			if s.ID != incarnation.ID && s.Address == incarnation.Address && s.Born > incarnation.Born {
+			if s.ID != holder.ID && s.Address == holder.Address && s.Born > newest {
 				return NewerServerAtAddress, true
 			}
 		}
@@ -112,6 +119,12 @@
 	return "", false
 }
 
+// addressReuse is a response of another server at the address of a server.
+type addressReuse struct {
+	born   int64 // of the newest incarnation of the server that is known to have ended
+	seenAt time.Duration
+}
+
 // startCall records a call as open and returns it. Each grant has a new fence: the former
 // one may have been accepted by an incarnation of the server that has ended since.
 func (l *Leader) startCall(now time.Duration, t *trackedRange, kind CallKind, server ServerIncarnation, handover string, grantDuration time.Duration) Call {
@@ -153,7 +166,8 @@
 	case result.Status == CallFenced:
 		l.stopped = true
 	case result.Status == CallAddressReused:
-		l.addressReused[call.Server] = true
+		reuse := l.addressReused[call.Server.endpoint()]
+		l.addressReused[call.Server.endpoint()] = addressReuse{born: max(reuse.born, call.Server.Born), seenAt: now}
 		t.fenceConfirmed, t.nextCallAt = false, now+CallRetryDelay
 	case call.Kind == ReleaseCall && result.Status == CallSucceeded:
 		t.handover = result.Handover
@@ -211,6 +225,7 @@
 // process is open.
 func (l *Leader) RecordFormerLeaderExit(now time.Duration) {
 	latestExpiry := now + GrantDuration + GrantExpiryMargin
+	l.formerGrantExpiry = min(l.formerGrantExpiry, latestExpiry)
 	for _, t := range l.trackedRanges {
 		t.formerGrantExpiry = min(t.formerGrantExpiry, latestExpiry)
 	}
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -70,6 +70,7 @@
 	draft                 *Map                     // map of the next write; nil if nothing changed
 	inFlight              *Map                     // map of the open write; nil for none
 	leadershipConfirmedAt time.Duration            // time of the last evidence that no other leader has written
+	formerGrantExpiry     time.Duration            // time until which a server may hold a range by a grant of a former leader
 	lastMove              uint64                   // number of the last move of the term
 	openCalls             map[uint64]*trackedRange // by call ID
 	lastCallID            uint64
@@ -81,13 +82,14 @@
 	firstServerAt         map[string]time.Duration    // by service; time at which a server was first assignable
 	keyLoadsByService     map[string]*keyLoads        // by service
 	meanServiceTimes      map[string]*meanServiceTime // by server ID
-	addressReused         map[ServerIncarnation]bool  // another server responded at the address
-	fillingServers        map[ServerIncarnation]bool  // servers that had no ranges and are getting their share
+	addressReused         map[endpoint]addressReuse
+	fillingServers        map[endpoint]bool // servers that had no ranges and are getting their share
 	hostCount             int
 	queueReports          map[string]queueReports       // by server ID
 	admittedLoads         map[string]map[string]float64 // of limited servers, by service and server ID
 	admittedShares        map[string]float64            // see AdmittedShares
 	completedReleases     []CompletedRelease            // since the last TakeCompletedReleases
+	restarts              []Restart                     // since the last TakeRestarts
 }
 
 // NewLeader returns a leader for the term after that of the acknowledged map. The
@@ -95,7 +97,7 @@
 func NewLeader(now time.Duration, acknowledged *Map, options Options) *Leader {
 	l := &Leader{
 		options: options, acknowledged: acknowledged, openCalls: map[uint64]*trackedRange{}, servers: map[string]map[string]directory.Server{}, firstServerAt: map[string]time.Duration{},
-		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[ServerIncarnation]bool{}, fillingServers: map[ServerIncarnation]bool{},
+		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[endpoint]addressReuse{}, fillingServers: map[endpoint]bool{},
 	}
 	l.draft = acknowledged.clone()
 	l.draft.Term++
@@ -194,6 +196,9 @@
 	if !formerResigned {
 		formerGrantExpiry += LeadershipConfirmationTimeout + CallTimeout
 	}
+	if l.acknowledged.Term > firstTerm {
+		l.formerGrantExpiry = formerGrantExpiry
+	}
 	for _, service := range sortedKeys(l.acknowledged.Services) {
 		for _, r := range l.acknowledged.Services[service] {
 			t := &trackedRange{service: service, from: r.From, to: r.To, formerGrantExpiry: formerGrantExpiry, fenceConfirmed: formerResigned, nextCallAt: now,
@@ -228,6 +233,7 @@
 	if l.checkFenceCounters(); l.stopped {
 		return nil
 	}
+	l.recordRestarts(now)
 	if l.resigning {
 		l.draftResignation()
 		if l.newestMap().Resigned {
--- a/core/assignment/leader_test.go
+++ b/core/assignment/leader_test.go
@@ -83,15 +83,23 @@
 	require.Zero(t, sim.rangesByOwner()["1"])
 }
 
-// Guards against a wait for grants of a server that has restarted and therefore holds
-// nothing.
+// Guards against a wait of a restarted server, which holds nothing: for the expiry of
+// grants of its former incarnation, or for the write that names the new one.
 func TestRestartedServerGetsItsKeysAtOnce(t *testing.T) {
 	sim := newSimulation(t, "1", "2", "3", "4")
 	l := sim.leaderAfterPlacement("a")
-	sim.addServer("1")
+	sim.writeDelay = 300 * time.Millisecond
+	s := sim.addServer("2")
 	l.SetServers(sim.serversExcept())
-	sim.run(300*time.Millisecond, l)
+	sim.step(l)
+	require.NotEmpty(t, s.heldUntil)
+	sim.run(600*time.Millisecond, l)
 	require.Equal(t, map[string]int{"1": 8, "2": 8, "3": 8, "4": 8}, sim.rangesByOwner())
+	for _, r := range sim.appendedMap.Services["stock"] {
+		require.Equal(t, IncarnationOf(sim.servers[r.Owner.ID].Server), r.Owner)
+	}
+	require.Equal(t, []Restart{{Service: "stock", Server: IncarnationOf(s.Server), FormerBorn: int64(time.Hour), Ranges: 8}}, l.TakeRestarts())
+	require.Empty(t, l.TakeRestarts())
 }
 
 // Guards against calls at each tick to the address of the only server, at which another
--- a/core/assignment/load_balancing.go
+++ b/core/assignment/load_balancing.go
@@ -274,7 +274,7 @@
 			continue
 		}
 		r := l.newestMap().FindRange(service, t.from)
-		if r != nil && !r.IsMoving() && r.Owner == owner && load.ofRange(t.from, t.to) > 0 {
+		if r != nil && !r.IsMoving() && r.Owner.endpoint() == owner.endpoint() && load.ofRange(t.from, t.to) > 0 {
 			candidates = append(candidates, t)
 		}
 	}
--- a/core/assignment/plan.go
+++ b/core/assignment/plan.go
@@ -80,9 +80,9 @@
 		for _, r := range ranges {
 			rangeCounts[r.Owner.ID]++
 		}
-		isAssignable := map[ServerIncarnation]bool{}
+		isAssignable := map[endpoint]bool{}
 		for _, s := range assignable {
-			isAssignable[IncarnationOf(s)] = true
+			isAssignable[IncarnationOf(s).endpoint()] = true
 		}
 		for _, t := range l.trackedRanges {
 			if t.service != service || t.callOpen {
@@ -92,10 +92,10 @@
 			switch {
 			case r == nil:
 			case t.stage == stageReleasing:
-				if isAssignable[r.PreviousHolder] && (t.revertIfHolderReturns || !isAssignable[r.Owner]) {
+				if isAssignable[r.PreviousHolder.endpoint()] && (t.revertIfHolderReturns || !isAssignable[r.Owner.endpoint()]) {
 					l.revertMove(now, t, rangeCounts)
 				}
-			case !isAssignable[r.Owner]:
+			case !isAssignable[r.Owner.endpoint()]:
 				l.startMove(now, t, serverWithFewestRanges(assignable, rangeCounts), rangeCounts)
 				t.revertIfHolderReturns = true
 			}
@@ -112,13 +112,13 @@
 	share := func(s directory.Server) int { return total * max(1, s.Slots) / totalSlots }
 	for _, recipient := range assignable {
 		if rangeCounts[recipient.ID] == 0 {
-			l.fillingServers[IncarnationOf(recipient)] = true
+			l.fillingServers[IncarnationOf(recipient).endpoint()] = true
 		}
-		if !l.fillingServers[IncarnationOf(recipient)] {
+		if !l.fillingServers[IncarnationOf(recipient).endpoint()] {
 			continue
 		}
 		if rangeCounts[recipient.ID] >= share(recipient) {
-			delete(l.fillingServers, IncarnationOf(recipient))
+			delete(l.fillingServers, IncarnationOf(recipient).endpoint())
 		}
 		for rangeCounts[recipient.ID] < share(recipient) {
 			t := l.surplusRange(service, assignable, rangeCounts, share)
@@ -181,7 +181,8 @@
 func (l *Leader) assignableServers(service string) []directory.Server {
 	var servers []directory.Server
 	for _, s := range l.servers[service] {
-		if !s.Draining && !l.addressReused[IncarnationOf(s)] {
+		reuse, reused := l.addressReused[IncarnationOf(s).endpoint()]
+		if !s.Draining && (!reused || s.Born > reuse.born) {
 			servers = append(servers, s)
 		}
 	}
--- a/core/assignment/releases_test.go
+++ b/core/assignment/releases_test.go
@@ -19,18 +19,23 @@
 			sim.addServer("5").Address = s.Address
 			return []string{"1"}
 		},
+		NewerIncarnationListed: func(sim *simulation, s *fakeServer) []string {
+			sim.addServer("1").Address = "10.0.0.2:1"
+			return nil
+		},
 	} {
 		sim := newSimulation(t, "1", "2", "3", "4")
 		l := sim.leaderAfterPlacement("a")
 		ranges := sim.rangesByOwner()["1"]
 		sim.now += time.Millisecond
+		former := IncarnationOf(sim.servers["1"].Server)
 		l.SetServers(sim.serversExcept(end(sim, sim.servers["1"])...))
 		sim.run(GrantDuration+2*time.Second, l)
 		freed := 0
 		for _, r := range l.TakeCompletedReleases() {
 			if r.Holder.ID == "1" {
 				require.Equal(t, evidence, r.Evidence)
-				require.Equal(t, sim.servers["1"].Born, r.Holder.Born)
+				require.Equal(t, former, r.Holder)
 				freed++
 			}
 		}
--- a/core/assignment/restart_test.go
+++ b/core/assignment/restart_test.go
@@ -63,6 +63,16 @@
 	sim.restartBeforeRenewals(l)
 }
 
+// requireReleasedByHolder fails unless all ranges of server 2 were released by it.
+func requireReleasedByHolder(t *testing.T, l *Leader) {
+	releases := l.TakeCompletedReleases()
+	require.Len(t, releases, 8)
+	for _, r := range releases {
+		require.Equal(t, "2", r.Holder.ID)
+		require.Equal(t, ReleasedByHolder, r.Evidence)
+	}
+}
+
 // Guards against a release that a new incarnation never answers, because the leader has
 // taken the ranges for free when the list showed it.
 func TestNewIncarnationIsAskedToRelease(t *testing.T) {
@@ -72,15 +82,47 @@
 	s.Draining = true
 	l.SetServers(sim.serversExcept())
 	sim.run(time.Second, l)
-	freed := 0
-	for _, r := range l.TakeCompletedReleases() {
-		require.Equal(t, ReleasedByHolder, r.Evidence)
-		freed++
-	}
-	require.Equal(t, 8, freed)
+	requireReleasedByHolder(t, l)
 	require.Empty(t, s.heldUntil)
 }
 
+// Guards against a server that is taken for ended because an old entry shows another one
+// that had its address between its two incarnations.
+func TestServerBetweenTwoIncarnationsIsNoEvidence(t *testing.T) {
+	sim := newSimulation(t, "1", "2", "3", "4")
+	l := sim.leaderAfterPlacement("a")
+	between := sim.addServer("5")
+	between.Address, between.Draining = sim.addressOf("2"), true
+	servers := sim.serversExcept()
+	delete(sim.servers, "5")
+	s := sim.restartBeforeRenewals(l)
+	s.Draining = true
+	servers["stock"]["2"] = s.Server
+	l.SetServers(servers)
+	sim.run(time.Second, l)
+	requireReleasedByHolder(t, l)
+}
+
+// Guards against a release by a new incarnation that has not seen a fence of this term,
+// while a former leader may still renew the grant of the former incarnation.
+func TestNewIncarnationGetsAFenceBeforeItsRelease(t *testing.T) {
+	sim := newSimulation(t, "1", "2", "3", "4")
+	sim.leaderAfterPlacement("a")
+	renewal := sim.lastRenewal("2")
+	l := sim.newLeader("b")
+	l.SetServers(sim.serversExcept())
+	sim.run(time.Second, l)
+	sim.servers["2"].Draining, sim.servers["2"].unreachable = true, true
+	l.SetServers(sim.serversExcept())
+	sim.run(time.Second, l)
+	sim.addServer("2").Draining = true
+	l.SetServers(sim.serversExcept())
+	sim.run(time.Second, l)
+	require.Zero(t, sim.rangesByOwner()["moving"])
+	result, _ := sim.deliver(renewal)
+	require.Equal(t, CallFenced, result.Status)
+}
+
 // Guards against a count of a term that runs into the bits of the term: the fences of the
 // next leader would not be above those of this one. Also guards against a leader that
 // waits too long for open moves before it resigns.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -96,6 +96,7 @@
 	LoadUnlimited      Code = 421
 	ParentChanged      Code = 422
 	RangeFreed         Code = 423
+	OwnerRestarted     Code = 424
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -172,6 +173,7 @@
 	{LoadUnlimited, "load_unlimited", "The leader no longer limits the requests for the keys of a server."},
 	{ParentChanged, "parent_changed", "This host gets the state of the store from another host than before."},
 	{RangeFreed, "range_freed", "The previous holder of a key range cannot hold it any more; the line names the evidence."},
+	{OwnerRestarted, "owner_restarted", "A server started again at its address; it keeps its key ranges, as calls for the former incarnation may have reached it."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
 	{SliceReleased, "slice_released", "A server released a slice."},
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -402,6 +402,7 @@
 		}
 	}
 	a.logReleases()
+	a.logRestarts()
 	a.dropStoppedLeader("no read or write of the map succeeded in time")
 	a.publishAdmittedShares()
 }
@@ -422,6 +423,17 @@
 	}
 }
 
+// logRestarts logs the servers that were seen to have started again since the last tick.
+func (a *Assigner) logRestarts() {
+	if a.leader == nil {
+		return
+	}
+	for _, r := range a.leader.TakeRestarts() {
+		a.options.Journal.LogEvent(event.OwnerRestarted, "term", a.leader.Term(), "service", r.Service, "server", r.Server.ID, "address", r.Server.Address,
+			"born", r.Server.Born, "former_born", r.FormerBorn, "ranges", r.Ranges)
+	}
+}
+
 // sendCall sends a call that was started at startedAt, by package clock, when its server
 // has a free call slot, and queues the result. A call that cannot be sent in time is
 // not sent, because the state machine and later leaders rely on its end within
