Make no call that an open write contradicts

Cause: a leader whose move was stored, but not acknowledged, took it back when the previous holder was assignable again. The acknowledged map from before the move then looked like the newest state, so it renewed the holder's grant. The next leader reads the move, counts 9.36 s from its first sight, and frees the range while that holder still holds it. Slow or lost acknowledgements of the store and a change of the leader suffice. Change: a call is made only if the acknowledged map and the open write agree with the newest state. The simulation acknowledges writes later than it stores them, also in the random faults. Measured: TestUnacknowledgedMoveEndsTheRenewals failed before ("1 and 2 hold 29696") and passes. Conclusion: a second way to two holders is shown and ended. A range whose move was taken back gets no renewals until its writes are acknowledged.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -58,8 +58,11 @@
 // any more, which changes the draft map.
 func (l *Leader) startDueCall(now time.Duration, t *trackedRange) (Call, bool) {
 	r := l.acknowledged.FindRange(t.service, t.from)
-	if r == nil || r.Owner.endpoint() != t.owner.endpoint() || r.PreviousHolder.endpoint() != t.previousHolder.endpoint() || r.GrantPending != t.grantPending {
-		return Call{}, false // the log has not acknowledged the latest change of the range yet
+	// The log must have acknowledged the latest change of the range. An open write that
+	// differs may be stored already, and the next leader relies on the calls that its
+	// state allows.
+	if !t.isInState(r) || l.inFlight != nil && !t.isInState(l.inFlight.FindRange(t.service, t.from)) {
+		return Call{}, false
 	}
 	// The end of the previous holder's grant is checked even before nextCallAt.
 	if t.callOpen || now < t.nextCallAt && t.stage != stageReleasing {
@@ -92,6 +95,12 @@
 	}
 }
 
+// isInState reports whether a map's range has the owner, the previous holder and the
+// grant state of the newest map.
+func (t *trackedRange) isInState(r *Range) bool {
+	return r != nil && r.Owner.endpoint() == t.owner.endpoint() && r.PreviousHolder.endpoint() == t.previousHolder.endpoint() && r.GrantPending == t.grantPending
+}
+
 // hasEnded reports whether the holder of a range is known to have ended, and the
 // evidence: another server responded at its address, a newer server of any service is
 // listed with its address, or a newer incarnation in the same service has its ID and
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -33,7 +33,7 @@
 	handover              string // data from the previous holder for the owner
 	revertIfHolderReturns bool   // the move started because the holder was draining, unlisted or ended
 	// owner, previousHolder and grantPending are those of the newest map. Calls are
-	// made only while the acknowledged map has the same values.
+	// made only while the acknowledged map and an open write have the same values.
 	owner, previousHolder ServerIncarnation
 	grantPending          bool
 }
--- a/core/assignment/observations_test.go
+++ b/core/assignment/observations_test.go
@@ -61,3 +61,26 @@
 	_, known = o.grantExpiry(time.Minute, &first.Services["s"][0])
 	require.False(t, known)
 }
+
+// Guards against two holders of a range whose move was stored but not acknowledged: its
+// leader reverts the move and renews the grant, while the next leader counts from the
+// first sight of the move.
+func TestUnacknowledgedMoveEndsTheRenewals(t *testing.T) {
+	sim := newSimulation(t, "1", "2", "3", "4")
+	former := sim.leaderAfterPlacement("a")
+	sim.ackDelay = time.Minute
+	s := sim.servers["1"]
+	for _, draining := range []bool{true, false} {
+		s.Draining = draining
+		former.SetServers(sim.serversExcept())
+		sim.step(former)
+	}
+	require.Equal(t, 8, sim.rangesByOwner()["moving"])
+	sim.run(5*time.Second, former)
+	s.unreachable, sim.ackDelay = true, 0
+	successor := sim.newLeader("b")
+	successor.SetServers(sim.serversExcept("1"))
+	sim.run(GrantDuration+2*time.Second, successor)
+	require.Zero(t, sim.rangesByOwner()["moving"])
+	require.Zero(t, sim.rangesByOwner()["1"])
+}
--- a/core/assignment/randomfaults_test.go
+++ b/core/assignment/randomfaults_test.go
@@ -107,6 +107,10 @@
 			}
 		case 10: // the leader's list becomes older or more recent
 			listLag = random.IntN(40)
+		case 11: // acknowledgements become slow
+			sim.ackDelay = time.Duration(random.IntN(4000)) * time.Millisecond
+		case 12, 13: // and fast again
+			sim.ackDelay = 0
 		}
 		var excluded []string
 		for id, h := range unlisted {
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -63,7 +63,8 @@
 	openCalls     []openCall
 	lateCalls     []lateCall
 	openWrites    []openWrite
-	writeDelay    time.Duration                     // time until a write is acknowledged
+	writeDelay    time.Duration                     // time until a map is stored
+	ackDelay      time.Duration                     // time from then until the write is acknowledged
 	random        *rand.Rand                        // selects the unanswered grants that are applied late; nil for none
 	checkedKeys   []uint16                          // keys whose holders are checked
 	grantedFences map[uint16]map[*fakeServer]uint64 // by key and incarnation; highest accepted fence
@@ -73,9 +74,11 @@
 
 // openWrite is a write of a map that the log has not completed.
 type openWrite struct {
-	leader      *Leader
-	completesAt time.Duration
-	newMap      *Map
+	leader         *Leader
+	storedAt       time.Duration
+	acknowledgedAt time.Duration
+	newMap         *Map
+	stored         *Map // nil before storedAt
 }
 
 // lateCall is a call that arrives later, or that its server applies later than it arrives.
@@ -220,37 +223,33 @@
 	return m.Term < l.Term() || m.Term == l.Term() && m.Leader == l.options.HostIncarnation
 }
 
-// advanceWrites starts the next write of a leader and completes the writes that are
-// due.
+// advanceWrites starts the next write of a leader, and stores and acknowledges the writes
+// that are due.
 func (sim *simulation) advanceWrites(l *Leader) {
 	if write := l.NextMapWrite(); write != nil {
-		sim.openWrites = append(sim.openWrites, openWrite{leader: l, completesAt: sim.now + sim.writeDelay, newMap: write.Map})
+		storedAt := sim.now + sim.writeDelay
+		sim.openWrites = append(sim.openWrites, openWrite{leader: l, storedAt: storedAt, acknowledgedAt: storedAt + sim.ackDelay, newMap: write.Map})
 	}
 	remaining := sim.openWrites[:0]
 	for _, o := range sim.openWrites {
-		if o.completesAt > sim.now {
+		if o.stored == nil && o.storedAt <= sim.now {
+			if o.newMap.NextOffset != sim.appendedMap.NextOffset {
+				o.leader.Stop()
+				continue
+			}
+			o.stored = o.newMap.clone()
+			o.stored.Offset, o.stored.NextOffset = o.newMap.NextOffset, o.newMap.NextOffset+1
+			sim.appendedMap = o.stored
+		}
+		if o.acknowledgedAt > sim.now {
 			remaining = append(remaining, o)
-			continue
+		} else if !o.leader.Stopped() {
+			o.leader.AcknowledgeMapWrite(sim.now, o.stored.Offset, o.stored.NextOffset)
 		}
-		sim.append(o)
 	}
 	sim.openWrites = remaining
 }
 
-// append completes a write: it stores the map if its condition holds, and ends the
-// leader's term otherwise.
-func (sim *simulation) append(o openWrite) {
-	if o.newMap.NextOffset != sim.appendedMap.NextOffset {
-		o.leader.Stop()
-		return
-	}
-	sim.appendedMap = o.newMap.clone()
-	sim.appendedMap.Offset, sim.appendedMap.NextOffset = sim.appendedMap.NextOffset, sim.appendedMap.NextOffset+1
-	if !o.leader.Stopped() {
-		o.leader.AcknowledgeMapWrite(sim.now, sim.appendedMap.Offset, sim.appendedMap.NextOffset)
-	}
-}
-
 // deliver passes a call to the server that listens at its address. It returns the result
 // that the leader gets, and the time at which the call ends.
 func (sim *simulation) deliver(c Call) (result CallResult, endsAt time.Duration) {
