--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -11,6 +11,9 @@
 //     which a former leader may still send grants.
 //   - The fences of a term are higher than those of all earlier terms. A server
 //     that has accepted a grant of a term refuses the grants of former leaders.
+//   - A call names the ID and the address of a server, which keeps both if it starts
+//     again. So whatever runs there counts as the holder of a range, and each grant
+//     has a new fence, as the former incarnation may have accepted the last one.
 //   - A range moves to another server only after the previous holder has released
 //     it, is known to have ended, or has outlived the last grant that may have
 //     reached it.
@@ -58,9 +61,13 @@
 	// CallRetryDelay is the delay before a call is repeated after a failure.
 	CallRetryDelay = 400 * time.Millisecond
 	// fenceCounterBits is the number of low bits of a fence that count the grants
-	// within a term; the term is in the bits above. Fences stay below 2^53, so
+	// of a range within a term; the term is in the bits above. Fences stay below 2^53, so
 	// that JSON numbers represent them exactly.
 	fenceCounterBits = 24
+	// maxFenceCounter is the highest count within a term. The leader resigns when
+	// resignationReserve counts are left, and stops when there are none.
+	maxFenceCounter    = 1<<fenceCounterBits - 1
+	resignationReserve = 1 << 16
 )
 
 // ServerIncarnation identifies one run of a backend server's process.
@@ -70,6 +77,12 @@
 	Address string `json:"address"`
 }
 
+// endpoint is what a call names. Calls reach whichever incarnation of the server runs
+// at the address.
+type endpoint struct{ id, address string }
+
+func (i ServerIncarnation) endpoint() endpoint { return endpoint{id: i.ID, address: i.Address} }
+
 // IncarnationOf returns the incarnation of a server.
 func IncarnationOf(s directory.Server) ServerIncarnation {
 	return ServerIncarnation{ID: s.ID, Born: s.Born, Address: s.Address}
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -24,6 +24,7 @@
 	lastCallAt     time.Duration // start of the last call
 	nextCallAt     time.Duration // earliest start of the next call
 	fence          uint64        // fence of the last grant
+	fenceCounter   uint64        // number of the last grant in this term; 0 for none
 	fenceConfirmed bool          // no earlier grant may still arrive: the holder accepted the fence, or the former leader resigned
 	// The holder may hold the range until the later of grantExpiry (grants of this
 	// term) and formerGrantExpiry (grants of former leaders).
@@ -32,7 +33,7 @@
 	handover              string // data from the previous holder for the owner
 	revertIfHolderReturns bool   // the move started because the holder was draining, unlisted or ended
 	// owner, previousHolder and grantPending are those of the newest map. Calls are
-	// made only while the acknowledged map has the same values.
+	// made only while the acknowledged map and an open write have the same values.
 	owner, previousHolder ServerIncarnation
 	grantPending          bool
 }
@@ -65,11 +66,11 @@
 // write begins the term. A Leader must not be used concurrently.
 type Leader struct {
 	options               Options
-	acknowledged          *Map          // last map that the log acknowledged
-	draft                 *Map          // map of the next write; nil if nothing changed
-	inFlight              *Map          // map of the open write; nil for none
-	leadershipConfirmedAt time.Duration // time of the last evidence that no other leader has written
-	fenceCounter          uint64
+	acknowledged          *Map                     // last map that the log acknowledged
+	draft                 *Map                     // map of the next write; nil if nothing changed
+	inFlight              *Map                     // map of the open write; nil for none
+	leadershipConfirmedAt time.Duration            // time of the last evidence that no other leader has written
+	formerGrantExpiry     time.Duration            // time until which a server may hold a range by a grant of a former leader
 	lastMove              uint64                   // number of the last move of the term
 	openCalls             map[uint64]*trackedRange // by call ID
 	lastCallID            uint64
@@ -81,13 +82,14 @@
 	firstServerAt         map[string]time.Duration    // by service; time at which a server was first assignable
 	keyLoadsByService     map[string]*keyLoads        // by service
 	meanServiceTimes      map[string]*meanServiceTime // by server ID
-	addressReused         map[ServerIncarnation]bool  // another server responded at the address
-	fillingServers        map[ServerIncarnation]bool  // servers that had no ranges and are getting their share
+	addressReused         map[endpoint]addressReuse
+	fillingServers        map[endpoint]bool // servers that had no ranges and are getting their share
 	hostCount             int
 	queueReports          map[string]queueReports       // by server ID
 	admittedLoads         map[string]map[string]float64 // of limited servers, by service and server ID
 	admittedShares        map[string]float64            // see AdmittedShares
 	completedReleases     []CompletedRelease            // since the last TakeCompletedReleases
+	restarts              []Restart                     // since the last TakeRestarts
 }
 
 // NewLeader returns a leader for the term after that of the acknowledged map. The
@@ -95,7 +97,7 @@
 func NewLeader(now time.Duration, acknowledged *Map, options Options) *Leader {
 	l := &Leader{
 		options: options, acknowledged: acknowledged, openCalls: map[uint64]*trackedRange{}, servers: map[string]map[string]directory.Server{}, firstServerAt: map[string]time.Duration{},
-		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[ServerIncarnation]bool{}, fillingServers: map[ServerIncarnation]bool{},
+		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[endpoint]addressReuse{}, fillingServers: map[endpoint]bool{},
 	}
 	l.draft = acknowledged.clone()
 	l.draft.Term++
@@ -194,6 +196,9 @@
 	if !formerResigned {
 		formerGrantExpiry += LeadershipConfirmationTimeout + CallTimeout
 	}
+	if l.acknowledged.Term > firstTerm {
+		l.formerGrantExpiry = formerGrantExpiry
+	}
 	for _, service := range sortedKeys(l.acknowledged.Services) {
 		for _, r := range l.acknowledged.Services[service] {
 			t := &trackedRange{service: service, from: r.From, to: r.To, formerGrantExpiry: formerGrantExpiry, fenceConfirmed: formerResigned, nextCallAt: now,
@@ -225,6 +230,10 @@
 		l.stopped = true
 		return nil
 	}
+	if l.checkFenceCounters(); l.stopped {
+		return nil
+	}
+	l.recordRestarts(now)
 	if l.resigning {
 		l.draftResignation()
 		if l.newestMap().Resigned {
