Match responses to orders, over connections of their own

Cause: orders to servers (grants and releases of keys) used the pooled connections of requests and accepted any response, so that the second response to a request or to an earlier order answered them. An unanswered grant that is applied later then counted as accepted, and a release as completed. A release without such a response is sent again over a new connection (Exchange.NewConn). Skipped responses and repeated releases are logged (426, 427), within the limit of routine lines.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -96,6 +96,8 @@
 	LoadUnlimited      Code = 421
 	ParentChanged      Code = 422
 	RangeFreed         Code = 423
+	ResponseSkipped    Code = 426
+	ReleaseRepeated    Code = 427
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -172,6 +174,8 @@
 	{LoadUnlimited, "load_unlimited", "The leader no longer limits the requests for the keys of a server."},
 	{ParentChanged, "parent_changed", "This host gets the state of the store from another host than before."},
 	{RangeFreed, "range_freed", "The previous holder of a key range cannot hold it any more; the line names the evidence."},
+	{ResponseSkipped, "response_skipped", "A response on a connection for grants and releases does not belong to the call that was sent last."},
+	{ReleaseRepeated, "release_repeated", "The response to a release was not identified; the release is sent again over a new connection."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
 	{SliceReleased, "slice_released", "A server released a slice."},
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -77,6 +77,7 @@
 	Method     string
 	RawRequest []byte // header and body as written to the connection
 	Matches    func(http.Header) bool
+	NewConn    bool // opens a connection, even if one is idle
 	// BeforeSend is called when the connection is open, before anything is written. If it
 	// returns an error, nothing is sent and the error is returned. nil for no check.
 	BeforeSend func() error
@@ -116,7 +117,7 @@
 // ctx ends later, the connection is reset, upon which most servers stop running the
 // request.
 func (c *Client) Do(ctx context.Context, x Exchange) (*Response, error) {
-	cn, err := c.acquireConn(ctx, x.Address)
+	cn, err := c.acquireConn(ctx, x)
 	if err != nil {
 		return nil, &Error{Address: x.Address, Err: err}
 	}
@@ -150,9 +151,9 @@
 }
 
 // acquireConn returns an idle connection that is still usable, or opens one.
-func (c *Client) acquireConn(ctx context.Context, address string) (*conn, error) {
-	for {
-		cn := c.popIdle(address)
+func (c *Client) acquireConn(ctx context.Context, x Exchange) (*conn, error) {
+	for !x.NewConn {
+		cn := c.popIdle(x.Address)
 		if cn == nil {
 			break
 		}
@@ -164,7 +165,7 @@
 	c.DialAttempts.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	nc, err := c.dial(ctx, address)
+	nc, err := c.dial(ctx, x.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/relay/upstream/upstream_test.go
+++ b/relay/upstream/upstream_test.go
@@ -93,6 +93,19 @@
 	require.Equal(t, uint64(1), c.DialAttempts.Load())
 }
 
+// Guards against an exchange that asks for a new connection but uses an idle one, on which
+// the response to an earlier exchange may still arrive.
+func TestNewConnectionIsOpenedBesideAnIdleOne(t *testing.T) {
+	address := startScriptedServer(t, responseA, responseA)
+	c := NewClient()
+	x := newExchange(address, "a")
+	for _, x.NewConn = range []bool{false, true, false} {
+		_, err := c.Do(context.Background(), x)
+		require.NoError(t, err)
+	}
+	require.Equal(t, uint64(2), c.DialAttempts.Load())
+}
+
 // Guards against truncated, encoded and malformed responses that are accepted.
 func TestIncompleteResponsesAreErrors(t *testing.T) {
 	for name, text := range map[string]string{
