Take from responses to orders only what they prove

Cause: any 400, and any 421 without the called ID, counted as proof that another server has taken over the address, so that a range was freed while its holder may live. Every status but 200 and 409 counted as proof that an order had no effect, so that the fence of a grant stayed confirmed although the grant may be applied later. Change: the address counts as reused only if the response refuses the order (400, 421 or Not-Executed) and names one other server. 400 or 421 without that is the new result CallRefused: no effect, and the server gets one call in RefusedCallDelay (2 s), for a range whose turn it is, until one succeeds; the range waits for the release or the expiry of the grant. Other statuses with Not-Executed had no effect; without it, and in contradictory responses (200 with Not-Executed or with the ID of another server, 409 to a release), the order may still take effect. Malformed responses have no status and count as unanswered, as before.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -57,6 +57,10 @@
 	CallTimeout = time.Second
 	// CallRetryDelay is the delay before a call is repeated after a failure.
 	CallRetryDelay = 400 * time.Millisecond
+	// RefusedCallDelay is the time between calls to a server that refuses them. It leaves
+	// two further attempts within a grant, and the list of servers usually shows within
+	// this time who has the address.
+	RefusedCallDelay = 2 * time.Second
 	// fenceCounterBits is the number of low bits of a fence that count the grants
 	// within a term; the term is in the bits above. Fences stay below 2^53, so
 	// that JSON numbers represent them exactly.
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -41,9 +41,10 @@
 const (
 	CallSucceeded     CallStatus = iota + 1
 	CallFenced                   // refused: the server has accepted a higher fence, so there is a later leader
-	CallNotExecuted              // no effect: nothing was sent, or the server refused for another reason
-	CallUnanswered               // no response; the call may still take effect
+	CallNotExecuted              // no effect: nothing was sent, or the server did not execute it for another reason
+	CallUnanswered               // no response, or none that says whether it had an effect; it may still take effect
 	CallAddressReused            // another server responded at the address, so the called one has ended
+	CallRefused                  // no effect: the server takes no such calls, or is not the called one and did not say which
 )
 
 // CallResult is the outcome of a Call.
@@ -65,6 +66,9 @@
 	if t.callOpen || now < t.nextCallAt && t.stage != stageReleasing {
 		return Call{}, false
 	}
+	if t.stage != stageReleasing && now < l.refusedUntil[r.Owner] {
+		return Call{}, false
+	}
 	switch t.stage {
 	case stageSettled:
 		return l.startCall(now, t, GrantCall, r.Owner, "", GrantDuration), true
@@ -77,7 +81,7 @@
 		case freed:
 			l.completeRelease(now, t, evidence)
 			return Call{}, false
-		case now < t.nextCallAt || now-l.leadershipConfirmedAt > moveConfirmationTimeout:
+		case now < t.nextCallAt || now < l.refusedUntil[r.PreviousHolder] || now-l.leadershipConfirmedAt > moveConfirmationTimeout:
 			return Call{}, false
 		case !t.fenceConfirmed && t.latestGrantExpiry()-now < CallTimeout+FenceGrantDuration+GrantExpiryMargin:
 			return Call{}, false // an unanswered grant would delay the expiry
@@ -121,6 +125,9 @@
 	}
 	l.lastCallID++
 	t.callOpen, t.lastCallAt = true, now
+	if _, refused := l.refusedUntil[server]; refused {
+		l.refusedUntil[server] = now + RefusedCallDelay // other ranges wait for the result of this call
+	}
 	if kind == GrantCall {
 		t.grantExpiry = max(t.grantExpiry, now+CallTimeout+grantDuration+GrantExpiryMargin)
 	}
@@ -130,7 +137,9 @@
 
 // HandleCallResult updates the range of a call that has ended. CallFenced ends the
 // term, and results after the end of the term are ignored. After CallAddressReused the
-// server counts as ended. Other failed calls are repeated after CallRetryDelay.
+// server counts as ended. A server that refused a call gets one in RefusedCallDelay, for a
+// range whose turn it is, until one succeeds. Other failed calls are repeated after
+// CallRetryDelay.
 func (l *Leader) HandleCallResult(now time.Duration, call Call, result CallResult) {
 	t := l.openCalls[call.ID]
 	delete(l.openCalls, call.ID)
@@ -138,12 +147,18 @@
 		return
 	}
 	t.callOpen = false
+	if result.Status == CallSucceeded {
+		delete(l.refusedUntil, call.Server)
+	}
 	switch {
 	case result.Status == CallFenced:
 		l.stopped = true
 	case result.Status == CallAddressReused:
 		l.addressReused[call.Server] = true
 		t.fenceConfirmed, t.nextCallAt = false, now
+	case result.Status == CallRefused:
+		l.refusedUntil[call.Server] = now + RefusedCallDelay
+		t.nextCallAt = now + RenewalInterval // calls for other ranges of the server come first
 	case call.Kind == ReleaseCall && result.Status == CallSucceeded:
 		t.handover = result.Handover
 		l.completeRelease(now, t, ReleasedByHolder)
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -88,6 +88,8 @@
 	admittedLoads         map[string]map[string]float64 // of limited servers, by service and server ID
 	admittedShares        map[string]float64            // see AdmittedShares
 	completedReleases     []CompletedRelease            // since the last TakeCompletedReleases
+
+	refusedUntil map[ServerIncarnation]time.Duration // time of the next call to a server that refused one
 }
 
 // NewLeader returns a leader for the term after that of the acknowledged map. The
@@ -95,7 +97,7 @@
 func NewLeader(now time.Duration, acknowledged *Map, options Options) *Leader {
 	l := &Leader{
 		options: options, acknowledged: acknowledged, openCalls: map[uint64]*trackedRange{}, servers: map[string]map[string]directory.Server{}, firstServerAt: map[string]time.Duration{},
-		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[ServerIncarnation]bool{}, fillingServers: map[ServerIncarnation]bool{},
+		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[ServerIncarnation]bool{}, refusedUntil: map[ServerIncarnation]time.Duration{}, fillingServers: map[ServerIncarnation]bool{},
 	}
 	l.draft = acknowledged.clone()
 	l.draft.Term++
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -22,6 +22,7 @@
 	unreachable   bool                     // calls get no response; under random faults some grants arrive late
 	responsesLost bool                     // calls take effect but get no response
 	addressReused bool                     // another server responds at the address
+	refuses       func(Call) bool          // refused calls have no effect; nil for none
 }
 
 func (s *fakeServer) apply(now, arrivedAt time.Duration, c Call) CallResult {
@@ -208,6 +209,9 @@
 	if s.addressReused {
 		return CallResult{Status: CallAddressReused}
 	}
+	if s.refuses != nil && s.refuses(c) {
+		return CallResult{Status: CallRefused}
+	}
 	if s.responsesLost && c.Kind == GrantCall && sim.random != nil && sim.random.IntN(2) == 0 {
 		sim.lateCalls = append(sim.lateCalls, lateCall{appliedAt: sim.now + time.Duration(sim.random.IntN(9000))*time.Millisecond, arrivedAt: sim.now, call: c})
 		return CallResult{Status: CallUnanswered}
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -322,7 +322,7 @@
 }
 
 // handleCompletedCall passes the result of a call to the state machine. It logs the
-// failures: a call that got no response as GrantUnanswered, a grant that was refused
+// failures: a call that may still take effect as GrantUnanswered, a grant that was refused
 // for a higher fence as GrantRefused, and one without effect as CallFailed. The client
 // of the servers logs AddressReused.
 func (a *Assigner) handleCompletedCall(now time.Duration, c completedCall) {
@@ -367,6 +367,7 @@
 	assignment.CallUnanswered:  event.GrantUnanswered,
 	assignment.CallFenced:      event.GrantRefused,
 	assignment.CallNotExecuted: event.CallFailed,
+	assignment.CallRefused:     event.CallFailed,
 }
 
 // dropStoppedLeader discards the state machine if it has stopped, and logs the reason.
