--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -85,11 +85,12 @@
 	addressReused         map[endpoint]addressReuse
 	fillingServers        map[endpoint]bool // servers that had no ranges and are getting their share
 	hostCount             int
-	queueReports          map[string]queueReports       // by server ID
-	admittedLoads         map[string]map[string]float64 // of limited servers, by service and server ID
-	admittedShares        map[string]float64            // see AdmittedShares
-	completedReleases     []CompletedRelease            // since the last TakeCompletedReleases
-	restarts              []Restart                     // since the last TakeRestarts
+	queueReports          map[string]queueReports             // by server ID
+	admittedLoads         map[string]map[string]float64       // of limited servers, by service and server ID
+	admittedShares        map[string]float64                  // see AdmittedShares
+	completedReleases     []CompletedRelease                  // since the last TakeCompletedReleases
+	restarts              []Restart                           // since the last TakeRestarts
+	refusedUntil          map[ServerIncarnation]time.Duration // time of the next call to a server that refused one
 }
 
 // NewLeader returns a leader for the term after that of the acknowledged map. The
@@ -97,7 +98,7 @@
 func NewLeader(now time.Duration, acknowledged *Map, options Options) *Leader {
 	l := &Leader{
 		options: options, acknowledged: acknowledged, openCalls: map[uint64]*trackedRange{}, servers: map[string]map[string]directory.Server{}, firstServerAt: map[string]time.Duration{},
-		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[endpoint]addressReuse{}, fillingServers: map[endpoint]bool{},
+		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[endpoint]addressReuse{}, refusedUntil: map[ServerIncarnation]time.Duration{}, fillingServers: map[endpoint]bool{},
 	}
 	l.draft = acknowledged.clone()
 	l.draft.Term++
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -23,6 +23,7 @@
 	unreachable   bool                     // calls get no response; under random faults some grants arrive late
 	responsesLost bool                     // calls take effect but get no response
 	addressReused bool                     // another server responds at the address
+	refuses       func(Call) bool          // refused calls have no effect; nil for none
 }
 
 func (s *fakeServer) apply(now, arrivedAt time.Duration, c Call) CallResult {
@@ -264,6 +265,8 @@
 		return CallResult{Status: CallUnanswered}, endsAt
 	case s.addressReused || s.ID != c.Server.ID:
 		return CallResult{Status: CallAddressReused}, sim.now
+	case s.refuses != nil && s.refuses(c):
+		return CallResult{Status: CallRefused}, sim.now
 	case s.responsesLost && c.Kind == GrantCall && sim.random != nil && sim.random.IntN(2) == 0:
 		sim.lateCalls = append(sim.lateCalls, lateCall{appliedAt: sim.now + time.Duration(sim.random.IntN(9000))*time.Millisecond, arrivedAt: sim.now, call: c, server: s})
 		return CallResult{Status: CallUnanswered}, sim.now
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -97,6 +97,8 @@
 	ParentChanged      Code = 422
 	RangeFreed         Code = 423
 	OwnerRestarted     Code = 424
+	ResponseSkipped    Code = 426
+	ReleaseRepeated    Code = 427
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -162,18 +164,20 @@
 	{TermStarted, "term_started", "This host leads the assignment of keys."},
 	{TermEnded, "term_ended", "This host does not lead the assignment of keys any more."},
 	{MapObserved, "map_observed", "A newer assignment of keys was read."},
-	{GrantUnanswered, "grant_unanswered", "A grant or release got no answer; it may take effect later."},
+	{GrantUnanswered, "grant_unanswered", "A grant or release got no answer, or one that does not say whether it took effect; it may take effect later."},
 	{FormerLeaderEnded, "former_leader_ended", "The process of the former leader is known to have ended, so it grants nothing more."},
 	{LeaderHeard, "leader_heard", "This host follows the leading host, which has contact to the store."},
 	{LeaderSilent, "leader_silent", "This host does not hear a leader with contact to the store; it reads the store itself."},
 	{AddressReused, "address_reused", "Another server answered at a server's address; that server has ended."},
 	{LeaderReferred, "leader_referred", "Another host named the leader to a host that heard none."},
-	{CallFailed, "call_failed", "A grant or release had no effect: it was not sent in time, or the server answered with an unexpected status."},
+	{CallFailed, "call_failed", "A grant or release had no effect: it was not sent in time, or the server answered that it refused it or did not execute it."},
 	{LoadLimited, "load_limited", "The leader limits the requests for the keys of a server that gets more than it can serve."},
 	{LoadUnlimited, "load_unlimited", "The leader no longer limits the requests for the keys of a server."},
 	{ParentChanged, "parent_changed", "This host gets the state of the store from another host than before."},
 	{RangeFreed, "range_freed", "The previous holder of a key range cannot hold it any more; the line names the evidence."},
 	{OwnerRestarted, "owner_restarted", "A server started again at its address; it keeps its key ranges, as calls for the former incarnation may have reached it."},
+	{ResponseSkipped, "response_skipped", "A response on a connection for grants and releases does not belong to the call that was sent last."},
+	{ReleaseRepeated, "release_repeated", "The response to a release was not identified; the release is sent again over a new connection."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
 	{SliceReleased, "slice_released", "A server released a slice."},
