Wait for earlier leaders when the former one has ended

Cause: when the process of the former leader was known to have ended, the waits for all former leaders were cut to 8.36 s from then. That proves nothing of the leader before it, which may have lost the log and renew grants until its own timeout of 10 s. Two changes of the leader within 11 s and the end of the second process suffice, if the first can reach a server that the third cannot. Change: the wait is not cut below the time that follows from the first sight of the former leader's term: 19.36 s after it, 8.36 s after a resignation, none for the first term. Without that observation it is not cut. Measured: TestExitOfTheFormerLeaderSaysNothingOfEarlierOnes failed before ("3 and 1 hold 61440") and passes. TestExitOfTheFormerLeaderShortensTheWait passes unchanged. The tests of ./platform and ./relay/assigner pass. It costs callers a longer wait only for keys of a server that cannot be reached after two changes of the leader in a row: up to 19.36 s from the first of them instead of 8.36 s from the exit. Knowing the exit of the earlier leader too would shorten it again.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -231,9 +231,9 @@
 
 // RecordFormerLeaderExit records that the process of the former leader has ended
 // and sends no grants after now. CallTimeout is not added, since no call of an ended
-// process is open.
+// process is open. The leaders before it may still run.
 func (l *Leader) RecordFormerLeaderExit(now time.Duration) {
-	latestExpiry := now + GrantDuration + GrantExpiryMargin
+	latestExpiry := max(now+GrantDuration+GrantExpiryMargin, l.earlierGrantExpiry)
 	l.formerGrantExpiry = min(l.formerGrantExpiry, latestExpiry)
 	for _, t := range l.trackedRanges {
 		t.formerGrantExpiry = min(t.formerGrantExpiry, latestExpiry)
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -71,6 +71,7 @@
 	inFlight              *Map                     // map of the open write; nil for none
 	leadershipConfirmedAt time.Duration            // time of the last evidence that no other leader has written
 	formerGrantExpiry     time.Duration            // time until which a server may hold a range by a grant of a former leader
+	earlierGrantExpiry    time.Duration            // the same for the leaders before the last one
 	lastMove              uint64                   // number of the last move of the term
 	openCalls             map[uint64]*trackedRange // by call ID
 	lastCallID            uint64
@@ -197,7 +198,12 @@
 		formerGrantExpiry += LeadershipConfirmationTimeout + CallTimeout
 	}
 	if l.acknowledged.Term > firstTerm {
-		l.formerGrantExpiry = formerGrantExpiry
+		l.formerGrantExpiry, l.earlierGrantExpiry = formerGrantExpiry, formerGrantExpiry
+		if l.options.Observations != nil {
+			if expiry, known := l.options.Observations.grantExpiryBefore(l.acknowledged.Term - 1); known {
+				l.earlierGrantExpiry = min(formerGrantExpiry, expiry)
+			}
+		}
 	}
 	for _, service := range sortedKeys(l.acknowledged.Services) {
 		for _, r := range l.acknowledged.Services[service] {
--- a/core/assignment/observations.go
+++ b/core/assignment/observations.go
@@ -68,18 +68,25 @@
 // earlier terms may have renewed its grant until they stopped.
 func (o *Observations) grantExpiry(now time.Duration, r *Range) (time.Duration, bool) {
 	seenAt, seen := o.moves[r.Move]
-	term, termSeen := o.terms[r.Move>>fenceCounterBits]
+	beforeTheTerm, termSeen := o.grantExpiryBefore(r.Move >> fenceCounterBits)
 	if !r.AwaitsRelease() || r.Move == 0 || !seen || !termSeen {
 		return 0, false
 	}
 	expiry := seenAt + CallTimeout + GrantDuration + GrantExpiryMargin
-	beforeTheTerm := term.seenAt + GrantDuration + GrantExpiryMargin
-	switch {
-	case r.Move>>fenceCounterBits == firstTerm:
-		beforeTheTerm = 0 // there was no earlier leader
-	case !term.afterResignation:
-		beforeTheTerm += LeadershipConfirmationTimeout + CallTimeout
-	}
 	raisingTheFence := now + moveConfirmationTimeout + CallTimeout + FenceGrantDuration + GrantExpiryMargin
 	return max(expiry, beforeTheTerm, raisingTheFence), true
 }
+
+// grantExpiryBefore returns until when a server may hold a range by grants of the leaders
+// before a term, and whether that is known from observations.
+func (o *Observations) grantExpiryBefore(term uint64) (time.Duration, bool) {
+	if term <= firstTerm {
+		return 0, true // there was no earlier leader
+	}
+	observed, known := o.terms[term]
+	expiry := observed.seenAt + GrantDuration + GrantExpiryMargin
+	if !observed.afterResignation {
+		expiry += LeadershipConfirmationTimeout + CallTimeout
+	}
+	return expiry, known
+}
--- a/core/assignment/takeover_test.go
+++ b/core/assignment/takeover_test.go
@@ -32,3 +32,19 @@
 		require.LessOrEqual(t, len(sim.appendedMap.Services["stock"]), maxRangesPerService)
 	}
 }
+
+// Guards against a leader that takes the end of the former leader's process for the end
+// of all earlier leaders: the one before may renew grants until its
+// LeadershipConfirmationTimeout.
+func TestExitOfTheFormerLeaderSaysNothingOfEarlierOnes(t *testing.T) {
+	sim := newSimulation(t, "1", "2", "3", "4")
+	second := sim.takeOverBeforeALateRenewal()
+	sim.run(2*time.Second, second)
+	third := sim.newLeader("c")
+	third.SetServers(sim.serversExcept("1"))
+	sim.step(third)
+	third.RecordFormerLeaderExit(sim.now)
+	sim.run(LeadershipConfirmationTimeout+CallTimeout+GrantDuration+2*time.Second, third)
+	require.Zero(t, sim.rangesByOwner()["moving"])
+	require.Zero(t, sim.rangesByOwner()["1"])
+}
