Send further attempts at a server over another connection

Cause: all attempts of a caller's request carry its ID. A keyed request that its holder refused is sent to the holder again, mostly over the connection of the first attempt. If the server sends the second copy of the refusal there, it was taken for the response to the second attempt, although that one runs: the request ran twice, or the caller was told that it had not run. Change: an attempt at a server to which the request was sent before opens a connection (Exchange.NewConn). Conclusion: a second response can be taken for another attempt no more.

--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -36,6 +36,7 @@
 	id, address string
 	mu          sync.Mutex
 	requests    []*http.Request
+	repeats     bool // each response is sent again where the next one on its connection is expected
 }
 
 func startScriptedServer(t *testing.T, id string, answer func(r *http.Request) string) *scriptedServer {
@@ -58,6 +59,7 @@
 func (s *scriptedServer) serve(c net.Conn, answer func(r *http.Request) string) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
+	former := ""
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -66,12 +68,17 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		s.mu.Lock()
 		s.requests = append(s.requests, r)
+		repeats := s.repeats
 		s.mu.Unlock()
 		text := answer(r)
 		if text == "" {
 			return
 		}
+		if repeats {
+			_, _ = io.WriteString(c, former)
+		}
 		_, _ = io.WriteString(c, text)
+		former = text
 	}
 }
 
@@ -226,6 +233,25 @@
 	require.Equal(t, 1, full.requestCount())
 }
 
+// Guards against a request that runs twice, or is said not to have run although it has:
+// the second copy of a refusal, which has the ID of the request, is taken for the
+// response to the next attempt at the same server.
+func TestSecondRefusalDoesNotAnswerTheNextAttempt(t *testing.T) {
+	var attempts, runs atomic.Int32
+	holder := startScriptedServer(t, "s1", func(r *http.Request) string {
+		if attempts.Add(1) == 1 {
+			return formatResponse(r, 503, "X-Not-Run: 1\r\nX-Load: 1,0,2\r\n")
+		}
+		runs.Add(1)
+		return signedResponse(r)
+	})
+	holder.mu.Lock()
+	holder.repeats = true
+	holder.mu.Unlock()
+	require.Equal(t, 200, sendRequest(newKeyedEdge(t, holder), context.Background(), "/once/x").Status)
+	require.EqualValues(t, 1, runs.Load())
+}
+
 // Guards against retries, which use up the retry budget, at a server that does not
 // hold the key while no newer assignment map is known, and against the refusal of a
 // request whose key has just moved.
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -58,6 +58,7 @@
 	reservedRetry   *dispatch.Decision // server reserved, and retry of the budget spent, for the next attempt
 	plannedRetry    *plannedRetry      // set while another attempt is to follow a failed one
 	triedServerIDs  []string
+	sentServerIDs   []string          // servers to which the request was sent, also if they may be tried again
 	failureResponse *ingress.Response // a server's own error response, sent if all further attempts fail
 	retryAfter      time.Duration     // for the caller, by the last refusal of a server; 0 for none
 	lastServerID    string
@@ -204,8 +205,12 @@
 	start := time.Now()
 	response, err := c.edge.options.Client.Do(ctx, upstream.Exchange{
 		Address: s.Address, Method: c.request.Method, RawRequest: c.encodeRequest(s), Matches: c.matchesResponse,
+		// All attempts have the ID of the request, so on a connection of an earlier one its
+		// second response would be taken for the response to this one.
+		NewConn:    slices.Contains(c.sentServerIDs, s.ID),
 		BeforeSend: func() error { return c.checkBeforeSend(callerCtx, s) },
 	})
+	c.sentServerIDs = append(c.sentServerIDs, s.ID)
 	slow := stopTimer()
 	c.lastServerID = s.ID
 	latency := time.Since(start)
