Keep per life of a server that it leaves, and the pause that it asked for

Cause: the directory knew only what the last list said. A list that still said ready, from the store or from another host, made a leaving server usable again, and nothing could be recorded that a server says of itself.

Change: the directory keeps the state of each life (id and start) apart from its entry: that it leaves, from which source and since when, and until when it wants no requests from this host. Leaving is never reset within a life; a newer life that is listed starts without any state, and what arrives late of a former life is ignored. The states are bounded; those of listed servers stay. All() includes both. Put and ResetFromLeader take the time.

Existing tests pass the time to Put and ResetFromLeader, otherwise unchanged.

Conclusion: leaving holds for one life whatever order lists and answers arrive in. Nothing feeds answers in yet.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -11,17 +11,19 @@
 	"time"
 )
 
-// Server is one incarnation of a backend server: a restart under the same ID gives
-// another incarnation.
+// Server is one life of a backend server (see Life).
 type Server struct {
 	ID       string
-	Born     int64 // start time in Unix milliseconds; distinguishes incarnations with the same ID
+	Born     int64 // start time in Unix milliseconds
 	Service  string
 	Address  string
 	Zone     string
 	Slots    int // requests that the server runs at a time
 	Draining bool
 	Cold     bool // has just started and is still slow
+	// PausedUntil is the time until which the server wants no requests from this host; 0 if
+	// it never asked for a pause. It is meaningless to other hosts.
+	PausedUntil time.Duration
 }
 
 // Directory is the set of known servers. It reflects the records of the store's log of
@@ -29,6 +31,7 @@
 // another host.
 type Directory struct {
 	servers map[string]Server
+	lives   lives
 	offset  uint64
 	missing map[string]bool // ids of servers that are kept although their entries are gone
 	outages outageDetector
@@ -37,7 +40,7 @@
 // New returns an empty directory. maxGap is the longest time without contact to the
 // store that is not taken for an outage, in which entries of live servers expire.
 func New(maxGap time.Duration) *Directory {
-	return &Directory{servers: map[string]Server{}, missing: map[string]bool{}, outages: outageDetector{maxGap: maxGap}}
+	return &Directory{servers: map[string]Server{}, lives: lives{byID: map[string][]lifeState{}}, missing: map[string]bool{}, outages: outageDetector{maxGap: maxGap}}
 }
 
 // RecordContact records that the store answered a host, this one or another, during a
@@ -58,15 +61,18 @@
 // Advance records that the directory reflects the log of entries before an offset.
 func (d *Directory) Advance(offset uint64) { d.offset = max(d.offset, offset) }
 
-// Put adds or updates a server and reports whether that changed the directory. An
-// older incarnation than the known one is ignored.
-func (d *Directory) Put(s Server) bool {
+// Put adds or updates a server by its entry in the store and reports whether that changed
+// the directory. An older life than the known one is ignored. A life that is known to
+// leave goes on leaving, whatever the entry says.
+func (d *Directory) Put(now time.Duration, s Server) bool {
 	delete(d.missing, s.ID)
 	old, ok := d.servers[s.ID]
 	if ok && old.Born > s.Born {
 		return false
 	}
+	s = d.recordEntry(now, s, SourceStore)
 	d.servers[s.ID] = s
+	d.evictLives()
 	return !ok || old != s
 }
 
@@ -101,7 +107,7 @@
 		}
 	}
 	for _, s := range list {
-		if d.Put(s) {
+		if d.Put(now, s) {
 			changed = true
 		}
 	}
@@ -111,14 +117,22 @@
 // ResetFromLeader replaces all servers by those of the leader host, which has itself
 // waited for servers to register again. offset is that of the leader's directory, 0 if it
 // is unknown. It returns false and changes nothing if the leader's servers are older than
-// the directory.
-func (d *Directory) ResetFromLeader(servers map[string]Server, offset uint64) bool {
+// the directory. A life that is known to leave goes on leaving, whatever the leader says.
+func (d *Directory) ResetFromLeader(now time.Duration, servers map[string]Server, offset uint64) bool {
 	if offset != 0 && offset < d.offset {
 		return false
 	}
 	d.Advance(offset)
-	d.servers = maps.Clone(servers)
+	before := d.servers
+	d.servers = make(map[string]Server, len(servers))
+	for id, s := range servers {
+		if known, ok := before[id]; ok && offset == 0 && known.Born > s.Born {
+			s = known
+		}
+		d.servers[id] = d.recordEntry(now, s, SourceHost)
+	}
 	clear(d.missing)
+	d.evictLives()
 	return true
 }
 
@@ -137,5 +151,17 @@
 	return removed
 }
 
-// All returns a copy of the known servers by ID.
-func (d *Directory) All() map[string]Server { return maps.Clone(d.servers) }
+// All returns a copy of the known servers by ID, with this host's pauses.
+func (d *Directory) All() map[string]Server {
+	all := maps.Clone(d.servers)
+	for id, states := range d.lives.byID {
+		s, listed := all[id]
+		for _, l := range states {
+			if listed && l.born == s.Born {
+				s.PausedUntil = l.pausedUntil
+				all[id] = s
+			}
+		}
+	}
+	return all
+}
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -22,14 +22,14 @@
 // again.
 func TestEntriesExpiredInAnOutageGetTimeToReturn(t *testing.T) {
 	d := New(maxGap)
-	d.Put(newServer("1", 1))
-	d.Put(newServer("2", 1))
+	d.Put(0, newServer("1", 1))
+	d.Put(0, newServer("2", 1))
 	read(d, time.Second)
 	require.False(t, d.Remove(3*time.Second, "1"))
 	read(d, 3*time.Second)
 	changed, _ := d.ApplyListing(3*time.Second, nil, 1)
 	require.False(t, changed)
-	d.Put(newServer("1", 1))
+	d.Put(0, newServer("1", 1))
 	read(d, 4*time.Second)
 	require.Empty(t, d.RemoveMissing(4*time.Second))
 	read(d, 3*time.Second+ReregistrationGrace)
@@ -43,7 +43,7 @@
 // has stopped reading: live servers were taken for gone at the first read after it.
 func TestGraceBeginsAtTheEndOfTheOutage(t *testing.T) {
 	d := New(maxGap)
-	d.Put(newServer("1", 1))
+	d.Put(0, newServer("1", 1))
 	read(d, 0)
 	require.Empty(t, d.RemoveMissing(8*time.Second))
 	read(d, 10*time.Second)
@@ -68,7 +68,7 @@
 		"only after an outage":      {reported: []Contact{{Begin: 11 * time.Second, End: 11900 * time.Millisecond}}, outage: true},
 	} {
 		d := New(maxGap)
-		d.Put(newServer("1", 1))
+		d.Put(0, newServer("1", 1))
 		read(d, lostAt)
 		read(d, backAt)
 		require.False(t, d.Remove(backAt, "1"), name)
@@ -84,10 +84,10 @@
 // Guards against an older incarnation of a server that replaces the newer one.
 func TestOlderIncarnationIsIgnored(t *testing.T) {
 	d := New(maxGap)
-	require.True(t, d.Put(newServer("1", 2)))
-	require.False(t, d.Put(newServer("1", 1)))
+	require.True(t, d.Put(0, newServer("1", 2)))
+	require.False(t, d.Put(0, newServer("1", 1)))
 	require.Equal(t, int64(2), d.All()["1"].Born)
-	require.False(t, d.Put(newServer("1", 2)))
+	require.False(t, d.Put(0, newServer("1", 2)))
 }
 
 // Guards against a host that keeps a removed server because it still remembers an
@@ -99,7 +99,7 @@
 	read(d, 0)
 	for at := 3 * time.Second; at <= 6*time.Second; at += time.Second {
 		read(d, at) // by the leader
-		d.ResetFromLeader(map[string]Server{"1": {ID: "1"}, "2": {ID: "2"}}, 1)
+		d.ResetFromLeader(0, map[string]Server{"1": {ID: "1"}, "2": {ID: "2"}}, 1)
 	}
 	read(d, 7*time.Second)
 	changed, _ := d.ApplyListing(7*time.Second, map[string]Server{"2": {ID: "2"}}, 2)
@@ -111,7 +111,7 @@
 // the outage in which its entry was first found missing.
 func TestRemovedServerIsNotReportedAgain(t *testing.T) {
 	d := New(maxGap)
-	d.Put(Server{ID: "1"})
+	d.Put(0, Server{ID: "1"})
 	read(d, 0)
 	require.False(t, d.Remove(2*time.Second, "1"))
 	read(d, 2*time.Second)
@@ -127,14 +127,14 @@
 func TestOlderListDoesNotReplaceANewerOne(t *testing.T) {
 	d := New(maxGap)
 	older, newer := map[string]Server{"1": {ID: "1"}, "2": {ID: "2"}}, map[string]Server{"2": {ID: "2"}}
-	require.True(t, d.ResetFromLeader(newer, 8))
+	require.True(t, d.ResetFromLeader(0, newer, 8))
 	_, applied := d.ApplyListing(time.Second, older, 7)
 	require.False(t, applied)
-	require.False(t, d.ResetFromLeader(older, 7))
+	require.False(t, d.ResetFromLeader(0, older, 7))
 	require.Equal(t, newer, d.All())
 	_, applied = d.ApplyListing(time.Second, older, 8)
 	require.True(t, applied)
 	require.Equal(t, uint64(8), d.Offset())
-	require.True(t, d.ResetFromLeader(newer, 0), "a leader of an older version names no offset")
+	require.True(t, d.ResetFromLeader(0, newer, 0), "a leader of an older version names no offset")
 	require.Equal(t, uint64(8), d.Offset())
 }
