Refuse a request at once whose only servers were tried and are paused

Cause: servers that were tried are left out of the search for the first end of a pause. Where no other server was left, the request waited in the queue until its time was over, although nothing could be served.

Change: if there are no other servers, those that were tried count.

Measured: the new case "the only server was tried" of TestRequestsDuringAPause; it was added together with the change and not run without it. core/dispatch passes with -race.

Conclusion: without a pause such a request still waits, as before.

--- a/core/dispatch/pauses.go
+++ b/core/dispatch/pauses.go
@@ -76,7 +76,7 @@
 }
 
 // requestedPause returns the time until the first server that may run a request ends the
-// pause for which it asked; 0 if there is none or one that has not asked.
+// pause for which it asked; 0 if one of them has not asked.
 func (p *Pool) requestedPause(now time.Duration, request *queuedRequest) time.Duration {
 	if p.holderOf != nil && request.Keyed {
 		id, _ := p.holderOf(request.Key)
@@ -86,12 +86,17 @@
 		return 0
 	}
 	shortest, found, reservedShare := time.Duration(0), false, p.reservedShare()
-	for _, s := range p.candidates {
-		if slices.Contains(request.ExcludeIDs, s.ID) || request.Rank > 0 && s.reservationOrder < reservedShare {
-			continue
+	for _, excluded := range []bool{false, true} { // excluded servers count if there are no others
+		for _, s := range p.candidates {
+			if slices.Contains(request.ExcludeIDs, s.ID) != excluded || request.Rank > 0 && s.reservationOrder < reservedShare {
+				continue
+			}
+			if pause := s.requestedPause(now); !found || pause < shortest {
+				shortest, found = pause, true
+			}
 		}
-		if pause := s.requestedPause(now); !found || pause < shortest {
-			shortest, found = pause, true
+		if found {
+			break
 		}
 	}
 	return shortest
--- a/core/dispatch/pauses_test.go
+++ b/core/dispatch/pauses_test.go
@@ -66,6 +66,7 @@
 		"the shortest pause decides":        {pauses: []time.Duration{3 * time.Second, 500 * ms}, wait: 400 * ms, retryAfter: 500 * ms},
 		"a short pause ends in time":        {pauses: []time.Duration{3 * time.Second, 100 * ms}, wait: 400 * ms, server: "b", at: 100 * ms},
 		"a server that was tried is free":   {pauses: []time.Duration{time.Second, 0}, exclude: []string{"b"}, wait: 400 * ms, retryAfter: maxRetryAfter},
+		"the only server was tried":         {pauses: []time.Duration{time.Second}, exclude: []string{"a"}, wait: 400 * ms, retryAfter: maxRetryAfter},
 		"the holder's pause is long":        {keyed: true, pauses: []time.Duration{time.Hour, 0}, wait: 400 * ms, retryAfter: maxRetryAfter},
 		"the holder's pause takes the wait": {keyed: true, pauses: []time.Duration{300 * ms}, wait: 400 * ms, retryAfter: 300 * ms},
 		"the holder's pause ends in time":   {keyed: true, pauses: []time.Duration{150 * ms}, wait: 400 * ms, server: "a", at: 150 * ms},
