--- a/core/directory/lives.go
+++ b/core/directory/lives.go
@@ -107,8 +107,8 @@
 	l.byID[id] = after
 }
 
-// isFormer reports whether the server is listed with a newer life.
-func (d *Directory) isFormer(life Life) bool {
+// IsFormer reports whether the server is listed with a newer life.
+func (d *Directory) IsFormer(life Life) bool {
 	s, listed := d.servers[life.ID]
 	return listed && s.Born > life.Born
 }
@@ -116,7 +116,7 @@
 // MarkLeaving records that a life leaves, which holds until the server is listed with a
 // newer life. It reports whether that is new. What is said of a former life is ignored.
 func (d *Directory) MarkLeaving(now time.Duration, life Life, source Source) bool {
-	if d.isFormer(life) || !d.lives.markLeaving(Notice{Life: life, Source: source, At: now}) {
+	if d.IsFormer(life) || !d.lives.markLeaving(Notice{Life: life, Source: source, At: now}) {
 		return false
 	}
 	if s, listed := d.servers[life.ID]; listed && s.Life() == life {
@@ -133,7 +133,7 @@
 // Pause records that a life asked this host for no requests until a time, and reports
 // whether that is later than what it asked before. What a former life asked is ignored.
 func (d *Directory) Pause(now time.Duration, life Life, until time.Duration) bool {
-	if d.isFormer(life) || until <= now {
+	if d.IsFormer(life) || until <= now {
 		return false
 	}
 	s := d.lives.add(life)
@@ -145,6 +145,14 @@
 	return true
 }
 
+// PausedUntil returns the end of the last pause that a life asked for; 0 for none.
+func (d *Directory) PausedUntil(life Life) time.Duration {
+	if s := d.lives.find(life); s != nil {
+		return s.pausedUntil
+	}
+	return 0
+}
+
 // TakeNotices returns what has been learned of leaving servers since the last call.
 func (d *Directory) TakeNotices() []Notice {
 	taken := d.lives.notices
