Report to the leader what servers say of themselves

Cause: a host that hears from a server that it leaves, or that it wants no requests for a while, kept that to itself. The leader would move the server's keys only when the store lists it as leaving, and the other hosts would send it requests until then. Conclusion: no call to the store is added. Nothing feeds answers in yet, and the leader does not act on pauses yet.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -32,15 +32,17 @@
 type Directory struct {
 	servers map[string]Server
 	lives   lives
-	offset  uint64
-	missing map[string]bool // ids of servers that are kept although their entries are gone
-	outages outageDetector
+	// followerPauses holds the pauses that followers reported, by host.
+	followerPauses map[string][]hostPause
+	offset         uint64
+	missing        map[string]bool // ids of servers that are kept although their entries are gone
+	outages        outageDetector
 }
 
 // New returns an empty directory. maxGap is the longest time without contact to the
 // store that is not taken for an outage, in which entries of live servers expire.
 func New(maxGap time.Duration) *Directory {
-	return &Directory{servers: map[string]Server{}, lives: lives{byID: map[string][]lifeState{}}, missing: map[string]bool{}, outages: outageDetector{maxGap: maxGap}}
+	return &Directory{servers: map[string]Server{}, lives: lives{byID: map[string][]lifeState{}}, followerPauses: map[string][]hostPause{}, missing: map[string]bool{}, outages: outageDetector{maxGap: maxGap}}
 }
 
 // RecordContact records that the store answered a host, this one or another, during a
--- a/core/directory/lives.go
+++ b/core/directory/lives.go
@@ -45,6 +45,7 @@
 type lifeState struct {
 	born        int64
 	leaving     bool // never reset
+	listed      bool // the last entry says that the server leaves
 	pausedUntil time.Duration
 	changedAt   time.Duration
 }
@@ -81,6 +82,12 @@
 	return l.find(life)
 }
 
+// leavesUnlisted reports whether a life leaves although its last entry does not say so.
+func (l *lives) leavesUnlisted(life Life) bool {
+	s := l.find(life)
+	return s != nil && s.leaving && !s.listed
+}
+
 func (l *lives) markLeaving(n Notice) bool {
 	s := l.add(n.Life)
 	if s.leaving {
@@ -159,8 +166,9 @@
 	d.lives.removeWhere(s.ID, func(l lifeState) bool { return l.born < s.Born })
 	if s.Draining {
 		d.lives.markLeaving(Notice{Life: s.Life(), Source: source, At: now})
-	} else {
-		s.Draining = d.lives.leaving(s.Life())
+	}
+	if l := d.lives.find(s.Life()); l != nil {
+		l.listed, s.Draining = s.Draining, l.leaving
 	}
 	return s
 }
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -32,6 +32,7 @@
 	addresses     map[string]string
 	configVersion uint64
 	servers       map[string]directory.Server
+	signals       []directory.Signal
 	newestMap     *assignment.Map
 	hostCount     int
 	admitted      map[string]float64
@@ -84,7 +85,7 @@
 // testOptions returns options of a host with the clock of package time.
 func testOptions(incarnation string) Options {
 	start := time.Now()
-	return Options{Incarnation: incarnation, Now: func() time.Duration { return time.Since(start) }, Dial: upstream.DialTCP, MaxStateAge: MaxStateAge, OnStoreContact: func(directory.Contact) {}}
+	return Options{Incarnation: incarnation, Now: func() time.Duration { return time.Since(start) }, Dial: upstream.DialTCP, MaxStateAge: MaxStateAge, OnStoreContact: func(directory.Contact) {}, OnServerSignals: func(string, []directory.Signal) {}}
 }
 
 func testServer(id string) directory.Server {
@@ -97,6 +98,10 @@
 	return map[string][]assignment.Range{"s": {{From: 0, To: 9, Owner: assignment.ServerIncarnation{ID: owner}}, {From: 10, To: 65535, Owner: assignment.ServerIncarnation{ID: "1"}, GrantPending: true}}}
 }
 
+func (state *followerState) ServerSignals() (signals []directory.Signal) {
+	state.locked(func() { signals = state.signals })
+	return signals
+}
 func (state *followerState) RecordStoreContact(directory.Contact) {}
 func (state *followerState) StoreContact() (directory.Contact, bool) {
 	return directory.Contact{}, false
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -79,6 +79,8 @@
 	SetAdmittedShares(map[string]float64)
 	// TakeLoadReport returns the report about keyed requests since the last call.
 	TakeLoadReport() edge.LoadReport
+	// ServerSignals returns what servers said of themselves to this host and its followers.
+	ServerSignals() []directory.Signal
 	// Description describes this host for the selection of relays.
 	Description() followtree.Host
 	// Followers returns the number of hosts that follow this one, and some of them.
@@ -294,6 +296,7 @@
 	request.WaitMs, request.WantPeers = uint32(longPollWait.Milliseconds()), time.Since(f.peersUpdatedAt) > peersRefreshInterval
 	request.FromRelay = slices.Contains(f.parents.Relays(), parent)
 	request.Arrivals = encodeLoadReport(f.hostState.TakeLoadReport())
+	request.Signals = encodeSignals(f.hostState.ServerSignals())
 	sentAt := f.options.Now()
 	r, err := f.clientFor(parent).Follow(ctx, request)
 	if err != nil {
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -114,7 +114,9 @@
 	MaxStateAge time.Duration
 	// OnStoreContact is called with the contact to the store that a follower reports.
 	OnStoreContact func(directory.Contact)
-	Dial           upstream.DialFunc // opens connections to other hosts
+	// OnServerSignals is called with the signals that a follower reports with each call.
+	OnServerSignals func(follower string, signals []directory.Signal)
+	Dial            upstream.DialFunc // opens connections to other hosts
 }
 
 // NewSource returns the source of a host. follower is the host's own follower.
@@ -245,6 +247,7 @@
 	if len(r.Arrivals) > 0 {
 		s.recordReport(decodeLoadReport(r.Arrivals))
 	}
+	s.options.OnServerSignals(r.Host, decodeSignals(r.Signals))
 	arrived := s.options.Now()
 	s.assigner.RecordKnownMap(r.Host, r.MapEnd)
 	if r.StoreContact != nil {
