Move keys away from servers that want no requests for long

Cause: a key has one holder. If that server asks hosts for a long pause, all requests for its keys are refused until the end of it, although other servers have room. Change: the leader takes the pauses that it and its followers were asked for. A server is emptied when its keys would be unserved for a second or more, as a mean over the hosts; at most a quarter of a service's servers at a time, since the others have no room when most of them pause. It stays empty until its pauses have ended. Moves and grants follow the usual order. Events 428 and 429. The threshold is a calculation (a release is answered when the running work has ended); it was not measured on servers whose releases take long. Conclusion: short pauses, and those of one host among many, leave the keys where they are.

--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -84,6 +84,8 @@
 	addressReused         map[ServerIncarnation]bool  // another server responded at the address
 	fillingServers        map[ServerIncarnation]bool  // servers that had no ranges and are getting their share
 	hostCount             int
+	pauses                map[string]directory.Pause    // by server ID
+	emptiedServers        map[ServerIncarnation]bool    // see EmptiedServers
 	queueReports          map[string]queueReports       // by server ID
 	admittedLoads         map[string]map[string]float64 // of limited servers, by service and server ID
 	admittedShares        map[string]float64            // see AdmittedShares
@@ -231,6 +233,7 @@
 			return nil
 		}
 	} else {
+		l.updateEmptiedServers()
 		l.placeNewServices(now)
 		l.planMoves(now)
 		l.balanceLoad(now)
--- a/core/assignment/plan.go
+++ b/core/assignment/plan.go
@@ -181,7 +181,7 @@
 func (l *Leader) assignableServers(service string) []directory.Server {
 	var servers []directory.Server
 	for _, s := range l.servers[service] {
-		if !s.Draining && !l.addressReused[IncarnationOf(s)] {
+		if !s.Draining && !l.addressReused[IncarnationOf(s)] && !l.emptiedServers[IncarnationOf(s)] {
 			servers = append(servers, s)
 		}
 	}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -96,6 +96,8 @@
 	LoadUnlimited      Code = 421
 	ParentChanged      Code = 422
 	RangeFreed         Code = 423
+	ServerEmptied      Code = 428
+	ServerRefilled     Code = 429
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -172,6 +174,8 @@
 	{LoadUnlimited, "load_unlimited", "The leader no longer limits the requests for the keys of a server."},
 	{ParentChanged, "parent_changed", "This host gets the state of the store from another host than before."},
 	{RangeFreed, "range_freed", "The previous holder of a key range cannot hold it any more; the line names the evidence."},
+	{ServerEmptied, "server_emptied", "The leader moves the keys of a server away, because it wants no requests from hosts for long."},
+	{ServerRefilled, "server_refilled", "A server that was emptied for its pauses may get keys again."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
 	{SliceReleased, "slice_released", "A server released a slice."},
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -117,6 +117,7 @@
 	publishedMap        atomic.Pointer[assignment.Map]
 	hostCount           atomic.Int64
 	admittedShares      atomic.Pointer[map[string]float64]
+	pauses              atomic.Pointer[map[string]directory.Pause] // see SetPauses
 	resigning           atomic.Bool
 	resignDone          chan struct{} // closed when a resigning host leads no term any more
 	resignDoneOnce      sync.Once
@@ -130,7 +131,8 @@
 	newestMap         *assignment.Map    // has only NextOffset set if the store has no map
 	mapWasRead        bool               // a first read has succeeded, so newestMap is set
 	observations      *assignment.Observations
-	nextTermAttempt   time.Duration // earliest start of another term
+	nextTermAttempt   time.Duration                         // earliest start of another term
+	emptiedServers    map[assignment.ServerIncarnation]bool // as they were logged last
 }
 
 // messageQueueSize leaves room for the call results of all ranges when a new leader
@@ -404,6 +406,9 @@
 	}
 	a.leader.SetServers(*servers)
 	a.leader.SetHostCount(int(a.hostCount.Load()))
+	if pauses := a.pauses.Load(); pauses != nil {
+		a.leader.SetPauses(*pauses)
+	}
 	for _, c := range a.leader.Tick(now) {
 		go a.sendCall(ctx, now, c)
 	}
@@ -413,6 +418,7 @@
 		}
 	}
 	a.logReleases()
+	a.logEmptiedServers()
 	a.dropStoppedLeader("no read or write of the map succeeded in time")
 	a.publishAdmittedShares()
 }
