--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -92,6 +92,8 @@
 	completedReleases     []CompletedRelease                  // since the last TakeCompletedReleases
 	restarts              []Restart                           // since the last TakeRestarts
 	refusedUntil          map[ServerIncarnation]time.Duration // time of the next call to a server that refused one
+	pauses                map[string]directory.Pause          // by server ID
+	emptiedServers        map[ServerIncarnation]bool          // see EmptiedServers
 }
 
 // NewLeader returns a leader for the term after that of the acknowledged map. The
@@ -247,6 +249,7 @@
 			return nil
 		}
 	} else {
+		l.updateEmptiedServers()
 		l.placeNewServices(now)
 		l.planMoves(now)
 		l.balanceLoad(now)
--- a/core/assignment/plan.go
+++ b/core/assignment/plan.go
@@ -182,7 +182,7 @@
 	var servers []directory.Server
 	for _, s := range l.servers[service] {
 		reuse, reused := l.addressReused[IncarnationOf(s).endpoint()]
-		if !s.Draining && (!reused || s.Born > reuse.born) {
+		if !s.Draining && (!reused || s.Born > reuse.born) && !l.emptiedServers[IncarnationOf(s)] {
 			servers = append(servers, s)
 		}
 	}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -102,6 +102,8 @@
 	OwnerRestarted     Code = 424
 	ResponseSkipped    Code = 426
 	ReleaseRepeated    Code = 427
+	ServerEmptied      Code = 428
+	ServerRefilled     Code = 429
 	SlicePlaced        Code = 501
 	MoveStarted        Code = 502
 	SliceReleased      Code = 503
@@ -184,6 +186,8 @@
 	{OwnerRestarted, "owner_restarted", "A server started again at its address; it keeps its key ranges, as calls for the former incarnation may have reached it."},
 	{ResponseSkipped, "response_skipped", "A response on a connection for grants and releases does not belong to the call that was sent last."},
 	{ReleaseRepeated, "release_repeated", "The response to a release was not identified; the release is sent again over a new connection."},
+	{ServerEmptied, "server_emptied", "The leader moves the keys of a server away, because it wants no requests from hosts for long."},
+	{ServerRefilled, "server_refilled", "A server that was emptied for its pauses may get keys again."},
 	{SlicePlaced, "slice_placed", "The slices of a service were placed for the first time."},
 	{MoveStarted, "move_started", "A planned move of a slice began."},
 	{SliceReleased, "slice_released", "A server released a slice."},
