Look for pauses only while a server has asked for one

Cause: the pool looked at the pauses of all servers for each queued request at each dispatch, also where no server ever asked for one.

Change: the pool keeps the end of the last pause and looks for none after it.

--- a/core/dispatch/pauses.go
+++ b/core/dispatch/pauses.go
@@ -78,6 +78,9 @@
 // requestedPause returns the time until the first server that may run a request ends the
 // pause for which it asked; 0 if one of them has not asked.
 func (p *Pool) requestedPause(now time.Duration, request *queuedRequest) time.Duration {
+	if now >= p.lastPauseEnd {
+		return 0
+	}
 	if p.holderOf != nil && request.Keyed {
 		id, _ := p.holderOf(request.Key)
 		if s := p.servers[id]; s != nil && !s.removed {
@@ -106,6 +109,9 @@
 // its caller should return. Another host may serve it sooner, so that is at most
 // maxRetryAfter.
 func (p *Pool) refuseForPause(now time.Duration, request *queuedRequest) (retryAfter time.Duration, refuse bool) {
+	if now >= p.lastPauseEnd {
+		return 0, false
+	}
 	pause := p.requestedPause(now, request)
 	left := min(request.submitted+request.MaxQueueWait, request.Deadline) - now
 	if pause == 0 || float64(pause) <= maxPauseShare*float64(left) {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -217,7 +217,8 @@
 	hostCount     int // hosts that send requests to the servers
 	lastSequence  uint64
 	shrunkAt      time.Duration
-	requestWaited bool // whether a request has had to wait after the last growth of commonWindow
+	lastPauseEnd  time.Duration // of the pauses for which the servers asked
+	requestWaited bool          // whether a request has had to wait after the last growth of commonWindow
 
 	latencyEstimates map[int]*latencyEstimate // by rank, for services without keys
 
@@ -247,6 +248,7 @@
 			p.servers[s.ID] = state
 		}
 		state.setListed(s)
+		p.lastPauseEnd = max(p.lastPauseEnd, state.PausedUntil)
 	}
 	p.candidates = p.candidates[:0]
 	for id, s := range p.servers {
