Test the counter of requests that are placed anew

Cause: nothing checked that the counter is bound with its labels and counts.

Change: TestPlacementIsCheckedBeforeTheWrite reads it from a scrape for each cause. No code outside of tests changes.

Conclusion: requests that are refused or placed anew can be counted by cause.

--- a/relay/edge/signals_test.go
+++ b/relay/edge/signals_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/dispatch"
+	"parsleyrelay.example/relay/telemetry"
 )
 
 // signalRecorder keeps the servers of an Edge as a host does, and records its signals.
@@ -249,6 +251,9 @@
 	} {
 		first, second := startScriptedServer(t, "s1", signedResponse), startScriptedServer(t, "s2", signedResponse)
 		e, rec := newSignalEdge(t, false, first)
+		metrics, err := telemetry.NewMetrics()
+		require.NoError(t, err)
+		e.options.Metrics = metrics
 		c, decision := assignRequest(t, e)
 		require.Equal(t, dispatch.Server{ID: "s1", Born: 1, Address: first.address, Zone: "a", Slots: 2}, decision.Server)
 		s := rec.directory.All()["s1"]
@@ -264,5 +269,8 @@
 		require.Equal(t, 1, second.requestCount(), cause)
 		e.options.Journal.Close()
 		require.Contains(t, rec.log.String(), fmt.Sprint("reason=", string(cause)))
+		scrape := httptest.NewRecorder()
+		metrics.Handler().ServeHTTP(scrape, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		require.Regexp(t, fmt.Sprintf(`%s\{cause="%s",[^}]*service="s"[^}]*\} 1\n`, telemetry.MetricReplacedRequests, string(cause)), scrape.Body.String())
 	}
 }
