Move the log lines of the assigner to a file of their own

Change: logging.go holds the lines about releases, restarts and emptied servers; the conditions use the tracked owner and previous holder.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -68,7 +68,7 @@
 	if t.callOpen || now < t.nextCallAt && t.stage != stageReleasing {
 		return Call{}, false
 	}
-	if t.stage != stageReleasing && now < l.refusedUntil[r.Owner] {
+	if t.stage != stageReleasing && now < l.refusedUntil[t.owner] {
 		return Call{}, false
 	}
 	switch t.stage {
@@ -83,7 +83,7 @@
 		case freed:
 			l.completeRelease(now, t, evidence)
 			return Call{}, false
-		case now < t.nextCallAt || now < l.refusedUntil[r.PreviousHolder] || now-l.leadershipConfirmedAt > moveConfirmationTimeout:
+		case now < t.nextCallAt || now < l.refusedUntil[t.previousHolder] || now-l.leadershipConfirmedAt > moveConfirmationTimeout:
 			return Call{}, false
 		case !t.fenceConfirmed && t.latestGrantExpiry()-now < CallTimeout+FenceGrantDuration+GrantExpiryMargin:
 			return Call{}, false // an unanswered grant would delay the expiry
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -167,6 +167,10 @@
 	return nil
 }
 
+// SetPauses sets the pauses that servers asked of the hosts, by server ID. The map must not
+// be changed afterwards.
+func (a *Assigner) SetPauses(pauses map[string]directory.Pause) { a.pauses.Store(&pauses) }
+
 // publishAdmittedShares makes the leader's shares available and logs which servers are
 // limited since the last call, and which are no longer.
 func (a *Assigner) publishAdmittedShares() {
@@ -425,33 +429,6 @@
 	a.publishAdmittedShares()
 }
 
-// logReleases logs the ranges that were freed since the last tick, and the evidence. A
-// release by the holder is the usual case, of which some lines may be left out.
-func (a *Assigner) logReleases() {
-	if a.leader == nil {
-		return
-	}
-	for _, r := range a.leader.TakeCompletedReleases() {
-		log := a.options.Journal.LogEvent
-		if r.Evidence == assignment.ReleasedByHolder {
-			log = a.options.Journal.LogRoutineEvent
-		}
-		log(event.RangeFreed, "term", a.leader.Term(), "service", r.Service, "from", r.From, "to", r.To, "evidence", r.Evidence,
-			"holder", r.Holder.ID, "holder_born", r.Holder.Born, "owner", r.Owner.ID, "owner_born", r.Owner.Born, "fence", r.Fence, "grant_left_ms", r.GrantLeft.Milliseconds())
-	}
-}
-
-// logRestarts logs the servers that were seen to have started again since the last tick.
-func (a *Assigner) logRestarts() {
-	if a.leader == nil {
-		return
-	}
-	for _, r := range a.leader.TakeRestarts() {
-		a.options.Journal.LogEvent(event.OwnerRestarted, "term", a.leader.Term(), "service", r.Service, "server", r.Server.ID, "address", r.Server.Address,
-			"born", r.Server.Born, "former_born", r.FormerBorn, "ranges", r.Ranges)
-	}
-}
-
 // sendCall sends a call that was started at startedAt, by package clock, when its server
 // has a free call slot, and queues the result. A grant that was sent ends within
 // assignment.CallTimeout of startedAt, because the state machine and later leaders rely on
