Confirm leadership at the start of an acknowledged write

Cause: a leader counted LeadershipConfirmationTimeout from the acknowledgement of a write. The map may have been stored when the write was sent, and a successor may have written since, whose wait for grants of the former leader counts from its own map. A write is repeated until it is answered, so the acknowledgement can be seconds late. Change: the write counts as a confirmation of the time at which it was started. Measured: TestLateAcknowledgementConfirmsWhenTheWriteWasSent fails without the change (the leader still leads 10 s after the write) and passes with it. Not measured: a term that begins with a write that takes over 10 s now ends at once. Conclusion: the wait of a successor now covers late acknowledgements.

--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -66,9 +66,11 @@
 // write begins the term. A Leader must not be used concurrently.
 type Leader struct {
 	options               Options
-	acknowledged          *Map                     // last map that the log acknowledged
-	draft                 *Map                     // map of the next write; nil if nothing changed
-	inFlight              *Map                     // map of the open write; nil for none
+	acknowledged          *Map // last map that the log acknowledged
+	draft                 *Map // map of the next write; nil if nothing changed
+	inFlight              *Map // map of the open write; nil for none
+	lastTickAt            time.Duration
+	writeStartedAt        time.Duration            // time of the last tick before the open write
 	leadershipConfirmedAt time.Duration            // time of the last evidence that no other leader has written
 	formerGrantExpiry     time.Duration            // time until which a server may hold a range by a grant of a former leader
 	earlierGrantExpiry    time.Duration            // the same for the leaders before the last one
@@ -108,7 +110,7 @@
 	l.draft.Sequence = 0
 	l.draft.Leader = options.HostIncarnation
 	l.draft.Resigned = false
-	l.leadershipConfirmedAt = now
+	l.leadershipConfirmedAt, l.lastTickAt = now, now
 	return l
 }
 
@@ -168,11 +170,13 @@
 		return nil
 	}
 	l.inFlight, l.draft = l.draft, nil
+	l.writeStartedAt = l.lastTickAt
 	return &MapWrite{Map: l.inFlight}
 }
 
 // AcknowledgeMapWrite records that the log acknowledged the open write at offset. It
-// returns the written map.
+// returns the written map. Another leader may have written between the write and its
+// acknowledgement, so leadership is confirmed at the start of the write.
 func (l *Leader) AcknowledgeMapWrite(now time.Duration, offset, nextOffset uint64) *Map {
 	firstWrite := !l.termBegun
 	formerResigned := l.acknowledged.Resigned
@@ -181,7 +185,7 @@
 	if l.draft != nil {
 		l.draft.NextOffset = nextOffset
 	}
-	l.leadershipConfirmedAt = max(l.leadershipConfirmedAt, now)
+	l.leadershipConfirmedAt = max(l.leadershipConfirmedAt, l.writeStartedAt)
 	if firstWrite {
 		l.beginTerm(now, formerResigned)
 	}
@@ -232,6 +236,7 @@
 // new services, plans moves and returns the calls to make now. It is meant to run
 // every few tens of milliseconds.
 func (l *Leader) Tick(now time.Duration) []Call {
+	l.lastTickAt = now
 	if !l.Leading() {
 		return nil
 	}
--- a/core/assignment/takeover_test.go
+++ b/core/assignment/takeover_test.go
@@ -64,3 +64,22 @@
 	sim.addServer("2")
 	sim.run(RenewalInterval, successor, former)
 }
+
+// Guards against a leader that takes a late acknowledgement for news: the map may have
+// been stored when the write was sent, and another leader's map after it. The successor
+// counts LeadershipConfirmationTimeout from its own map.
+func TestLateAcknowledgementConfirmsWhenTheWriteWasSent(t *testing.T) {
+	sim := newSimulation(t, "1", "2")
+	l := sim.leaderAfterPlacement("a")
+	sim.ackDelay = LeadershipConfirmationTimeout - time.Second
+	sim.servers["2"].Draining = true
+	l.SetServers(sim.serversExcept())
+	sim.step(l)
+	sim.appendedMap.Term++ // reads no longer confirm the leader
+	sim.writeDelay = time.Hour
+	sim.run(LeadershipConfirmationTimeout-500*time.Millisecond, l)
+	require.Equal(t, sim.appendedMap.NextOffset, l.acknowledged.NextOffset)
+	require.True(t, l.Leading())
+	sim.run(time.Second, l)
+	require.False(t, l.Leading())
+}
