Allow exchanges over connections from before a time only

Cause: whether the process at an address is still the one that ran at some time is not known from its responses. A connection that was opened before proves it. Change: upstream.Exchange.OpenedBefore limits an exchange to idle connections that were opened before a time, of all idle ones of the address. It waits up to 100 ms for one that another exchange uses, opens none, and otherwise fails with Sent false. Measured: TestOpenedBeforeLimitsTheConnections passes with -race. It fails if a connection is opened, if only the newest idle one is looked at, and if the release of one ends no wait (each tried). Exchanges without the limit take the newest connection as before.

--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +33,9 @@
 	idleTimeoutMargin = 1500 * time.Millisecond
 	// maxIdlePerServer limits the idle connections to one server.
 	maxIdlePerServer = 8
+	// maxConnWait limits the wait for a connection that other exchanges use; see
+	// Exchange.OpenedBefore. It is longer than a server takes for a short request.
+	maxConnWait = 100 * time.Millisecond
 	// MaxResponseBytes limits a response body, which is held in memory.
 	MaxResponseBytes = 16 << 20
 	// maxResponsesRead limits the responses read for one request, including the
@@ -63,6 +67,9 @@
 	ErrResponseTooLarge   = errors.New("response body exceeds the size limit")
 )
 
+// ErrNoOldConn is the cause if no connection was opened before Exchange.OpenedBefore.
+var ErrNoOldConn = errors.New("no idle connection is old enough")
+
 // Response is a complete response.
 type Response struct {
 	Status int
@@ -78,6 +85,9 @@
 	RawRequest []byte // header and body as written to the connection
 	Matches    func(http.Header) bool
 	NewConn    bool // opens a connection, even if one is idle
+	// OpenedBefore limits the exchange to connections that were opened before a time, so
+	// that it reaches a process that ran then. None is opened. Zero for no limit.
+	OpenedBefore time.Time
 	// BeforeSend is called when the connection is open, before anything is written. If it
 	// returns an error, nothing is sent and the error is returned. nil for no check.
 	BeforeSend func() error
@@ -97,12 +107,14 @@
 	dial         DialFunc
 	mu           sync.Mutex
 	idle         map[string][]*conn
-	DialAttempts atomic.Uint64 // connections opened, including failed attempts
+	released     map[string]chan struct{} // by address; see acquireOldConn
+	DialAttempts atomic.Uint64            // connections opened, including failed attempts
 }
 
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
+	openedAt    time.Time
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
@@ -111,7 +123,9 @@
 func NewClient() *Client { return NewClientWithDial(DialTCP) }
 
 // NewClientWithDial returns a client without connections, which opens them with dial.
-func NewClientWithDial(dial DialFunc) *Client { return &Client{dial: dial, idle: map[string][]*conn{}} }
+func NewClientWithDial(dial DialFunc) *Client {
+	return &Client{dial: dial, idle: map[string][]*conn{}, released: map[string]chan struct{}{}}
+}
 
 // Do runs an exchange. All errors are *Error. Nothing is sent after the end of ctx. When
 // ctx ends later, the connection is reset, upon which most servers stop running the
@@ -152,15 +166,13 @@
 
 // acquireConn returns an idle connection that is still usable, or opens one.
 func (c *Client) acquireConn(ctx context.Context, x Exchange) (*conn, error) {
-	for !x.NewConn {
-		cn := c.popIdle(x.Address)
-		if cn == nil {
-			break
-		}
-		if time.Since(cn.idleSince) < cn.idleTimeout && cn.isOpenAndEmpty() {
+	if !x.OpenedBefore.IsZero() {
+		return c.acquireOldConn(ctx, x)
+	}
+	if !x.NewConn {
+		if cn, _ := c.acquireIdle(x); cn != nil {
 			return cn, nil
 		}
-		cn.reset()
 	}
 	c.DialAttempts.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
@@ -169,19 +181,72 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferSize), openedAt: time.Now(), idleTimeout: defaultIdleTimeout}, nil
 }
 
-func (c *Client) popIdle(address string) *conn {
+// acquireOldConn returns an idle connection that was opened before x.OpenedBefore. It
+// waits up to maxConnWait, since another exchange may use one.
+func (c *Client) acquireOldConn(ctx context.Context, x Exchange) (*conn, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, maxConnWait, ErrNoOldConn)
+	defer cancel()
+	for {
+		cn, released := c.acquireIdle(x)
+		if cn != nil {
+			return cn, nil
+		}
+		select {
+		case <-released:
+		case <-ctx.Done():
+			c.mu.Lock()
+			c.endWaitsLocked(x.Address)
+			c.mu.Unlock()
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
+// endWaitsLocked makes the exchanges that wait for a connection look again. c.mu must be
+// locked.
+func (c *Client) endWaitsLocked(address string) {
+	if released := c.released[address]; released != nil {
+		close(released)
+		delete(c.released, address)
+	}
+}
+
+// acquireIdle returns an idle connection that is still usable. If there is none and x
+// limits the age, it returns a channel that is closed at the next release of one.
+func (c *Client) acquireIdle(x Exchange) (*conn, <-chan struct{}) {
+	for {
+		cn, released := c.popIdle(x)
+		if cn == nil || time.Since(cn.idleSince) < cn.idleTimeout && cn.isOpenAndEmpty() {
+			return cn, released
+		}
+		cn.reset()
+	}
+}
+
+// popIdle removes and returns the connection that was released last, of those that x
+// allows. See acquireIdle for the channel.
+func (c *Client) popIdle(x Exchange) (*conn, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	list := c.idle[x.Address]
+	for i, cn := range slices.Backward(list) {
+		if x.OpenedBefore.IsZero() || cn.openedAt.Before(x.OpenedBefore) {
+			c.idle[x.Address] = slices.Delete(list, i, i+1)
+			return cn, nil
+		}
+	}
+	if x.OpenedBefore.IsZero() {
+		return nil, nil
+	}
+	released := c.released[x.Address]
+	if released == nil {
+		released = make(chan struct{})
+		c.released[x.Address] = released
 	}
-	cn := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return cn
+	return nil, released
 }
 
 // releaseConn keeps a connection for reuse, or closes it if enough are idle.
@@ -192,6 +257,7 @@
 	if !full {
 		c.idle[address] = append(c.idle[address], cn)
 	}
+	c.endWaitsLocked(address)
 	c.mu.Unlock()
 	if full {
 		cn.reset()
--- a/relay/upstream/upstream_test.go
+++ b/relay/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -179,3 +180,52 @@
 	}
 	require.Equal(t, uint64(1), c.DialAttempts.Load(), "a connection was reset")
 }
+
+// Guards against an exchange that is meant for a process that ran at some time and opens a
+// connection, which may reach a later process; and against one that fails although an old
+// connection is idle behind a newer one, or is in use for a moment.
+func TestOpenedBeforeLimitsTheConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const address = "server"
+		c := NewClientWithDial(func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go serveScripted(far, slices.Repeat([]string{responseA}, 10))
+			return near, nil
+		})
+		defer c.CloseIdle(address)
+		do := func(openedBefore time.Time, newConn bool) error {
+			x := newExchange(address, "a")
+			x.OpenedBefore, x.NewConn = openedBefore, newConn
+			_, err := c.Do(t.Context(), x)
+			time.Sleep(time.Millisecond)
+			return err
+		}
+		requireNotSent := func(openedBefore time.Time) {
+			t.Helper()
+			var failure *Error
+			err := do(openedBefore, false)
+			require.ErrorAs(t, err, &failure)
+			require.ErrorIs(t, err, ErrNoOldConn)
+			require.False(t, failure.Sent)
+		}
+		start := time.Now()
+		requireNotSent(start)
+		require.NoError(t, do(time.Time{}, false))
+		requireNotSent(start)
+		require.Equal(t, uint64(1), c.DialAttempts.Load())
+
+		limit := time.Now()
+		require.NoError(t, do(time.Time{}, true))
+		require.NoError(t, do(limit, false))
+		require.Equal(t, uint64(2), c.DialAttempts.Load())
+
+		old, _ := c.popIdle(Exchange{Address: address, OpenedBefore: limit})
+		require.NotNil(t, old)
+		done := make(chan error, 1)
+		go func() { done <- do(limit, false) }()
+		synctest.Wait() // it waits for the connection
+		c.releaseConn(address, old)
+		require.NoError(t, <-done)
+		require.Equal(t, uint64(2), c.DialAttempts.Load())
+	})
+}
