Free no range on the entry of another server alone

Cause: the entry of another server with the holder's address and a later start time counted as proof that the holder has ended. Start times come from the clocks of different servers, an entry outlasts its server, and a list that lags shows the other server and not yet the holder that has started again. Change: such an entry is evidence only while calls to the holder are refused at the address. A server with another ID answers calls with 421, which frees ranges without the list, so the entry matters only where the refusal does not say who refuses. TestFreedRangesNameTheEvidence lets the other server refuse calls to the holder.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -105,10 +105,11 @@
 }
 
 // hasEnded reports whether the holder of a range is known to have ended, and the
-// evidence: another server responded at its address, a newer server of any service is
-// listed with its address, or a newer incarnation in the same service has its ID and
-// another address. A newer incarnation at the address is no evidence, because calls for
-// the former one may have reached it.
+// evidence: another server responded at its address, calls to it are refused there and a
+// newer server of any service is listed with the address, or a newer incarnation in the
+// same service has its ID and another address. A newer incarnation at the address is no
+// evidence, because calls for the former one may have reached it. Nor is the entry of
+// another server alone, which may outlast that server.
 func (l *Leader) hasEnded(t *trackedRange, holder ServerIncarnation) (ReleaseEvidence, bool) {
 	// A call that was started after the response may have reached a newer incarnation.
 	if reuse, ok := l.addressReused[holder.endpoint()]; ok && t.lastCallAt <= reuse.seenAt {
@@ -121,6 +122,9 @@
 		}
 		newest = s.Born
 	}
+	if _, refused := l.refusedUntil[holder]; !refused {
+		return "", false
+	}
 	for _, servers := range l.servers {
 		for _, s := range servers {
 			if s.ID != holder.ID && s.Address == holder.Address && s.Born > newest {
--- a/core/assignment/releases.go
+++ b/core/assignment/releases.go
@@ -10,7 +10,7 @@
 	ReleasedByHolder       ReleaseEvidence = "released"                // the holder answered a release
 	GrantExpired           ReleaseEvidence = "expired"                 // no grant that may have reached the holder is valid any more
 	AddressTakenOver       ReleaseEvidence = "address_reused"          // another server responded at the holder's address
-	NewerServerAtAddress   ReleaseEvidence = "newer_server_at_address" // a newer server is listed with the holder's address
+	NewerServerAtAddress   ReleaseEvidence = "newer_server_at_address" // a newer server is listed with the holder's address, and calls to the holder are refused
 	NewerIncarnationListed ReleaseEvidence = "newer_incarnation"       // a newer incarnation of the holder is listed
 )
 
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -263,10 +263,10 @@
 			sim.lateCalls = append(sim.lateCalls, lateCall{appliedAt: endsAt, arrivedAt: endsAt, call: c})
 		}
 		return CallResult{Status: CallUnanswered}, endsAt
-	case s.addressReused || s.ID != c.Server.ID:
-		return CallResult{Status: CallAddressReused}, sim.now
 	case s.refuses != nil && s.refuses(c):
 		return CallResult{Status: CallRefused}, sim.now
+	case s.addressReused || s.ID != c.Server.ID:
+		return CallResult{Status: CallAddressReused}, sim.now
 	case s.responsesLost && c.Kind == GrantCall && sim.random != nil && sim.random.IntN(2) == 0:
 		sim.lateCalls = append(sim.lateCalls, lateCall{appliedAt: sim.now + time.Duration(sim.random.IntN(9000))*time.Millisecond, arrivedAt: sim.now, call: c, server: s})
 		return CallResult{Status: CallUnanswered}, sim.now
