Number calls across the terms of a host

Cause: the IDs of calls began anew with each term. A host that lost the lead and got it again while a call was open took the result for the call of the new term with the same ID: a release that one server answered freed a range that another one held. Change: the ID of a call has the term in its high bits.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -21,6 +21,11 @@
 	return "grant"
 }
 
+// callIDBits is the number of low bits of a Call.ID that count the calls of a term; the
+// term is in the bits above. A host may lead again while calls of its former term are
+// open, and their results must not count for calls of the new one.
+const callIDBits = 40
+
 // Call is a request to a server to accept a grant or to release a range. The
 // caller of Leader.Tick sends it and passes its result to Leader.HandleCallResult.
 type Call struct {
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -107,6 +107,7 @@
 	}
 	l.draft = acknowledged.clone()
 	l.draft.Term++
+	l.lastCallID = l.draft.Term << callIDBits
 	l.draft.Sequence = 0
 	l.draft.Leader = options.HostIncarnation
 	l.draft.Resigned = false
