Reset connections at the end of the process

Cause: the leader bounds a call by the reset of its connection. A process that is killed resets nothing: the kernel goes on sending what it has accepted, so that a grant can reach a server over a link that was cut when no leader waits for it any more. Change: connections are set to be reset by any close when they are opened, not when they are closed. A process that is stopped, not killed, while the link is cut is not covered; the limit would be TCP_USER_TIMEOUT.

--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -96,10 +96,19 @@
 // DialFunc opens a connection to a host:port.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// DialTCP opens a TCP connection without keep-alive probes.
+// DialTCP opens a TCP connection without keep-alive probes. It is reset when it is closed,
+// also by the end of the process, so that bytes in transit are not delivered later.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAlive: -1}
-	return dialer.DialContext(ctx, "tcp", address)
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.(*net.TCPConn).SetLinger(0); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
 }
 
 // Client pools connections by address. It is safe for concurrent use.
@@ -299,14 +308,8 @@
 	}
 }
 
-// reset closes the connection with a TCP reset, so that bytes in transit are not
-// delivered.
-func (cn *conn) reset() {
-	if tcp, ok := cn.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = cn.Close()
-}
+// reset closes the connection, which resets it (see DialTCP).
+func (cn *conn) reset() { _ = cn.Close() }
 
 // isOpenAndEmpty reports whether the server has neither closed the connection nor
 // sent bytes without a request.
