Ignore the results of calls of a host's former terms

The IDs of calls begin anew with each term of a host. Change: HandleCallResult ignores a result whose call has a fence of another term. The number of a term is used by one leader only, as its first map is appended on the condition that no other one is. Measured: TestResultOfAFormerTermReleasesNoOtherRange failed before and passes.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -168,11 +168,14 @@
 }
 
 // HandleCallResult updates the range of a call that has ended. CallFenced ends the
-// term, and results after the end of the term are ignored. After CallAddressReused the
+// term. Results after the end of the term and those of other terms are ignored. After CallAddressReused the
 // server counts as ended. A server that refused a call gets one in RefusedCallDelay, for a
 // range whose turn it is, until one succeeds. Other failed calls are repeated after
 // CallRetryDelay.
 func (l *Leader) HandleCallResult(now time.Duration, call Call, result CallResult) {
+	if call.Fence>>fenceCounterBits != l.acknowledged.Term {
+		return // the host made it in a former term, which used the same IDs
+	}
 	t := l.openCalls[call.ID]
 	delete(l.openCalls, call.ID)
 	if t == nil || l.stopped {
