Show that a write of a former term begins the next one

Cause: a write goes on until it is acknowledged or refused, also when its leader has been dropped, and the assigner passes its outcome to the leader that it has then. If that is a later leader of the host, it takes the acknowledgement for that of its own open write: it leads and grants by a map that the store does not have, for up to 10 s if it has lost the store, and another host may lead a term with the same number. A refused write of the former leader stops the later one without a cause. Change: a test in virtual time. Measured: TestWriteOfAFormerTermBeginsNoTerm fails ("no map of term 6 is stored").

--- a/relay/assigner/formerterm_test.go
+++ b/relay/assigner/formerterm_test.go
@@ -55,6 +55,18 @@
 	return assignment.CallResult{Status: assignment.CallSucceeded}
 }
 
+// heldWrites stores the first map of a term when the gate is opened for the term.
+type heldWrites struct{ gate[uint64] }
+
+func (s *heldWrites) AppendMap(ctx context.Context, m *assignment.Map) (offset, nextOffset uint64, err error) {
+	select {
+	case <-s.of(m.Term):
+		return m.NextOffset, m.NextOffset + 1, nil
+	case <-ctx.Done():
+		return 0, 0, ctx.Err()
+	}
+}
+
 // runElected runs an elected assigner with servers 1 and 2 in virtual time.
 func runElected(t *testing.T, store MapStore, sender CallSender, test func(*testing.T, *Assigner)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -113,3 +125,21 @@
 		require.False(t, calledFor(assignment.GrantCall, "1"), "granted before server 2 has released it")
 	})
 }
+
+// Guards against a leader that grants by a map which the store does not have: it takes the
+// acknowledgement of a write of the host's former term for that of its own.
+func TestWriteOfAFormerTermBeginsNoTerm(t *testing.T) {
+	store := &heldWrites{}
+	runElected(t, store, succeedingSender{}, func(t *testing.T, a *Assigner) {
+		a.ObserveMap(mapOf(3, 7, 0, "1", "2", "2", "1", "1"))
+		time.Sleep(time.Second)
+		a.ObserveMap(mapOf(5, 9, 0, "1", "2", "2", "1", "1"))
+		time.Sleep(2 * time.Second)
+		close(store.of(4))
+		time.Sleep(100 * time.Millisecond)
+		require.False(t, a.Leading(), "no map of term 6 is stored")
+		close(store.of(6))
+		time.Sleep(100 * time.Millisecond)
+		require.True(t, a.Leading())
+	})
+}
