Ignore acknowledgements of writes of a host's former terms

Cause: a write of a map is repeated until it is answered, beyond the end of its term, and its result named no term. A host that led again took a late acknowledgement for that of its next term's first write and led on a map that the log does not have; a late conflict ended the wrong term. Change: the result of a write names the term of its map.

--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -103,6 +103,7 @@
 
 // completedWrite is a write of a map that was acknowledged or refused with ErrConflict.
 type completedWrite struct {
+	term               uint64 // of the map
 	offset, nextOffset uint64
 	err                error
 }
@@ -345,7 +346,7 @@
 // handleCompletedWrite passes the result of a write to the state machine. The first
 // write that the log acknowledges begins the term.
 func (a *Assigner) handleCompletedWrite(now time.Duration, w completedWrite) {
-	if a.leader == nil || a.leader.Stopped() {
+	if a.leader == nil || a.leader.Stopped() || w.term != a.leader.Term() {
 		return
 	}
 	if errors.Is(w.err, ErrConflict) {
@@ -480,7 +481,7 @@
 	for {
 		offset, nextOffset, err := a.options.Store.AppendMap(ctx, m)
 		if err == nil || errors.Is(err, ErrConflict) {
-			a.messages <- message{completedWrite: &completedWrite{offset: offset, nextOffset: nextOffset, err: err}}
+			a.messages <- message{completedWrite: &completedWrite{term: m.Term, offset: offset, nextOffset: nextOffset, err: err}}
 			return
 		}
 		a.options.Journal.LogEvent(event.AdapterFailed, "operation", "append map", "term", m.Term, "error", err)
