Number the calls to servers over all homes of a daemon

Cause: in the deployment on a plain log, the numbers of a home's calls began anew with each home of a server. When a daemon got the home again while a call of the former one was open, the response to that counted for the new call, with its token and time. Change: the daemon counts its calls over all homes. Measured: TestResponseToAFormerHomeCountsForNoLaterOne failed before and passes with core/ownership and its fault matrix.

--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -75,18 +75,18 @@
 	if m.now < h.nextCallAt && !(grant && h.grantedSetChanged) {
 		return
 	}
-	h.grantSeq++
+	m.lastGrantSeq++
 	h.nextCallAt = m.now + grantInterval
-	call := &serverCall{seq: h.grantSeq, sentAt: m.now, withoutGrant: !grant}
+	call := &serverCall{seq: m.lastGrantSeq, sentAt: m.now, withoutGrant: !grant}
 	h.inFlight = call
 	switch {
 	case !h.spec.ChecksGrants:
-		m.addEffect(SendProbe{Server: h.server, Address: h.spec.Address, Seq: h.grantSeq})
+		m.addEffect(SendProbe{Server: h.server, Address: h.spec.Address, Seq: m.lastGrantSeq})
 	case grant:
 		m.sendGrant(h, call, until)
 	default:
 		m.addEffect(SendGrant{
-			Server: h.server, Address: h.spec.Address, Service: h.spec.Service, Seq: h.grantSeq,
+			Server: h.server, Address: h.spec.Address, Service: h.spec.Service, Seq: m.lastGrantSeq,
 			Term: h.assignment.Term, SubTerm: h.subTerm,
 		})
 	}
--- a/core/ownership/homes.go
+++ b/core/ownership/homes.go
@@ -37,7 +37,6 @@
 	handover          *handover
 
 	// Calls to the server; see grants.go.
-	grantSeq            uint64
 	inFlight            *serverCall
 	nextCallAt          time.Duration
 	instance            string
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -76,6 +76,7 @@
 	logUnreachableSince time.Duration
 	publishedOffset     uint64 // applied offset of the last published view
 	draining            bool
+	lastGrantSeq        uint64 // number of the last call to a server; counted over all homes, as a server may get another one while a call is open
 	leaseHeld           bool
 
 	scopes           map[string]*scopeStatus
