Grant only over earlier connections once the log is lost

Cause: a leader without the store grants for up to 10 s. Change: more than confirmationGrace (1.2 s; the leader reads the map every 0.6 s) after its last confirmation, a leader sends grants only over connections from before it (Call.ConnectedBefore); at their other end is a process that has seen the successor's fence if the successor had it release the range. Without such a connection the grant fails as not executed. Within the grace any connection is used, so the successor of a leader that has not resigned sends its first releases after the grace and CallTimeout (2.2 s), and those of moves that it found open as soon as what its host saw allows. Tests: TestFormerLeaderCannotGrantANewIncarnation waited 0.5 s until the successor had moved the ranges of a server, and now 2.7 s, as releases begin after 2.2 s; what it checks is unchanged, and it still fails without ConnectedBefore. Fake servers accept restricted calls only over connections that can exist. Each new test fails if its part of the change is taken out (tried one at a time); a grace of 0 fails none of them.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -32,6 +32,12 @@
 	Fence         uint64
 	GrantDuration time.Duration // 0 for a release
 	Handover      string        // data from the previous holder for the new owner; empty for none
+	// ConnectedBefore is set for a grant of a leader that was last confirmed at this time,
+	// more than confirmationGrace ago. The call is sent only over a connection that was
+	// opened before, and otherwise not at all. At the other end is an incarnation that ran
+	// before any later leader, and has seen the fence of one that made it release the
+	// range; a newer incarnation has seen none. 0 allows any connection.
+	ConnectedBefore time.Duration
 }
 
 // CallStatus is the outcome of a Call.
@@ -92,6 +98,9 @@
 			// the server refuse it.
 			return l.startCall(now, t, GrantCall, t.previousHolder, "", FenceGrantDuration), true
 		}
+		if now < t.nextReleaseAt {
+			return Call{}, false
+		}
 		return l.startCall(now, t, ReleaseCall, t.previousHolder, "", 0), true
 	default:
 		return l.startCall(now, t, GrantCall, t.owner, t.handover, GrantDuration), true
@@ -149,11 +158,15 @@
 	if _, refused := l.refusedUntil[server]; refused {
 		l.refusedUntil[server] = now + RefusedCallDelay // other ranges wait for the result of this call
 	}
+	var connectedBefore time.Duration
 	if kind == GrantCall {
+		if now-l.leadershipConfirmedAt > confirmationGrace {
+			connectedBefore = l.leadershipConfirmedAt
+		}
 		t.grantExpiry = max(t.grantExpiry, now+CallTimeout+grantDuration+GrantExpiryMargin)
 	}
 	l.openCalls[l.lastCallID] = t
-	return Call{ID: l.lastCallID, Kind: kind, Service: t.service, Server: server, From: t.from, To: t.to, Fence: t.fence, GrantDuration: grantDuration, Handover: handover}
+	return Call{ID: l.lastCallID, Kind: kind, Service: t.service, Server: server, From: t.from, To: t.to, Fence: t.fence, GrantDuration: grantDuration, Handover: handover, ConnectedBefore: connectedBefore}
 }
 
 // checkFenceCounters ends the term before a count of the term would run into the bits of
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -23,6 +23,7 @@
 	callOpen       bool
 	lastCallAt     time.Duration // start of the last call
 	nextCallAt     time.Duration // earliest start of the next call
+	nextReleaseAt  time.Duration // earliest start of a release; see beginTerm
 	fence          uint64        // fence of the last grant
 	fenceCounter   uint64        // number of the last grant in this term; 0 for none
 	fenceConfirmed bool          // no earlier grant may still arrive: the holder accepted the fence, or the former leader resigned
@@ -198,11 +199,16 @@
 // beginTerm starts to track all ranges. A former leader that resigned has no open
 // call. Otherwise it may start calls until its LeadershipConfirmationTimeout, the last
 // one may take CallTimeout, and holders may hold their ranges until its grant expires.
+// For confirmationGrace it may grant over new connections, which reach a server that has
+// restarted after a release. So no holder is asked to release before these calls have ended.
 func (l *Leader) beginTerm(now time.Duration, formerResigned bool) {
 	l.termBegun, l.trackedRanges = true, nil
-	formerGrantExpiry := now + GrantDuration + GrantExpiryMargin
+	formerGrantExpiry, nextReleaseAt := now+GrantDuration+GrantExpiryMargin, now
 	if !formerResigned {
 		formerGrantExpiry += LeadershipConfirmationTimeout + CallTimeout
+		if l.acknowledged.Term > firstTerm {
+			nextReleaseAt += confirmationGrace + CallTimeout
+		}
 	}
 	if l.acknowledged.Term > firstTerm {
 		l.formerGrantExpiry, l.earlierGrantExpiry = formerGrantExpiry, formerGrantExpiry
@@ -214,7 +220,7 @@
 	}
 	for _, service := range sortedKeys(l.acknowledged.Services) {
 		for _, r := range l.acknowledged.Services[service] {
-			t := &trackedRange{service: service, from: r.From, to: r.To, formerGrantExpiry: formerGrantExpiry, fenceConfirmed: formerResigned, nextCallAt: now,
+			t := &trackedRange{service: service, from: r.From, to: r.To, formerGrantExpiry: formerGrantExpiry, fenceConfirmed: formerResigned, nextCallAt: now, nextReleaseAt: nextReleaseAt,
 				owner: r.Owner, previousHolder: r.PreviousHolder, grantPending: r.GrantPending}
 			switch {
 			case r.AwaitsRelease():
@@ -222,6 +228,7 @@
 				if l.options.Observations != nil {
 					if expiry, known := l.options.Observations.grantExpiry(now, &r); known {
 						t.formerGrantExpiry = min(t.formerGrantExpiry, expiry)
+						t.nextReleaseAt = min(nextReleaseAt, l.options.Observations.releaseStart(&r))
 					}
 				}
 			case r.GrantPending:
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -20,12 +20,18 @@
 	checkedKeys   []uint16                 // keys whose holders the simulation checks
 	heldUntil     map[uint16]time.Duration // by key
 	highestFence  map[uint16]uint64        // by key
+	connectedAt   time.Duration            // when its oldest connection was opened; 0 for its start
 	unreachable   bool                     // calls get no response; under random faults some grants arrive late
 	responsesLost bool                     // calls take effect but get no response
 	addressReused bool                     // another server responds at the address
 	refuses       func(Call) bool          // refused calls have no effect; nil for none
 }
 
+// isConnected reports whether the incarnation can have the connection that a call needs.
+func (s *fakeServer) isConnected(c Call) bool {
+	return c.ConnectedBefore == 0 || max(s.connectedAt, time.Duration(s.Born)) < c.ConnectedBefore
+}
+
 func (s *fakeServer) apply(now, arrivedAt time.Duration, c Call) CallResult {
 	var affected []uint16
 	for _, k := range s.checkedKeys {
@@ -206,6 +212,9 @@
 			if c.server = sim.serverAt(c.call.Server.Address); c.server == nil || c.server.ID != c.call.Server.ID {
 				continue
 			}
+			if !c.server.isConnected(c.call) {
+				continue
+			}
 		}
 		switch {
 		case c.appliedAt > sim.now:
@@ -256,6 +265,8 @@
 func (sim *simulation) deliver(c Call) (result CallResult, endsAt time.Duration) {
 	s := sim.serverAt(c.Server.Address)
 	switch {
+	case c.ConnectedBefore != 0 && (s == nil || !s.isConnected(c)):
+		return CallResult{Status: CallNotExecuted}, sim.now
 	case s == nil || s.unreachable:
 		endsAt = sim.now
 		if c.Kind == GrantCall && sim.random != nil && sim.random.IntN(2) == 0 {
--- a/core/assignment/takeover_test.go
+++ b/core/assignment/takeover_test.go
@@ -1,6 +1,7 @@
 package assignment
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -58,7 +59,7 @@
 	successor := sim.newLeader("b")
 	sim.servers["2"].Draining = true
 	successor.SetServers(sim.serversExcept())
-	sim.run(500*time.Millisecond, successor)
+	sim.run(confirmationGrace+CallTimeout+500*time.Millisecond, successor)
 	require.Zero(t, sim.rangesByOwner()["2"])
 	require.Zero(t, sim.rangesByOwner()["moving"])
 	sim.addServer("2")
@@ -83,3 +84,59 @@
 	sim.run(time.Second, l)
 	require.False(t, l.Leading())
 }
+
+// Guards against a leader that lost the log and grants over new connections, which may
+// reach an incarnation that has not seen the successor's fence; and against one that no
+// longer renews grants over the old ones, so that keys go unserved in an outage of the log.
+func TestUnconfirmedLeaderGrantsOverOldConnections(t *testing.T) {
+	sim := newSimulation(t, "1", "2")
+	l := sim.leaderAfterPlacement("a")
+	confirmedAt := l.leadershipConfirmedAt
+	sim.appendedMap.Term++ // reads no longer confirm the leader
+	sim.servers["2"].connectedAt = confirmedAt
+	sim.sentCalls = nil
+	sim.run(LeadershipConfirmationTimeout-time.Second, l)
+	require.True(t, l.Leading())
+	grants := map[string]int{}
+	for _, c := range sim.sentCalls {
+		if c.ConnectedBefore != 0 {
+			require.Equal(t, confirmedAt, c.ConnectedBefore)
+			grants[c.Server.ID]++
+		}
+	}
+	require.NotZero(t, grants["1"])
+	require.NotZero(t, grants["2"])
+	for key, heldUntil := range sim.servers["1"].heldUntil {
+		require.Greater(t, heldUntil, sim.now, "key %d", key)
+	}
+	for key, heldUntil := range sim.servers["2"].heldUntil {
+		require.Less(t, heldUntil, confirmedAt+confirmationGrace+GrantDuration, "key %d", key)
+	}
+}
+
+// Guards against a release while a former leader may still grant over new connections:
+// the server could restart and accept such a grant after the range went elsewhere. Also
+// guards against the wait where no such leader runs.
+func TestReleasesWaitForGrantsOverNewConnections(t *testing.T) {
+	for name, resigned := range map[string]bool{"former leader is lost": false, "former leader resigned": true} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, "1", "2")
+			former := sim.leaderAfterPlacement("a")
+			if resigned {
+				former.Resign()
+				sim.run(time.Second, former)
+				require.True(t, former.Stopped())
+			}
+			sim.servers["2"].Draining = true
+			sim.sentCalls = nil
+			successor := sim.newLeader("b")
+			successor.SetServers(sim.serversExcept())
+			sim.step(successor)
+			sim.run(confirmationGrace+CallTimeout-50*time.Millisecond, successor)
+			released := func(c Call) bool { return c.Kind == ReleaseCall }
+			require.Equal(t, resigned, slices.ContainsFunc(sim.sentCalls, released))
+			sim.run(500*time.Millisecond, successor)
+			require.True(t, slices.ContainsFunc(sim.sentCalls, released))
+		})
+	}
+}
