Do not wait for a grant that was not sent

Cause: a grant that failed as not executed left the expiry of the range at the time that it would have had if it had been sent. A leader without a usable connection repeats such grants, and each would delay the time at which the range is free. Change: the expiry before the call is restored when the call had no effect.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -163,6 +163,7 @@
 		if now-l.leadershipConfirmedAt > confirmationGrace {
 			connectedBefore = l.leadershipConfirmedAt
 		}
+		t.expiryBeforeCall = t.grantExpiry
 		t.grantExpiry = max(t.grantExpiry, now+CallTimeout+grantDuration+GrantExpiryMargin)
 	}
 	l.openCalls[l.lastCallID] = t
@@ -215,6 +216,7 @@
 		t.fenceConfirmed = t.fenceConfirmed && result.Status == CallNotExecuted
 		t.nextCallAt = now + CallRetryDelay
 		if result.Status == CallNotExecuted {
+			t.grantExpiry = t.expiryBeforeCall
 			return
 		}
 		// The call may have ended later than CallTimeout after its start.
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -31,8 +31,9 @@
 	// term) and formerGrantExpiry (grants of former leaders).
 	grantExpiry           time.Duration
 	formerGrantExpiry     time.Duration
-	handover              string // data from the previous holder for the owner
-	revertIfHolderReturns bool   // the move started because the holder was draining, unlisted or ended
+	expiryBeforeCall      time.Duration // grantExpiry before the open grant call
+	handover              string        // data from the previous holder for the owner
+	revertIfHolderReturns bool          // the move started because the holder was draining, unlisted or ended
 	// owner, previousHolder and grantPending are those of the newest map. Calls are
 	// made only while the acknowledged map and an open write have the same values.
 	owner, previousHolder ServerIncarnation
--- a/core/assignment/takeover_test.go
+++ b/core/assignment/takeover_test.go
@@ -114,6 +114,20 @@
 	}
 }
 
+// Guards against a grant that was not sent but is waited for as if it had been.
+func TestGrantThatWasNotSentIsNotWaitedFor(t *testing.T) {
+	sim := newSimulation(t, "1", "2")
+	l := sim.leaderAfterPlacement("a")
+	sim.now = l.trackedRanges[0].nextCallAt
+	expiry := l.trackedRanges[0].grantExpiry
+	calls := l.Tick(sim.now)
+	require.NotEmpty(t, calls)
+	for _, c := range calls {
+		l.HandleCallResult(sim.now, c, CallResult{Status: CallNotExecuted})
+	}
+	require.Equal(t, expiry, l.trackedRanges[0].grantExpiry)
+}
+
 // Guards against a release while a former leader may still grant over new connections:
 // the server could restart and accept such a grant after the range went elsewhere. Also
 // guards against the wait where no such leader runs.
