Name the earlier leaders in the map, so that their exits shorten the wait

Cause: since the exit of the last leader's process shortens the wait for grants only down to what this host saw of the leaders before it. Change: the map names the leaders since the last resignation that may still run. A leader that hears of newer processes of all their hosts takes all for ended. The list is emptied when a term has lasted as long as earlier leaders may grant, and has at most 16 names. Maps of earlier versions count as naming unknown leaders. TestExitOfAllFormerLeadersShortensTheWait, TestMapsNameEarlierLeadersWhileThey- MayGrant and TestAllFormerLeadersHaveEndedOnlyIfEachHostKnowsTheNewMap are new and do not compile on the former code. Conclusion: the wait is as short as before where all leaders have ended, and stays long where one may run.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -130,13 +130,33 @@
 
 // Map is the acknowledged assignment of all keyed services.
 type Map struct {
-	Offset     uint64             // offset of the record in the log; also 0 before the first record
-	NextOffset uint64             // log offset that the next conditional append must name
-	Term       uint64             // number of the leader's term
-	Leader     string             // identifier of the run of the leading host's process
-	Sequence   uint64             // number of the write within the term
-	Resigned   bool               // the leader ended its term with all ranges settled and no open call
-	Services   map[string][]Range // by service; ordered by key, without gaps
+	Offset     uint64 // offset of the record in the log; also 0 before the first record
+	NextOffset uint64 // log offset that the next conditional append must name
+	Term       uint64 // number of the leader's term
+	Leader     string // identifier of the run of the leading host's process
+	Sequence   uint64 // number of the write within the term
+	Resigned   bool   // the leader ended its term with all ranges settled and no open call
+	// EarlierLeaders names the processes that led before Leader, from the last resignation
+	// on, and may still run. unknownLeader stands for those that are not named.
+	EarlierLeaders []string
+	Services       map[string][]Range // by service; ordered by key, without gaps
+}
+
+// unknownLeader is an element of Map.EarlierLeaders.
+const unknownLeader = ""
+
+// maxEarlierLeaders limits Map.EarlierLeaders.
+const maxEarlierLeaders = 16
+
+// leadersUntil returns the EarlierLeaders of the map that follows m with another leader.
+func (m *Map) leadersUntil() []string {
+	switch {
+	case m.Leader == "" || m.Resigned:
+		return nil
+	case len(m.EarlierLeaders) >= maxEarlierLeaders:
+		return []string{unknownLeader, m.Leader}
+	}
+	return append(slices.Clone(m.EarlierLeaders), m.Leader)
 }
 
 // FindRange returns the range of a service that contains key, or nil.
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -267,6 +267,15 @@
 	t.grantExpiry, t.formerGrantExpiry = 0, 0
 }
 
+// RecordExitOfEarlierLeaders records that the processes of Map.EarlierLeaders have ended.
+func (l *Leader) RecordExitOfEarlierLeaders(now time.Duration) {
+	l.earlierGrantExpiry = 0
+	l.RecordFormerLeaderExit(now)
+	for _, t := range l.trackedRanges {
+		t.nextReleaseAt = min(t.nextReleaseAt, now)
+	}
+}
+
 // RecordFormerLeaderExit records that the process of the former leader has ended
 // and sends no grants after now. CallTimeout is not added, since no call of an ended
 // process is open. The leaders before it may still run.
--- a/core/assignment/codec.go
+++ b/core/assignment/codec.go
@@ -12,6 +12,7 @@
 	Leader   string                   `json:"leader"`
 	Sequence uint64                   `json:"seq"`
 	Resigned bool                     `json:"resigned,omitempty"`
+	Earlier  []string                 `json:"earlier"` // EarlierLeaders; earlier versions do not store it
 	Servers  []ServerIncarnation      `json:"servers"`
 	Services map[string][]storedRange `json:"services"`
 }
@@ -38,7 +39,7 @@
 
 // Encode returns the stored form of a map.
 func (m *Map) Encode() ([]byte, error) {
-	stored := storedMap{Term: m.Term, Leader: m.Leader, Sequence: m.Sequence, Resigned: m.Resigned, Services: map[string][]storedRange{}}
+	stored := storedMap{Term: m.Term, Leader: m.Leader, Sequence: m.Sequence, Resigned: m.Resigned, Earlier: append([]string{}, m.EarlierLeaders...), Services: map[string][]storedRange{}}
 	indexes := map[ServerIncarnation]int{}
 	serverIndex := func(i ServerIncarnation) int {
 		n, ok := indexes[i]
@@ -72,6 +73,12 @@
 		return nil, &DecodeError{Offset: offset, Reason: err.Error()}
 	}
 	m := &Map{Offset: offset, NextOffset: nextOffset, Term: stored.Term, Leader: stored.Leader, Sequence: stored.Sequence, Resigned: stored.Resigned, Services: map[string][]Range{}}
+	switch {
+	case len(stored.Earlier) > 0:
+		m.EarlierLeaders = stored.Earlier
+	case stored.Earlier == nil && stored.Term > firstTerm:
+		m.EarlierLeaders = []string{unknownLeader}
+	}
 	for name, list := range stored.Services {
 		from := int64(0)
 		ranges := make([]Range, 0, len(list))
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -82,6 +82,8 @@
 	trackedRanges         []*trackedRange
 	servers               map[string]map[string]directory.Server // by service and server ID
 	termBegun             bool                                   // the first write of the term was acknowledged
+	termBegunAt           time.Duration
+	earlierLeadersStopped bool // no leader of an earlier term grants any more, whatever it knows
 	stopped               bool
 	resigning             bool
 	firstServerAt         map[string]time.Duration    // by service; time at which a server was first assignable
@@ -112,6 +114,7 @@
 	l.lastCallID = l.draft.Term << callIDBits
 	l.draft.Sequence = 0
 	l.draft.Leader = options.HostIncarnation
+	l.draft.EarlierLeaders = acknowledged.leadersUntil()
 	l.draft.Resigned = false
 	l.leadershipConfirmedAt, l.lastTickAt = now, now
 	return l
@@ -204,7 +207,7 @@
 // For confirmationGrace it may grant over new connections, which reach a server that has
 // restarted after a release. So no holder is asked to release before these calls have ended.
 func (l *Leader) beginTerm(now time.Duration, formerResigned bool) {
-	l.termBegun, l.trackedRanges = true, nil
+	l.termBegun, l.termBegunAt, l.trackedRanges = true, now, nil
 	formerGrantExpiry, nextReleaseAt := now+GrantDuration+GrantExpiryMargin, now
 	if !formerResigned {
 		formerGrantExpiry += LeadershipConfirmationTimeout + CallTimeout
@@ -253,6 +256,7 @@
 		l.stopped = true
 		return nil
 	}
+	l.earlierLeadersStopped = now-l.termBegunAt > LeadershipConfirmationTimeout+CallTimeout
 	if l.checkFenceCounters(); l.stopped {
 		return nil
 	}
@@ -290,6 +294,9 @@
 		}
 		l.draft = base.clone()
 		l.draft.Sequence++
+		if l.earlierLeadersStopped {
+			l.draft.EarlierLeaders = nil
+		}
 	}
 	return l.draft
 }
--- a/core/assignment/takeover_test.go
+++ b/core/assignment/takeover_test.go
@@ -1,6 +1,7 @@
 package assignment
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -154,3 +155,47 @@
 		})
 	}
 }
+
+// Guards against keys that stay unserved after a start of all hosts at once, because no host
+// has seen when the former leaders led.
+func TestExitOfAllFormerLeadersShortensTheWait(t *testing.T) {
+	sim := newSimulation(t, "1", "2", "3", "4")
+	sim.leaderAfterPlacement("a")
+	sim.step(sim.newLeader("b"))
+	sim.servers["1"].unreachable = true
+	sim.observations = NewObservations()
+	third := sim.newLeader("c")
+	third.SetServers(sim.serversExcept("1"))
+	sim.step(third)
+	require.Equal(t, []string{"a", "b"}, sim.appendedMap.EarlierLeaders)
+	third.RecordExitOfEarlierLeaders(sim.now)
+	sim.run(GrantDuration+time.Second, third)
+	require.Zero(t, sim.rangesByOwner()["moving"])
+}
+
+// Guards against earlier leaders that are forgotten while they may still grant, and against
+// a list of them that grows with each change of the leader.
+func TestMapsNameEarlierLeadersWhileTheyMayGrant(t *testing.T) {
+	sim := newSimulation(t, "1", "2")
+	l := sim.leaderAfterPlacement("a")
+	sim.run(LeadershipConfirmationTimeout+2*CallTimeout, l)
+	for i := range maxEarlierLeaders + 1 {
+		l = sim.newLeader(fmt.Sprint("b", i))
+		sim.step(l)
+	}
+	require.Equal(t, []string{unknownLeader, fmt.Sprint("b", maxEarlierLeaders-1)}, sim.appendedMap.EarlierLeaders)
+	l.SetServers(sim.serversExcept())
+	sim.run(LeadershipConfirmationTimeout, l)
+	sim.servers["1"].Draining = true
+	l.SetServers(sim.serversExcept())
+	sim.step(l)
+	require.NotEmpty(t, sim.appendedMap.EarlierLeaders)
+	sim.run(2*CallTimeout, l)
+	sim.servers["1"].Draining, sim.servers["2"].Draining = false, true
+	l.SetServers(sim.serversExcept())
+	sim.run(time.Second, l)
+	require.Empty(t, sim.appendedMap.EarlierLeaders)
+	ofEarlierVersion, err := DecodeMap([]byte(`{"term":3,"leader":"a","servers":[],"services":{}}`), 1, 2)
+	require.NoError(t, err)
+	require.Equal(t, []string{unknownLeader}, ofEarlierVersion.EarlierLeaders)
+}
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -79,20 +79,12 @@
 // message is an input of the loop in Run. Only one kind of input is set; it is
 // confirmedAt if all others are zero.
 type message struct {
-	observedMap        *assignment.Map // a map that was read
-	confirmedAt        time.Duration   // a read sent at this time showed no newer map
-	completedCall      *completedCall
-	completedWrite     *completedWrite
-	loadReport         *edge.LoadReport
-	formerLeaderExited bool   // the process of the former leader has ended
-	successorTerm      uint64 // this host's term that began after the exited leader
-}
-
-// formerLeader is the leader before this host's term. Its process may still run and
-// grant.
-type formerLeader struct {
-	incarnation                        string
-	successorTerm, successorNextOffset uint64 // of the map that begins this host's term
+	observedMap    *assignment.Map // a map that was read
+	confirmedAt    time.Duration   // a read sent at this time showed no newer map
+	completedCall  *completedCall
+	completedWrite *completedWrite
+	loadReport     *edge.LoadReport
+	leadersExited  *leadersExited
 }
 
 // completedCall is a call to a server and its result.
@@ -111,20 +103,20 @@
 // Assigner runs assignment.Leader in one goroutine, see Run. The other
 // exported methods may be called from any goroutine.
 type Assigner struct {
-	options             Options
-	messages            chan message // inputs of the loop
-	elected             atomic.Bool
-	leading             atomic.Bool
-	publishedMap        atomic.Pointer[assignment.Map]
-	hostCount           atomic.Int64
-	admittedShares      atomic.Pointer[map[string]float64]
-	pauses              atomic.Pointer[map[string]directory.Pause] // see SetPauses
-	resigning           atomic.Bool
-	resignDone          chan struct{} // closed when a resigning host leads no term any more
-	resignDoneOnce      sync.Once
-	servers             atomic.Pointer[map[string]map[string]directory.Server]
-	callSlotsByAddress  sync.Map                     // server address: chan struct{} with a slot for each open call
-	runningFormerLeader atomic.Pointer[formerLeader] // may still run; nil once its exit is known, or if there is none
+	options            Options
+	messages           chan message // inputs of the loop
+	elected            atomic.Bool
+	leading            atomic.Bool
+	publishedMap       atomic.Pointer[assignment.Map]
+	hostCount          atomic.Int64
+	admittedShares     atomic.Pointer[map[string]float64]
+	pauses             atomic.Pointer[map[string]directory.Pause] // see SetPauses
+	resigning          atomic.Bool
+	resignDone         chan struct{} // closed when a resigning host leads no term any more
+	resignDoneOnce     sync.Once
+	servers            atomic.Pointer[map[string]map[string]directory.Server]
+	callSlotsByAddress sync.Map // server address: chan struct{} with a slot for each open call
+	formerLeaders      formerLeaders
 
 	// The remaining fields are used only by Run.
 	leader            *assignment.Leader // state machine of this host's term; nil if there is none
@@ -224,22 +216,6 @@
 	}
 }
 
-// RecordKnownMap is called when a process of a host, identified by incarnation, reports
-// the NextOffset of its newest map. It detects that the former leader has ended: this
-// is proved by another process of the same host that knows the map which replaced the
-// former leader, because a host runs one process at a time, and an earlier process
-// cannot know that map, however late its call arrives.
-func (a *Assigner) RecordKnownMap(incarnation string, nextOffset uint64) {
-	former := a.runningFormerLeader.Load()
-	if former == nil || nextOffset < former.successorNextOffset || incarnation == former.incarnation || a.options.HostOf(incarnation) != a.options.HostOf(former.incarnation) {
-		return
-	}
-	if a.runningFormerLeader.CompareAndSwap(former, nil) {
-		// Run calls this method too and must not block on its own queue.
-		go func() { a.messages <- message{formerLeaderExited: true, successorTerm: former.successorTerm} }()
-	}
-}
-
 // recordLoadReport passes a load report to the state machine.
 func (a *Assigner) recordLoadReport(r *edge.LoadReport) {
 	if a.leader == nil {
@@ -295,11 +271,8 @@
 		a.handleCompletedWrite(now, *m.completedWrite)
 	case m.loadReport != nil:
 		a.recordLoadReport(m.loadReport)
-	case m.formerLeaderExited:
-		if a.leader != nil && a.leader.Term() == m.successorTerm {
-			a.options.Journal.LogEvent(event.FormerLeaderEnded, "term", m.successorTerm)
-			a.leader.RecordFormerLeaderExit(now)
-		}
+	case m.leadersExited != nil:
+		a.handleExitOfLeaders(now, *m.leadersExited)
 	case a.leader != nil: // the message is a confirmedAt
 		a.leader.ConfirmLeadership(m.confirmedAt)
 	}
@@ -362,8 +335,8 @@
 	if !wasLeading && a.leader.Leading() {
 		a.options.Journal.LogEvent(event.TermStarted, "term", m.Term, "offset", m.Offset, "former", a.previousMapLeader)
 		if a.previousMapLeader != "" {
-			a.runningFormerLeader.Store(&formerLeader{incarnation: a.previousMapLeader, successorTerm: m.Term, successorNextOffset: m.NextOffset})
-			a.RecordKnownMap(a.options.HostIncarnation, m.NextOffset) // the former leader may be an earlier process of this host
+			a.formerLeaders.set(a.previousMapLeader, m)
+			a.RecordKnownMap(a.options.HostIncarnation, m.NextOffset) // a former leader may be an earlier process of this host
 		}
 	}
 	a.dropStoppedLeader("resigned")
--- a/relay/assigner/assigner_test.go
+++ b/relay/assigner/assigner_test.go
@@ -55,9 +55,9 @@
 	return now
 }
 
-// startTermAfter starts a term after a map of a former leader and returns once the term
-// has begun. The new leader is h2/1, and its first map has the next offset 8.
-func startTermAfter(t *testing.T, former string) (*Assigner, *journalOutput) {
+// startTermAfter starts a term after a map of a former leader, which names the leaders
+// before it, and returns once the term has begun. The new leader is h2/1, and its first map has the next offset 8.
+func startTermAfter(t *testing.T, former string, earlier ...string) (*Assigner, *journalOutput) {
 	out := &journalOutput{}
 	journal := telemetry.NewJournal(out, "h2", "z")
 	t.Cleanup(journal.Close)
@@ -70,7 +70,7 @@
 	go func() { defer close(done); _ = a.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
 	a.SetServers(nil)
-	a.ObserveMap(&assignment.Map{Offset: 6, NextOffset: 7, Term: 3, Leader: former})
+	a.ObserveMap(&assignment.Map{Offset: 6, NextOffset: 7, Term: 3, Leader: former, EarlierLeaders: earlier})
 	a.SetElected(true)
 	require.Eventually(t, a.Leading, 2*time.Second, 5*time.Millisecond)
 	return a, out
@@ -93,6 +93,21 @@
 	require.Eventually(t, func() bool { return out.contains(endedEvent) }, 2*time.Second, 5*time.Millisecond)
 }
 
+// Guards against a wait of LeadershipConfirmationTimeout (10 s) for leaders that have all
+// ended, after a start of all hosts at once, and against a shorter wait while one of them
+// may still run.
+func TestAllFormerLeadersHaveEndedOnlyIfEachHostKnowsTheNewMap(t *testing.T) {
+	a, out := startTermAfter(t, "h1/5", "h3/1", "h2/0")
+	const ended, allEnded = "name=former_leader_ended", "all=true"
+	a.RecordKnownMap("h1/6", 8)
+	require.Eventually(t, func() bool { return out.contains(ended) }, 2*time.Second, 5*time.Millisecond)
+	a.RecordKnownMap("h3/1", 8) // that leader itself
+	time.Sleep(2 * tickInterval)
+	require.False(t, out.contains(allEnded))
+	a.RecordKnownMap("h3/2", 8)
+	require.Eventually(t, func() bool { return out.contains(allEnded) }, 2*time.Second, 5*time.Millisecond)
+}
+
 // Guards against a leader that waits for the end of its own earlier process after a
 // restart: keys of a lost server would be unavailable longer by
 // assignment.LeadershipConfirmationTimeout (10 s).
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -431,7 +431,7 @@
 		}
 		updates = append(updates, u)
 	}
-	metadata := assignment.Map{Offset: c.Offset, NextOffset: c.End, Term: c.Term, Leader: c.Leader, Sequence: c.Sequence, Resigned: c.Resigned}
+	metadata := assignment.Map{Offset: c.Offset, NextOffset: c.End, Term: c.Term, Leader: c.Leader, Sequence: c.Sequence, Resigned: c.Resigned, EarlierLeaders: c.EarlierLeaders}
 	f.hostState.ObserveMap(assignment.ApplyUpdates(base, metadata, updates))
 	return nil
 }
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -425,7 +425,7 @@
 		}
 	}
 	change := &followv1.MapChange{BaseEnd: base.NextOffset, Offset: newest.Offset, End: newest.NextOffset, Term: newest.Term, Leader: newest.Leader,
-		Sequence: newest.Sequence, Resigned: newest.Resigned}
+		Sequence: newest.Sequence, Resigned: newest.Resigned, EarlierLeaders: newest.EarlierLeaders}
 	indexes := map[assignment.ServerIncarnation]uint32{}
 	serverIndex := func(i assignment.ServerIncarnation) uint32 {
 		n, ok := indexes[i]
