--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -19,8 +19,9 @@
 //     before its last confirmation, at whose other end no such incarnation can be.
 //     Within confirmationGrace it also uses new ones, and a new leader asks for no
 //     release before that is over. What remains is that a server that restarts in
-//     this time may accept a lower fence than its former incarnation did, for a
-//     range that it has still not released.
+//     this time may accept a lower fence than its former incarnation did: for a
+//     range that it has not released, or, of a leader that was moving the range,
+//     for FenceGrantDuration.
 //   - A range moves to another server only after the previous holder has released
 //     it, is known to have ended, or has outlived the last grant that may have
 //     reached it.
