--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -139,6 +139,21 @@
 	leading          bool
 	reports          []edge.LoadReport
 	knownNextOffsets map[string]uint64
+	signals          map[string][]directory.Signal // last ones by follower; none are not kept
+}
+
+func (h *sourceHost) recordSignals(follower string, signals []directory.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(signals) > 0 {
+		h.signals = map[string][]directory.Signal{follower: signals}
+	}
+}
+
+func (h *sourceHost) receivedSignals() map[string][]directory.Signal {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.signals
 }
 
 func (h *sourceHost) AdmittedShares() map[string]float64 { return map[string]float64{"1": 0.25} }
@@ -165,7 +180,9 @@
 
 func startLeaderAndFollowerWithJournal(t *testing.T, out io.Writer) (*sourceHost, *followerState, *Follower) {
 	leader := &sourceHost{leading: true, knownNextOffsets: map[string]uint64{}}
-	leader.source = NewSource(testOptions("leader"), leader, fakeUpstream{}, func(edge.LoadReport) {})
+	options := testOptions("leader")
+	options.OnServerSignals = leader.recordSignals
+	leader.source = NewSource(options, leader, fakeUpstream{}, func(edge.LoadReport) {})
 	h := httptest.NewServer(followv1.NewLeaderServer(leader.source))
 	t.Cleanup(h.Close)
 	state := &followerState{leader: "leader", addresses: map[string]string{"leader": h.Listener.Addr().String()}}
--- a/relay/follow/signals_test.go
+++ b/relay/follow/signals_test.go
@@ -1,7 +1,6 @@
 package follow
 
 import (
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,18 +13,11 @@
 // its keys would stay with it until the store says so.
 func TestSignalsReachTheLeader(t *testing.T) {
 	leader, state, _ := startLeaderAndFollower(t)
-	var received atomic.Pointer[[]directory.Signal]
-	leader.source.options.OnServerSignals = func(follower string, signals []directory.Signal) {
-		require.Equal(t, "follower", follower)
-		if len(signals) > 0 {
-			received.Store(&signals)
-		}
-	}
 	sent := []directory.Signal{
 		{Life: directory.Life{ID: "1", Born: 1764900000000}, Leaving: true},
 		{Life: directory.Life{ID: "2", Born: 7}, Pause: directory.Pause{Hosts: 3, Longest: 2500 * time.Millisecond}},
 	}
 	state.locked(func() { state.signals = sent })
-	require.Eventually(t, func() bool { return received.Load() != nil }, 5*time.Second, 5*time.Millisecond)
-	require.Equal(t, sent, *received.Load())
+	require.Eventually(t, func() bool { return leader.receivedSignals() != nil }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, map[string][]directory.Signal{"follower": sent}, leader.receivedSignals())
 }
