Let a former leader without the store follow its successor

Cause: a host whose newest map names itself follows nobody. A leader that has lost the store cannot read the map of its successor, and a leader knows no peers, because only a follower gets them. So it stayed without a leader until the store answered again.

Change: a leader keeps some of the hosts that follow it as peers.

--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -194,6 +194,9 @@
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		leader := f.leaderToFollow()
+		if leader == f.options.Incarnation {
+			f.keepFollowersAsPeers()
+		}
 		parent := f.parents.Next(f.options.Now(), leader)
 		err, wait := error(&NoContactError{Reason: NoLeader}), leaderLookupInterval
 		if parent != "" && parent != f.options.Incarnation {
@@ -230,6 +233,21 @@
 	return leader
 }
 
+// keepFollowersAsPeers keeps hosts that follow this one, which leads, as the peers to ask
+// when it has lost the store and they follow its successor.
+func (f *Follower) keepFollowersAsPeers() {
+	if time.Since(f.peersUpdatedAt) < peersRefreshInterval {
+		return
+	}
+	if _, followers := f.hostState.Followers(); len(followers) > 0 {
+		f.peers = nil
+		for _, follower := range followers {
+			f.peers = append(f.peers, follower.Incarnation)
+		}
+		f.peersUpdatedAt = time.Now()
+	}
+}
+
 // queryNextPeer asks one of the other hosts, in turn, which leader it follows.
 func (f *Follower) queryNextPeer(ctx context.Context) {
 	f.peerQueries++
@@ -239,7 +257,7 @@
 	request := f.newRequest()
 	request.Caller = nil // this host does not follow the peer
 	r, err := f.clientFor(peer).Follow(ctx, request)
-	if err != nil || r.Leader == "" || r.Leader == f.leaderToFollow() {
+	if err != nil || r.Leader == "" || r.Leader == f.leaderToFollow() || r.Leader == f.options.Incarnation {
 		return // Run queries the next host after a delay
 	}
 	f.referral = referral{leader: r.Leader, mapLeader: f.hostState.MapLeader()}
