Pause the host only after it has read the first change

Cause: TestOperatorsAcrossHosts paused the third host as soon as the two writers had their answers. On a busy machine that host had not read the first change yet: once resumed, it showed version 2, which it had before, and the test took this for a return to an older version. Change: the host is paused once it shows the first change in force on all three hosts, which the test did not assert before. waitFor calls the condition on the goroutine of the test, so that a failed require in it ends the test at once; awaitWitnessSet, which had the same flaw, uses it, too. Conclusion: a fault of the test; no product code is changed.

--- a/cmd/internal/e2e/operators_test.go
+++ b/cmd/internal/e2e/operators_test.go
@@ -69,10 +69,14 @@
 	writers.Wait()
 	require.ElementsMatch(t, []int{http.StatusOK, http.StatusConflict}, codes)
 
+	var afterRace resourceStatus
+	require.True(t, waitFor(func() bool {
+		f.daemons[2].sendOperatorRequest(t, http.MethodGet, "/v1/resources/Rank/casual", "", &afterRace)
+		return afterRace.Metadata.Version > before.Metadata.Version && len(afterRace.Status.InForce) == 3
+	}), "the change is not in force on all hosts: %+v", &afterRace)
+
 	f.daemons[2].signal(syscall.SIGSTOP)
 	time.Sleep(1500 * time.Millisecond) // until the other hosts have read its last responses
-	var afterRace resourceStatus
-	f.daemons[0].sendOperatorRequest(t, http.MethodGet, "/v1/resources/Rank/casual", "", &afterRace)
 	var change operatorapi.Change
 	began := time.Now()
 	code := f.daemons[0].sendOperatorRequest(t, http.MethodPut, "/v1/resources/Rank/casual", casualRankBody(afterRace.Metadata.Version, 30), &change)
@@ -80,18 +84,18 @@
 	t.Logf("accepted after %v with one host paused", time.Since(began))
 
 	var current resourceStatus
-	require.Eventually(t, func() bool {
+	require.True(t, waitFor(func() bool {
 		f.daemons[1].sendOperatorRequest(t, http.MethodGet, "/v1/resources/Rank/casual", "", &current)
 		return current.Metadata.Version == change.Version
-	}, startTimeout, 10*time.Millisecond)
+	}), "the change is not known to the other host: %+v", &current)
 	require.NotContains(t, current.Status.InForce, f.daemons[2].name)
 	f.daemons[2].signal(syscall.SIGCONT)
-	require.Eventually(t, func() bool {
-		var returned resourceStatus
+	var returned resourceStatus
+	require.True(t, waitFor(func() bool {
 		f.daemons[2].sendOperatorRequest(t, http.MethodGet, "/v1/resources/Rank/casual", "", &returned)
 		require.GreaterOrEqual(t, returned.Metadata.Version, afterRace.Metadata.Version, "the host returned to an older version")
 		return returned.Metadata.Version == change.Version && len(returned.Status.InForce) == 3
-	}, startTimeout, 50*time.Millisecond)
+	}), "the change is not in force on all hosts: %+v", &returned)
 }
 
 // Guards against a change that is acknowledged while the log is unreachable.
--- a/cmd/internal/e2e/process_test.go
+++ b/cmd/internal/e2e/process_test.go
@@ -240,17 +240,29 @@
 	<-p.exited
 }
 
+// waitFor returns true once condition does, or false after startTimeout. It calls
+// condition on the goroutine of the test: with require.Eventually, a failed require in
+// the condition would end only the goroutine of the condition.
+func waitFor(condition func() bool) bool {
+	for end := time.Now().Add(startTimeout); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
 // awaitWitnessSet waits until every daemon knows a witness set of the given size that
 // has no successor pending. Until then the loss of one daemon may take the majority
 // of the former, smaller set.
 func (f *fixture) awaitWitnessSet(size int) {
 	f.t.Helper()
 	for _, p := range f.daemons {
-		require.Eventually(f.t, func() bool {
+		require.True(f.t, waitFor(func() bool {
 			var status operatorapi.Status
 			p.sendOperatorRequest(f.t, http.MethodGet, "/v1/status", "", &status)
 			return len(status.WitnessSets) == 1 && len(status.WitnessSets[0].Current) == size && len(status.WitnessSets[0].Pending) == 0
-		}, startTimeout, 50*time.Millisecond, "%s knows no witness set of %d hosts", p.name, size)
+		}), "%s knows no witness set of %d hosts", p.name, size)
 	}
 }
 
