Read the map before a grant over a new connection

Cause: A leader used any connection within 1.2 s of the last confirmation of its leadership. A server that restarted in this time after a change of the leader accepted the former leader's grant, with a lower fence than its former incarnation had from the successor.

Change: Each grant names the last confirmation (Call.ConnectedBefore) and is sent over a connection from before it. Where there is none, one is opened and the map is read again before the grant is sent (Call.MayConnect), by a read that all waiting calls share, at most one each 0.1 s. A former leader reads that it is succeeded, or nothing. Without a confirmation for 1.2 s no connection is opened, as before.

Tests: TestFormerLeaderCannotLowerTheFenceOfANewIncarnation fails on ("" is not greater than ""). TestNewIncarnationGetsAFenceBeforeItsRelease removes the limit on connections from the former leader's renewal, which would not be sent any more, so that it still requires the server to refuse it.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -14,14 +14,9 @@
 //   - A call names the ID and the address of a server, which keeps both if it starts
 //     again. So whatever runs there counts as the holder of a range, and each grant
 //     has a new fence, as the former incarnation may have accepted the last one.
-//   - An incarnation that started after a release has not seen the fence. A leader
-//     whose leadership was not confirmed lately grants only over connections from
-//     before its last confirmation, at whose other end no such incarnation can be.
-//     Within confirmationGrace it also uses new ones, and a new leader asks for no
-//     release before that is over. What remains is that a server that restarts in
-//     this time may accept a lower fence than its former incarnation did: for a
-//     range that it has not released, or, of a leader that was moving the range,
-//     for FenceGrantDuration.
+//   - An incarnation that has started since has not seen the fence. A leader grants
+//     only over connections that were open before a confirmation of its leadership,
+//     at whose other end is an incarnation that ran before any later leader.
 //   - A range moves to another server only after the previous holder has released
 //     it, is known to have ended, or has outlived the last grant that may have
 //     reached it.
@@ -65,10 +60,9 @@
 	// can be completed, and the next leader need not wait for it.
 	moveConfirmationTimeout = 3 * time.Second
 	// confirmationGrace is the time after the last confirmation from the log for which
-	// grants are sent over any connection; see Call.ConnectedBefore. It is a little longer
-	// than the interval at which a leader reads the log, 0.6 s, with slow responses. It
-	// delays the first releases of a term, and bounds the time in which a restarted server
-	// may accept a former leader's fence; see the comment of the package.
+	// connections are opened for grants; see Call.MayConnect. It is a little longer than
+	// the interval at which a leader reads the log, 0.6 s, with slow responses. Later the
+	// log is not expected to confirm the leadership while a call waits.
 	confirmationGrace = 1200 * time.Millisecond
 	// CallTimeout limits a grant call; the connection is reset after it.
 	CallTimeout = time.Second
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -37,14 +37,20 @@
 	Fence         uint64
 	GrantDuration time.Duration // 0 for a release
 	Handover      string        // data from the previous holder for the new owner; empty for none
-	// ConnectedBefore is set for a grant of a leader that was last confirmed at this time,
-	// more than confirmationGrace ago. The call is sent only over a connection that was
-	// opened before, and otherwise not at all. At the other end is an incarnation that ran
-	// before any later leader, and has seen the fence of one that made it release the
-	// range; a newer incarnation has seen none. 0 allows any connection.
+	// ConnectedBefore is the last confirmation of the leadership at the start of a grant.
+	// The call is sent over a connection that was opened before, at whose other end is an
+	// incarnation that ran before any later leader, and has seen the fence of one that made
+	// it release the range. A newer incarnation has seen none. 0 allows any connection.
 	ConnectedBefore time.Duration
+	// MayConnect allows another connection, too, but only after a read of the log that was
+	// sent when it was open has confirmed the leadership. Without it the call is not sent
+	// if there is no connection from before.
+	MayConnect bool
 }
 
+// Term returns the term of the leader that made the call.
+func (c *Call) Term() uint64 { return c.ID >> callIDBits }
+
 // CallStatus is the outcome of a Call.
 type CallStatus int
 
@@ -169,14 +175,13 @@
 	}
 	var connectedBefore time.Duration
 	if kind == GrantCall {
-		if now-l.leadershipConfirmedAt > confirmationGrace {
-			connectedBefore = l.leadershipConfirmedAt
-		}
+		connectedBefore = l.leadershipConfirmedAt
 		t.expiryBeforeCall = t.grantExpiry
 		t.grantExpiry = max(t.grantExpiry, now+CallTimeout+grantDuration+GrantExpiryMargin)
 	}
 	l.openCalls[l.lastCallID] = t
-	return Call{ID: l.lastCallID, Kind: kind, Service: t.service, Server: server, From: t.from, To: t.to, Fence: t.fence, GrantDuration: grantDuration, Handover: handover, ConnectedBefore: connectedBefore}
+	return Call{ID: l.lastCallID, Kind: kind, Service: t.service, Server: server, From: t.from, To: t.to, Fence: t.fence, GrantDuration: grantDuration, Handover: handover,
+		ConnectedBefore: connectedBefore, MayConnect: kind == GrantCall && now-l.leadershipConfirmedAt <= confirmationGrace}
 }
 
 // checkFenceCounters ends the term before a count of the term would run into the bits of
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -136,6 +136,9 @@
 	l.leadershipConfirmedAt = max(l.leadershipConfirmedAt, now)
 }
 
+// ConfirmedAt returns the time of the last evidence that no other leader had written.
+func (l *Leader) ConfirmedAt() time.Duration { return l.leadershipConfirmedAt }
+
 // ObserveMap ends the term if m, read from the log, was written by another leader of
 // this term or by a later one.
 func (l *Leader) ObserveMap(m *Map) {
--- a/core/assignment/restart_test.go
+++ b/core/assignment/restart_test.go
@@ -119,6 +119,7 @@
 	l.SetServers(sim.serversExcept())
 	sim.run(time.Second, l)
 	require.Zero(t, sim.rangesByOwner()["moving"])
+	renewal.ConnectedBefore = 0 // the fence has to hold over any connection
 	result, _ := sim.deliver(renewal)
 	require.Equal(t, CallFenced, result.Status)
 }
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -27,11 +27,18 @@
 	refuses       func(Call) bool          // refused calls have no effect; nil for none
 }
 
-// isConnected reports whether the incarnation can have the connection that a call needs.
+// isConnected reports whether the incarnation can have a connection from before a call's
+// ConnectedBefore.
 func (s *fakeServer) isConnected(c Call) bool {
 	return c.ConnectedBefore == 0 || max(s.connectedAt, time.Duration(s.Born)) < c.ConnectedBefore
 }
 
+// mayReach reports whether a call may be sent to an incarnation now. Over a new connection
+// a read of the log must show no later leader.
+func (sim *simulation) mayReach(s *fakeServer, c Call) bool {
+	return s.isConnected(c) || c.MayConnect && sim.appendedMap.Term == c.Fence>>fenceCounterBits
+}
+
 func (s *fakeServer) apply(now, arrivedAt time.Duration, c Call) CallResult {
 	var affected []uint16
 	for _, k := range s.checkedKeys {
@@ -212,7 +219,7 @@
 			if c.server = sim.serverAt(c.call.Server.Address); c.server == nil || c.server.ID != c.call.Server.ID {
 				continue
 			}
-			if !c.server.isConnected(c.call) {
+			if !sim.mayReach(c.server, c.call) {
 				continue
 			}
 		}
@@ -265,7 +272,7 @@
 func (sim *simulation) deliver(c Call) (result CallResult, endsAt time.Duration) {
 	s := sim.serverAt(c.Server.Address)
 	switch {
-	case c.ConnectedBefore != 0 && (s == nil || !s.isConnected(c)):
+	case c.ConnectedBefore != 0 && (s == nil && !c.MayConnect || s != nil && !sim.mayReach(s, c)):
 		return CallResult{Status: CallNotExecuted}, sim.now
 	case s == nil || s.unreachable:
 		endsAt = sim.now
--- a/core/assignment/takeover_test.go
+++ b/core/assignment/takeover_test.go
@@ -67,6 +67,19 @@
 	sim.run(RenewalInterval, successor, former)
 }
 
+// Guards against a grant of a former leader, confirmed a moment ago, that reaches a server
+// which has restarted since: its former incarnation has accepted the successor's fence.
+func TestFormerLeaderCannotLowerTheFenceOfANewIncarnation(t *testing.T) {
+	sim := newSimulation(t, "1", "2")
+	former := sim.leaderAfterPlacement("a")
+	sim.run(former.trackedRanges[0].nextCallAt-sim.now-200*time.Millisecond, former)
+	successor := sim.newLeader("b")
+	successor.SetServers(sim.serversExcept())
+	sim.run(100*time.Millisecond, successor)
+	sim.addServer("2")
+	sim.run(confirmationGrace, successor, former)
+}
+
 // Guards against a leader that takes a late acknowledgement for news: the map may have
 // been stored when the write was sent, and another leader's map after it. The successor
 // counts LeadershipConfirmationTimeout from its own map.
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -53,15 +53,18 @@
 
 // CallSender sends grant and release calls to servers.
 type CallSender interface {
-	// Call sends c and returns its result. mayBeSent is asked when the connection is
-	// open; if it returns an error, nothing is sent. The connection is reset when ctx ends.
-	Call(ctx context.Context, c assignment.Call, mayBeSent func() error) assignment.CallResult
+	// Call sends c and returns its result. mayBeSent is asked when the connection is open,
+	// after confirmTerm if c.MayConnect allowed a connection that was not opened before
+	// c.ConnectedBefore. If either returns an error, nothing is sent. The connection is
+	// reset when ctx ends.
+	Call(ctx context.Context, c assignment.Call, mayBeSent func() error, confirmTerm func(context.Context) error) assignment.CallResult
 }
 
 // Reasons for which a call is not sent.
 var (
-	errTermEnded  = errors.New("the term has ended")
-	errCallTooOld = errors.New("the call was started too long ago")
+	errTermEnded        = errors.New("the term has ended")
+	errCallTooOld       = errors.New("the call was started too long ago")
+	errTermNotConfirmed = errors.New("no read of the map confirmed the term in time")
 )
 
 // Options configure an Assigner.
@@ -71,6 +74,7 @@
 	Stripes         int                             // least number of ranges at a service's first placement; a power of two
 	Store           MapStore
 	CallSender      CallSender
+	RequestRead     func() // asks for a read of the map soon; nil if reads cannot be asked for
 	Journal         *telemetry.Journal
 	OnMap           func(*assignment.Map) // called for each newer map that was read or written
 	Now             func() time.Duration  // time since boot; see package clock
@@ -117,6 +121,7 @@
 	servers            atomic.Pointer[map[string]map[string]directory.Server]
 	callSlotsByAddress sync.Map // server address: chan struct{} with a slot for each open call
 	formerLeaders      formerLeaders
+	confirmation       confirmation
 
 	// The remaining fields are used only by Run.
 	leader            *assignment.Leader // state machine of this host's term; nil if there is none
@@ -251,12 +256,14 @@
 			return nil
 		case m := <-a.messages:
 			a.handleMessage(m)
-			a.leading.Store(a.leader != nil && a.leader.Leading())
-			continue
 		case <-ticker.C:
+			a.tick(ctx)
 		}
-		a.tick(ctx)
-		a.leading.Store(a.leader != nil && a.leader.Leading())
+		leading := a.leader != nil && a.leader.Leading()
+		if leading {
+			a.confirmation.set(a.leader.Term(), a.leader.ConfirmedAt())
+		}
+		a.leading.Store(leading)
 	}
 }
 
@@ -444,7 +451,7 @@
 func (a *Assigner) call(ctx context.Context, c assignment.Call, within time.Duration, mayBeSent func() error) assignment.CallResult {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	return a.options.CallSender.Call(ctx, c, mayBeSent)
+	return a.options.CallSender.Call(ctx, c, mayBeSent, func(ctx context.Context) error { return a.confirmTerm(ctx, c.Term()) })
 }
 
 // writeMap repeats a write until it is acknowledged or refused with ErrConflict. The
--- a/relay/assigner/assigner_test.go
+++ b/relay/assigner/assigner_test.go
@@ -38,7 +38,7 @@
 // succeedingSender answers every call with success.
 type succeedingSender struct{}
 
-func (succeedingSender) Call(context.Context, assignment.Call, func() error) assignment.CallResult {
+func (succeedingSender) Call(context.Context, assignment.Call, func() error, func(context.Context) error) assignment.CallResult {
 	return assignment.CallResult{Status: assignment.CallSucceeded}
 }
 
@@ -122,7 +122,7 @@
 	sent     atomic.Int32
 }
 
-func (s *blockingSender) Call(context.Context, assignment.Call, func() error) assignment.CallResult {
+func (s *blockingSender) Call(context.Context, assignment.Call, func() error, func(context.Context) error) assignment.CallResult {
 	s.sent.Add(1)
 	<-s.released
 	return assignment.CallResult{Status: assignment.CallSucceeded}
@@ -175,7 +175,7 @@
 	notSent        error
 }
 
-func (s *slowSender) Call(ctx context.Context, _ assignment.Call, mayBeSent func() error) assignment.CallResult {
+func (s *slowSender) Call(ctx context.Context, _ assignment.Call, mayBeSent func() error, _ func(context.Context) error) assignment.CallResult {
 	s.deadline, _ = ctx.Deadline()
 	s.openConnection()
 	s.notSent = mayBeSent()
--- a/relay/assigner/formerterm_test.go
+++ b/relay/assigner/formerterm_test.go
@@ -41,7 +41,7 @@
 	calls []assignment.Call
 }
 
-func (s *heldReleases) Call(ctx context.Context, c assignment.Call, _ func() error) assignment.CallResult {
+func (s *heldReleases) Call(ctx context.Context, c assignment.Call, _ func() error, _ func(context.Context) error) assignment.CallResult {
 	s.mu.Lock()
 	s.calls = append(s.calls, c)
 	s.mu.Unlock()
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -86,8 +86,14 @@
 	Matches    func(http.Header) bool
 	NewConn    bool // opens a connection, even if one is idle
 	// OpenedBefore limits the exchange to connections that were opened before a time, so
-	// that it reaches a process that ran then. None is opened. Zero for no limit.
+	// that it reaches a process that ran then. None is opened without ConfirmNewConn. Zero
+	// for no limit.
 	OpenedBefore time.Time
+	// ConfirmNewConn, if set, allows connections that were not opened before OpenedBefore
+	// where no idle one was. It is called when such a connection is open, before
+	// BeforeSend. If it returns an error, nothing is sent, the connection is kept and the
+	// error is returned.
+	ConfirmNewConn func(context.Context) error
 	// BeforeSend is called when the connection is open, before anything is written. If it
 	// returns an error, nothing is sent and the error is returned. nil for no check.
 	BeforeSend func() error
@@ -144,6 +150,12 @@
 	if err != nil {
 		return nil, &Error{Address: x.Address, Err: err}
 	}
+	if x.ConfirmNewConn != nil && !cn.openedAt.Before(x.OpenedBefore) {
+		if err := x.ConfirmNewConn(ctx); err != nil {
+			c.releaseConn(x.Address, cn)
+			return nil, &Error{Address: x.Address, Err: err}
+		}
+	}
 	if x.BeforeSend != nil {
 		if err := x.BeforeSend(); err != nil {
 			c.releaseConn(x.Address, cn)
@@ -175,11 +187,16 @@
 
 // acquireConn returns an idle connection that is still usable, or opens one.
 func (c *Client) acquireConn(ctx context.Context, x Exchange) (*conn, error) {
-	if !x.OpenedBefore.IsZero() {
+	if !x.OpenedBefore.IsZero() && x.ConfirmNewConn == nil {
 		return c.acquireOldConn(ctx, x)
 	}
 	if !x.NewConn {
-		if cn, _ := c.acquireIdle(x); cn != nil {
+		cn, _ := c.acquireIdle(x)
+		if cn == nil && !x.OpenedBefore.IsZero() {
+			x.OpenedBefore = time.Time{} // ConfirmNewConn decides on newer ones
+			cn, _ = c.acquireIdle(x)
+		}
+		if cn != nil {
 			return cn, nil
 		}
 	}
