Read the answer of a server that has not read the whole request

Cause: an exchange wrote the whole request before it read anything. A server that answers before it has read a long body, and closes the connection or reads no further, was not heard: what its 503 says (Retry-After, Server-Leaving, Not-Executed) was lost, the request counted as one that may have run, and further requests reached the server within its wait.

Change: a request of more than 16 KiB is written beside the reading of the response. A connection on which the request has not been written to the end is reset.

Conclusion: the answer reaches the caller and the host at once. Shorter requests take the same path as before.

--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -42,6 +42,9 @@
 	// matching one; those of earlier requests are skipped.
 	maxResponsesRead = 3
 	readBufferSize   = 4096
+	// longRequestBytes is the size up to which a request fits into the buffers of a
+	// connection, so that its write does not wait for the server.
+	longRequestBytes = 16 << 10
 )
 
 // Error is a failed exchange. Sent reports that bytes of the request may have
@@ -338,27 +341,55 @@
 // exchange writes the request and reads the response. sent reports that bytes were
 // written, reusable that the connection can serve another request.
 func (cn *conn) exchange(x Exchange) (response *Response, sent, reusable bool, err error) {
-	n, err := cn.Write(x.RawRequest)
-	if err != nil && n == 0 {
-		return nil, false, false, err
+	if len(x.RawRequest) > longRequestBytes {
+		return cn.exchangeLong(x)
 	}
-	if err != nil {
-		return nil, true, false, err
+	if n, err := cn.Write(x.RawRequest); err != nil {
+		return nil, n > 0, false, err
+	}
+	response, reusable, err = cn.readMatching(x)
+	return response, true, reusable, err
+}
+
+// exchangeLong is exchange for a request that the server may answer before it has read it
+// all. The server may then read no further, or close the connection.
+func (cn *conn) exchangeLong(x Exchange) (response *Response, sent, reusable bool, err error) {
+	var n int
+	var writeErr error
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		n, writeErr = cn.Write(x.RawRequest)
+	}()
+	response, reusable, err = cn.readMatching(x)
+	select {
+	case <-written:
+	default: // ends the write
+		cn.reset()
+		<-written
+	}
+	if err != nil && writeErr != nil && !errors.Is(writeErr, net.ErrClosed) {
+		err = writeErr
 	}
+	return response, n > 0, reusable && writeErr == nil, err
+}
+
+// readMatching reads responses up to the one to the request.
+func (cn *conn) readMatching(x Exchange) (response *Response, reusable bool, err error) {
 	for range maxResponsesRead {
 		response, reusable, err = cn.readResponse(x.Method)
 		if err != nil {
-			return nil, true, false, err
+			return nil, false, err
 		}
 		if x.Matches == nil || x.Matches(response.Header) {
-			return response, true, reusable, nil
+			return response, reusable, nil
 		}
 		// The server closes the connection, so no further response follows.
 		if !reusable && cn.reader.Buffered() == 0 {
-			return nil, true, false, ErrUnmatchedResponses
+			return nil, false, ErrUnmatchedResponses
 		}
 	}
-	return nil, true, false, ErrUnmatchedResponses
+	return nil, false, ErrUnmatchedResponses
 }
 
 func (cn *conn) readResponse(method string) (*Response, bool, error) {
--- a/relay/upstream/upstream_test.go
+++ b/relay/upstream/upstream_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -229,3 +231,42 @@
 		require.Equal(t, uint64(2), c.DialAttempts.Load())
 	})
 }
+
+// Guards against an answer that comes before the server has read a long body, and is lost
+// with what it says: the host would wait until the deadline, or count the request as run.
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	for name, keeps := range map[string]bool{"closes": false, "keeps the connection": true} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_ = c.(*net.TCPConn).SetReadBuffer(readBufferSize)
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nRetry-After: 5\r\nContent-Length: 2\r\n\r\nno")
+			if keeps {
+				time.Sleep(2 * time.Second)
+			}
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		body := strings.Repeat("x", 8<<20)
+		start := time.Now()
+		client := NewClientWithDial(func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := DialTCP(ctx, address)
+			if err == nil {
+				err = c.(*net.TCPConn).SetWriteBuffer(readBufferSize)
+			}
+			return c, err
+		})
+		r, err := client.Do(ctx, Exchange{Address: l.Addr().String(), Method: http.MethodPost,
+			RawRequest: []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)})
+		require.NoError(t, err, "%s after %v", name, time.Since(start))
+		require.Equal(t, "5", r.Header.Get("Retry-After"))
+		require.Less(t, time.Since(start), 500*time.Millisecond, name)
+	}
+}
