Place a request by the present pool when its server must not get it

Cause: a service whose keyed setting changes gets another pool. A request that began before keeps the former one, which learns of no later pause and no leaving. The check at the write held the request back, and the former pool assigned it to the same server again, without a wait, until the deadline.

Change: a request that was held back at the write takes the present pool of its service.

With the change it is refused at once with server_paused.

--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -96,16 +96,24 @@
 		return nil, emptyResponse(http.StatusBadRequest, 0)
 	}
 	c := &callerRequest{edge: e, request: r, route: route, requestID: id, service: e.splitter.Pick(route)}
-	c.pool = e.poolFor(c.service)
+	c.setPool()
 	c.deadline = r.ReceivedAt.Add(e.requestTimeout(r, route))
-	if key, err := strconv.ParseUint(r.Header.Get(e.options.Headers.Key), 10, 16); err == nil && c.pool.keyed {
-		c.key, c.keyed = uint16(key), true
+	if c.keyed {
 		e.recordKeyRequest(c.service, c.key)
 	}
 	c.pool.recordRequest()
 	return c, nil
 }
 
+// setPool sets the present pool of the request's service, and the key.
+func (c *callerRequest) setPool() {
+	c.pool = c.edge.poolFor(c.service)
+	key, err := strconv.ParseUint(c.request.Header.Get(c.edge.options.Headers.Key), 10, 16)
+	if c.keyed = err == nil && c.pool.keyed; c.keyed {
+		c.key = uint16(key)
+	}
+}
+
 func requestPath(uri string) string {
 	if strings.HasPrefix(uri, "http://") {
 		if u, err := url.Parse(uri); err == nil {
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -46,6 +46,9 @@
 		}
 		c.edge.recordMetric(telemetry.MetricReplacedRequests, 1, c.service, string(cause))
 		c.planRetry(s, string(cause))
+		if c.reservedRetry == nil { // it belongs to the present pool
+			c.setPool() // a replaced pool does not learn what forbids the server
+		}
 		return nil, true
 	}
 	if slow {
--- a/relay/edge/signals_test.go
+++ b/relay/edge/signals_test.go
@@ -15,6 +15,7 @@
 
 	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/dispatch"
+	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/telemetry"
 )
 
@@ -274,3 +275,26 @@
 		require.Regexp(t, fmt.Sprintf(`%s\{cause="%s",[^}]*service="s"[^}]*\} 1\n`, telemetry.MetricReplacedRequests, string(cause)), scrape.Body.String())
 	}
 }
+
+// Guards against a request that is assigned again and again to a server that wants none,
+// because the pool of its service was replaced and no longer learns of pauses.
+func TestRequestLeavesAReplacedPool(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		server := startScriptedServer(t, "s1", signedResponse)
+		e, rec := newSignalEdge(t, keyed, server)
+		c, decision := assignRequest(t, e)
+		config := e.routeTable.Load().Config
+		config.Version++
+		config.Services = map[string]routes.Service{"s": {Name: "s", Keyed: !keyed}}
+		e.Configure(config)
+		rec.directory.Pause(0, directory.Life{ID: "s1", Born: 1}, 2*time.Hour)
+		e.SetServers(rec.directory.All())
+		_, retry := c.sendToServer(context.Background(), decision)
+		require.True(t, retry)
+		require.Equal(t, 503, c.forward(context.Background()).Status)
+		e.options.Journal.Close()
+		require.Less(t, strings.Count(rec.log.String(), "name=request_retried"), 2, "keyed %v", keyed)
+		require.Contains(t, rec.log.String(), "reason=server_paused", "keyed %v", keyed)
+		require.Zero(t, server.requestCount())
+	}
+}
