Measure from when keys should leave a server that wants no requests

Cause: maxPausedTime, the unserved time from which the leader moves the keys of a pausing server, was a calculation.

The simulation can take time for calls; its other tests play as before.

--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -72,6 +72,7 @@
 	openWrites    []openWrite
 	writeDelay    time.Duration                     // time until a map is stored
 	ackDelay      time.Duration                     // time from then until the write is acknowledged
+	callTime      func(Call) time.Duration          // time until a server answers a call that it executes; nil for none
 	random        *rand.Rand                        // selects the unanswered grants that are applied late; nil for none
 	checkedKeys   []uint16                          // keys whose holders are checked
 	grantedFences map[uint16]map[*fakeServer]uint64 // by key and incarnation; highest accepted fence
@@ -170,7 +171,15 @@
 // step advances the clock, applies late calls, runs one tick of each leader and
 // checks the holders.
 func (sim *simulation) step(leaders ...*Leader) {
-	sim.now += 50 * time.Millisecond
+	sim.now += tick
+	sim.advance(leaders...)
+}
+
+// tick is the time between ticks of the leaders.
+const tick = 50 * time.Millisecond
+
+// advance does what step does without advancing the clock.
+func (sim *simulation) advance(leaders ...*Leader) {
 	sim.applyLateCalls()
 	openCalls := sim.openCalls[:0]
 	for _, o := range sim.openCalls {
@@ -286,6 +295,9 @@
 	if s.responsesLost {
 		result = CallResult{Status: CallUnanswered}
 	}
+	if sim.callTime != nil {
+		return result, sim.now + sim.callTime(c)
+	}
 	return result, sim.now
 }
 
