Move keys from a pause of half a second on

Cause: the leader moved the keys of a pausing server when one second of its pauses was left as a mean over the hosts, and hosts reported no shorter ones. For a wait of one second the keys stayed, and callers lost requests in it.

Change: maxPausedTime and minReportedPause are half a second.

Measured: TestKeysLeaveAServerThatPausesForLong on the code before: "a second, all hosts: server 1 has 8 ranges", expected none; TestSignalsThatSayNothing, with half a second in place of the constant: no signal, expected one. The test's case of a short pause has 0.45 s in place of 0.9 s, and 0.9 s is a case that moves.

With many hosts that send a server little, the mean still understates what is unserved.

--- a/core/assignment/pauses.go
+++ b/core/assignment/pauses.go
@@ -12,9 +12,9 @@
 
 const (
 	// maxPausedTime is the time for which a server's keys may be unserved because of its
-	// pauses, as a mean over the hosts. Moving the keys takes about as long, since a
-	// server answers a release when the running work has ended.
-	maxPausedTime = time.Second
+	// pauses, as a mean over the hosts. Most callers can return within a shorter pause, and
+	// a move would take keys away from their server for nothing.
+	maxPausedTime = 500 * time.Millisecond
 	// maxEmptiedShare is the share of a service's servers that are emptied at a time for
 	// their pauses, but at least one. When more of them pause, the service is overloaded,
 	// and the others have no room for these keys.
--- a/core/assignment/pauses_test.go
+++ b/core/assignment/pauses_test.go
@@ -20,7 +20,8 @@
 		empty  []string
 	}{
 		"long, all hosts":       {map[string]directory.Pause{"1": {Hosts: hosts, Longest: 3 * time.Second}}, []string{"1"}},
-		"short":                 {map[string]directory.Pause{"1": {Hosts: hosts, Longest: 900 * time.Millisecond}}, nil},
+		"a second, all hosts":   {map[string]directory.Pause{"1": {Hosts: hosts, Longest: 900 * time.Millisecond}}, []string{"1"}},
+		"short":                 {map[string]directory.Pause{"1": {Hosts: hosts, Longest: 450 * time.Millisecond}}, nil},
 		"long, one host":        {map[string]directory.Pause{"1": {Hosts: 1, Longest: 3 * time.Second}}, nil},
 		"very long, one host":   {map[string]directory.Pause{"1": {Hosts: 1, Longest: 10 * time.Second}}, []string{"1"}},
 		"of all servers":        {map[string]directory.Pause{"1": {Hosts: hosts, Longest: 3 * time.Second}, "2": {Hosts: hosts, Longest: 4 * time.Second}, "3": {Hosts: hosts, Longest: 3 * time.Second}, "4": {Hosts: hosts, Longest: 3 * time.Second}}, []string{"2"}},
--- a/core/directory/signals.go
+++ b/core/directory/signals.go
@@ -24,9 +24,9 @@
 const (
 	// maxSignals limits the signals of one report.
 	maxSignals = 256
-	// minReportedPause is the shortest time left for which a pause is reported. What the
-	// leader could do takes as long.
-	minReportedPause = time.Second
+	// minReportedPause is the shortest time left for which a pause is reported. The leader
+	// does nothing about shorter ones.
+	minReportedPause = 500 * time.Millisecond
 )
 
 // hostPause is the pause that a server asked of a follower, or of hosts behind it.
--- a/core/directory/signals_test.go
+++ b/core/directory/signals_test.go
@@ -54,10 +54,11 @@
 	}))
 	require.Empty(t, d.Pauses(now))
 	require.False(t, d.All()["1"].Draining)
-	d.Pause(now, Life{"1", 2}, now+minReportedPause)
+	const reported = 500 * time.Millisecond // the leader moves keys from there on
+	d.Pause(now, Life{"1", 2}, now+reported)
 	require.Len(t, d.Signals(now), 1)
 	require.Empty(t, d.Signals(now+1), "too short to report")
-	require.Empty(t, d.Pauses(now+minReportedPause))
+	require.Empty(t, d.Pauses(now+reported))
 
 	long := listing()
 	for i := range int64(2 * maxSignals) {
