Keep the changes of the map instead of the last 64 maps

Cause: each host kept up to 64 whole maps to compute differences for followers. Change: assignment.Changes keeps the newest map and the changed keys of each step. Diff walks both maps once instead of a binary search for each range.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -166,13 +166,19 @@
 		return nil
 	}
 	ranges := m.Services[service]
-	i, _ := slices.BinarySearchFunc(ranges, key, func(r Range, k uint16) int { return int(r.To) - int(k) })
+	i := indexOfKey(ranges, key)
 	if i == len(ranges) || ranges[i].From > key {
 		return nil
 	}
 	return &ranges[i]
 }
 
+// indexOfKey returns the index of the first range that does not end before key.
+func indexOfKey(ranges []Range, key uint16) int {
+	i, _ := slices.BinarySearchFunc(ranges, key, func(r Range, k uint16) int { return int(r.To) - int(k) })
+	return i
+}
+
 func (m *Map) clone() *Map {
 	c := *m
 	c.Services = make(map[string][]Range, len(m.Services))
--- a/core/assignment/diff.go
+++ b/core/assignment/diff.go
@@ -10,8 +10,12 @@
 func (m *Map) Diff(base *Map) []RangeUpdate {
 	var updates []RangeUpdate
 	for _, service := range sortedKeys(m.Services) {
+		old := base.Services[service] // without the ranges that end before the next one of m
 		for _, r := range m.Services[service] {
-			if old := base.FindRange(service, r.From); old == nil || *old != r {
+			for len(old) > 0 && old[0].To < r.From {
+				old = old[1:]
+			}
+			if len(old) == 0 || old[0] != r {
 				updates = append(updates, RangeUpdate{Service: service, Range: r})
 			}
 		}
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -26,9 +26,8 @@
 
 // Limits and times of a Source.
 const (
-	// maxMapHistory and maxServerChanges limit the history from which differences are
-	// computed. A follower that is further behind receives the whole state.
-	maxMapHistory    = 64
+	// maxServerChanges limits the history from which the changes of the servers are
+	// computed. A follower that is further behind receives all servers.
 	maxServerChanges = 1024
 	// maxPeers is the number of other hosts that are sent to a follower, which asks them
 	// for the leader if it loses the store. If a third of the hosts lose the store
@@ -89,7 +88,7 @@
 	serversOffset   uint64 // the servers reflect the store's log of registrations before it
 	serversRevision uint64
 	serverChanges   []serverChange    // oldest first
-	mapHistory      []*assignment.Map // oldest first
+	maps            assignment.Changes
 	configReadAt    time.Duration     // last response of the store about the configuration, by Options.Now
 	serversReadAt   time.Duration     // likewise about the servers
 	registry        *followtree.Registry
@@ -196,16 +195,12 @@
 	}
 }
 
-// SetMap adds the newest assignment map to the history. A full history is cut to its
-// newer half.
+// SetMap sets the newest assignment map.
 func (s *Source) SetMap(m *assignment.Map) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mapHistory = append(s.mapHistory, m)
+	s.maps.Add(m)
 	clear(s.mapChanges)
-	if len(s.mapHistory) > maxMapHistory {
-		s.mapHistory = append(s.mapHistory[:0], s.mapHistory[len(s.mapHistory)-maxMapHistory/2:]...)
-	}
 	s.wakeFollowersLocked()
 }
 
@@ -337,7 +332,7 @@
 		response.Config = s.configJSON
 	}
 	s.addServerChangesLocked(r, response)
-	if n := len(s.mapHistory); n > 0 && s.mapHistory[n-1].NextOffset > r.MapEnd {
+	if m := s.maps.Newest(); m != nil && m.NextOffset > r.MapEnd {
 		response.Map = s.mapChangeSinceLocked(r.MapEnd)
 	}
 	return response, s.changed
@@ -417,14 +412,13 @@
 	if change, ok := s.mapChanges[nextOffset]; ok {
 		return change
 	}
-	newest := s.mapHistory[len(s.mapHistory)-1]
-	base := &assignment.Map{}
-	for _, m := range s.mapHistory {
-		if m.NextOffset == nextOffset {
-			base = m
-		}
+	newest := s.maps.Newest()
+	baseEnd := nextOffset
+	updates, known := s.maps.Since(nextOffset)
+	if !known {
+		updates, baseEnd = newest.Diff(&assignment.Map{}), 0
 	}
-	change := &followv1.MapChange{BaseEnd: base.NextOffset, Offset: newest.Offset, End: newest.NextOffset, Term: newest.Term, Leader: newest.Leader,
+	change := &followv1.MapChange{BaseEnd: baseEnd, Offset: newest.Offset, End: newest.NextOffset, Term: newest.Term, Leader: newest.Leader,
 		Sequence: newest.Sequence, Resigned: newest.Resigned, EarlierLeaders: newest.EarlierLeaders}
 	indexes := map[assignment.ServerIncarnation]uint32{}
 	serverIndex := func(i assignment.ServerIncarnation) uint32 {
@@ -436,7 +430,7 @@
 		}
 		return n
 	}
-	for _, u := range newest.Diff(base) {
+	for _, u := range updates {
 		r := &followv1.Range{Service: u.Service, From: uint32(u.Range.From), To: uint32(u.Range.To), Owner: serverIndex(u.Range.Owner)}
 		r.Pending, r.Move = u.Range.GrantPending, u.Range.Move
 		if u.Range.AwaitsRelease() {
