Plan the leader's ticks without garbage for each server

Cause: each of the 20 ticks a second built sorted copies of all servers and two maps of them, and looked up each tracked range in the newest map by a search that copied ranges. Change: ticks use their memory again; tracked ranges, which have the owner and the state of the newest map, are asked instead of the map; the search copies no ranges; calls that are not due are passed over before the maps are searched. Decisions are the same.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -32,6 +32,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"parsleyrelay.example/core/directory"
@@ -175,8 +176,7 @@
 
 // indexOfKey returns the index of the first range that does not end before key.
 func indexOfKey(ranges []Range, key uint16) int {
-	i, _ := slices.BinarySearchFunc(ranges, key, func(r Range, k uint16) int { return int(r.To) - int(k) })
-	return i
+	return sort.Search(len(ranges), func(i int) bool { return ranges[i].To >= key })
 }
 
 func (m *Map) clone() *Map {
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -69,16 +69,16 @@
 // is one. It completes the release of a range whose previous holder cannot hold it
 // any more, which changes the draft map.
 func (l *Leader) startDueCall(now time.Duration, t *trackedRange) (Call, bool) {
+	// The end of the previous holder's grant is checked even before nextCallAt.
+	if t.callOpen || now < t.nextCallAt && t.stage != stageReleasing {
+		return Call{}, false
+	}
 	// The log must have acknowledged the latest change of the range. An open write that
 	// differs may be stored already, and the next leader relies on the calls that its
 	// state allows.
 	if !t.isInState(l.acknowledged.FindRange(t.service, t.from)) || l.inFlight != nil && !t.isInState(l.inFlight.FindRange(t.service, t.from)) {
 		return Call{}, false
 	}
-	// The end of the previous holder's grant is checked even before nextCallAt.
-	if t.callOpen || now < t.nextCallAt && t.stage != stageReleasing {
-		return Call{}, false
-	}
 	if t.stage != stageReleasing && now < l.refusedUntil[t.owner] {
 		return Call{}, false
 	}
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -101,6 +101,9 @@
 	refusedUntil          map[ServerIncarnation]time.Duration // time of the next call to a server that refused one
 	pauses                map[string]directory.Pause          // by server ID
 	emptiedServers        map[ServerIncarnation]bool          // see EmptiedServers
+	// Memory that each tick uses again.
+	rangeCounts map[string]int                // of planMoves
+	assignable  map[string][]directory.Server // of assignableServers
 }
 
 // NewLeader returns a leader for the term after that of the acknowledged map. The
@@ -109,6 +112,7 @@
 	l := &Leader{
 		options: options, acknowledged: acknowledged, openCalls: map[uint64]*trackedRange{}, servers: map[string]map[string]directory.Server{}, firstServerAt: map[string]time.Duration{},
 		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[endpoint]addressReuse{}, refusedUntil: map[ServerIncarnation]time.Duration{}, fillingServers: map[endpoint]bool{},
+		rangeCounts: map[string]int{}, assignable: map[string][]directory.Server{},
 	}
 	l.draft = acknowledged.clone()
 	l.draft.Term++
--- a/core/assignment/load_balancing.go
+++ b/core/assignment/load_balancing.go
@@ -270,11 +270,7 @@
 func (l *Leader) rangeToMove(service string, load *keyLoad, owner ServerIncarnation, loadToMove float64) *trackedRange {
 	var candidates []*trackedRange
 	for _, t := range l.trackedRanges {
-		if t.service != service || t.stage != stageSettled || t.callOpen || !t.fenceConfirmed {
-			continue
-		}
-		r := l.newestMap().FindRange(service, t.from)
-		if r != nil && !r.IsMoving() && r.Owner.endpoint() == owner.endpoint() && load.ofRange(t.from, t.to) > 0 {
+		if t.service == service && t.canMove() && t.owner.endpoint() == owner.endpoint() && load.ofRange(t.from, t.to) > 0 {
 			candidates = append(candidates, t)
 		}
 	}
--- a/core/assignment/plan.go
+++ b/core/assignment/plan.go
@@ -71,31 +71,26 @@
 		if len(assignable) == 0 {
 			continue
 		}
-		ranges := l.newestMap().Services[service]
-		rangeCounts := map[string]int{}
+		rangeCounts := l.rangeCounts
+		clear(rangeCounts)
 		totalSlots := 0
 		for _, s := range assignable {
 			totalSlots += max(1, s.Slots)
 		}
-		for _, r := range ranges {
-			rangeCounts[r.Owner.ID]++
-		}
-		isAssignable := map[endpoint]bool{}
-		for _, s := range assignable {
-			isAssignable[IncarnationOf(s).endpoint()] = true
+		ranges := l.newestMap().Services[service]
+		for i := range ranges {
+			rangeCounts[ranges[i].Owner.ID]++
 		}
 		for _, t := range l.trackedRanges {
 			if t.service != service || t.callOpen {
 				continue
 			}
-			r := l.newestMap().FindRange(service, t.from)
 			switch {
-			case r == nil:
 			case t.stage == stageReleasing:
-				if isAssignable[r.PreviousHolder.endpoint()] && (t.revertIfHolderReturns || !isAssignable[r.Owner.endpoint()]) {
+				if l.mayOwn(service, t.previousHolder) && (t.revertIfHolderReturns || !l.mayOwn(service, t.owner)) {
 					l.revertMove(now, t, rangeCounts)
 				}
-			case !isAssignable[r.Owner.endpoint()]:
+			case !l.mayOwn(service, t.owner):
 				l.startMove(now, t, serverWithFewestRanges(assignable, rangeCounts), rangeCounts)
 				t.revertIfHolderReturns = true
 			}
@@ -143,16 +138,18 @@
 		return nil
 	}
 	for _, t := range l.trackedRanges {
-		if t.service != service || t.stage != stageSettled || t.callOpen || !t.fenceConfirmed {
-			continue
-		}
-		if r := l.newestMap().FindRange(service, t.from); r != nil && r.Owner.ID == donorID && !r.IsMoving() {
+		if t.service == service && t.canMove() && t.owner.ID == donorID {
 			return t
 		}
 	}
 	return nil
 }
 
+// canMove reports whether only the owner may hold the range and no call is open for it.
+func (t *trackedRange) canMove() bool {
+	return t.stage == stageSettled && !t.callOpen && t.fenceConfirmed && t.previousHolder.ID == "" && !t.grantPending
+}
+
 // startMove makes newOwner the owner of a range, whose present owner is then asked to
 // release it. It updates the owners' rangeCounts.
 func (l *Leader) startMove(now time.Duration, t *trackedRange, newOwner directory.Server, rangeCounts map[string]int) {
@@ -177,19 +174,30 @@
 }
 
 // assignableServers returns the servers of a service that may own ranges, ordered by
-// ID.
+// ID. The result is valid until the next call for the service.
 func (l *Leader) assignableServers(service string) []directory.Server {
-	var servers []directory.Server
+	servers := l.assignable[service][:0]
 	for _, s := range l.servers[service] {
-		reuse, reused := l.addressReused[IncarnationOf(s).endpoint()]
-		if !s.Draining && (!reused || s.Born > reuse.born) && !l.emptiedServers[IncarnationOf(s)] {
+		if l.isAssignable(s) {
 			servers = append(servers, s)
 		}
 	}
 	slices.SortFunc(servers, func(a, b directory.Server) int { return cmp.Compare(a.ID, b.ID) })
+	l.assignable[service] = servers
 	return servers
 }
 
+func (l *Leader) isAssignable(s directory.Server) bool {
+	reuse, reused := l.addressReused[IncarnationOf(s).endpoint()]
+	return !s.Draining && (!reused || s.Born > reuse.born) && !l.emptiedServers[IncarnationOf(s)]
+}
+
+// mayOwn reports whether any incarnation of a server at its address may own ranges.
+func (l *Leader) mayOwn(service string, server ServerIncarnation) bool {
+	s, listed := l.servers[service][server.ID]
+	return listed && s.Address == server.Address && l.isAssignable(s)
+}
+
 // serverWithFewestRanges returns the server with the fewest ranges per slot.
 func serverWithFewestRanges(servers []directory.Server, rangeCounts map[string]int) directory.Server {
 	return slices.MinFunc(servers, func(a, b directory.Server) int {
