Spread the renewals of a server's grants over the renewal interval

Cause: a leader grants all ranges at once when it takes over or places them, and renewed each RenewalInterval after its last grant. The ranges of a server were renewed together for the whole term, over up to four connections to each server: 1,960 of the 4,100 descriptors of the smallest host of the large deployment at 490 servers, idle for 3.2 s. Change: each range has its own time within the interval; see trackedRange.renewalAt. A renewal is never later than before. The first grants after a takeover still open up to four a server.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -242,7 +242,7 @@
 func (l *Leader) completeGrant(now time.Duration, t *trackedRange) {
 	t.fenceConfirmed = true
 	t.grantExpiry, t.formerGrantExpiry = now+GrantDuration+GrantExpiryMargin, 0
-	t.nextCallAt = t.lastCallAt + RenewalInterval
+	t.nextCallAt = t.renewalAt()
 	if t.stage == stageGranting {
 		t.stage, t.handover = stageSettled, ""
 		t.grantPending = false
@@ -250,6 +250,17 @@
 	}
 }
 
+// renewalAt returns when to renew the grant of the last call: at the last time of the
+// range within RenewalInterval. The ranges of a server have different times, although many
+// get their first grants at once, so that few connections to the server carry all renewals
+// and are not idle for long.
+func (t *trackedRange) renewalAt() time.Duration {
+	const golden = 40503 // 65536 divided by the golden ratio: spreads adjacent and equidistant keys
+	phase := time.Duration(t.from*golden) * RenewalInterval / KeyCount
+	latest := t.lastCallAt + RenewalInterval
+	return latest - (latest-phase)%RenewalInterval
+}
+
 // latestGrantExpiry returns the time until which the holder may hold the range.
 func (t *trackedRange) latestGrantExpiry() time.Duration {
 	return max(t.grantExpiry, t.formerGrantExpiry)
