Ask for releases at once after a change of the leader

Cause: A new leader asked for releases 2.2 s after its takeover, since a former leader could grant over new connections for 1.2 s. It no longer can: it reads the map before it uses one. The same holds for the resignation of a leader, which waited as long, and for moves that a new leader found open.

Change: The waits are removed (releasesBeginAt, nextReleaseAt, releaseStart).

Conclusion: No wait depends on the order of fences any more.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -109,9 +109,6 @@
 			// the server refuse it.
 			return l.startCall(now, t, GrantCall, t.previousHolder, "", FenceGrantDuration), true
 		}
-		if now < t.nextReleaseAt {
-			return Call{}, false
-		}
 		return l.startCall(now, t, ReleaseCall, t.previousHolder, "", 0), true
 	default:
 		return l.startCall(now, t, GrantCall, t.owner, t.handover, GrantDuration), true
@@ -276,9 +273,6 @@
 func (l *Leader) RecordExitOfEarlierLeaders(now time.Duration) {
 	l.earlierGrantExpiry = 0
 	l.RecordFormerLeaderExit(now)
-	for _, t := range l.trackedRanges {
-		t.nextReleaseAt = min(t.nextReleaseAt, now)
-	}
 }
 
 // RecordFormerLeaderExit records that the process of the former leader has ended
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -23,7 +23,6 @@
 	callOpen       bool
 	lastCallAt     time.Duration // start of the last call
 	nextCallAt     time.Duration // earliest start of the next call
-	nextReleaseAt  time.Duration // earliest start of a release; see beginTerm
 	fence          uint64        // fence of the last grant
 	fenceCounter   uint64        // number of the last grant in this term; 0 for none
 	fenceConfirmed bool          // no earlier grant may still arrive: the holder accepted the fence, or the former leader resigned
@@ -83,8 +82,7 @@
 	servers               map[string]map[string]directory.Server // by service and server ID
 	termBegun             bool                                   // the first write of the term was acknowledged
 	termBegunAt           time.Duration
-	releasesBeginAt       time.Duration // no holder is asked to release a range before, but see Observations.releaseStart
-	earlierLeadersStopped bool          // no leader of an earlier term grants any more, whatever it knows
+	earlierLeadersStopped bool // no leader of an earlier term grants any more, whatever it knows
 	stopped               bool
 	resigning             bool
 	firstServerAt         map[string]time.Duration    // by service; time at which a server was first assignable
@@ -208,17 +206,13 @@
 // beginTerm starts to track all ranges. A former leader that resigned has no open
 // call. Otherwise it may start calls until its LeadershipConfirmationTimeout, the last
 // one may take CallTimeout, and holders may hold their ranges until its grant expires.
-// For confirmationGrace it may grant over new connections, which reach a server that has
-// restarted after a release. So no holder is asked to release before these calls have ended.
+// Holders may be asked to release at once: no grant of a former leader reaches an
+// incarnation that has not seen the fence of this term.
 func (l *Leader) beginTerm(now time.Duration, formerResigned bool) {
 	l.termBegun, l.termBegunAt, l.trackedRanges = true, now, nil
 	formerGrantExpiry := now + GrantDuration + GrantExpiryMargin
-	l.releasesBeginAt = now
 	if !formerResigned {
 		formerGrantExpiry += LeadershipConfirmationTimeout + CallTimeout
-		if l.acknowledged.Term > firstTerm {
-			l.releasesBeginAt += confirmationGrace + CallTimeout
-		}
 	}
 	if l.acknowledged.Term > firstTerm {
 		l.formerGrantExpiry, l.earlierGrantExpiry = formerGrantExpiry, formerGrantExpiry
@@ -230,7 +224,7 @@
 	}
 	for _, service := range sortedKeys(l.acknowledged.Services) {
 		for _, r := range l.acknowledged.Services[service] {
-			t := &trackedRange{service: service, from: r.From, to: r.To, formerGrantExpiry: formerGrantExpiry, fenceConfirmed: formerResigned, nextCallAt: now, nextReleaseAt: l.releasesBeginAt,
+			t := &trackedRange{service: service, from: r.From, to: r.To, formerGrantExpiry: formerGrantExpiry, fenceConfirmed: formerResigned, nextCallAt: now,
 				owner: r.Owner, previousHolder: r.PreviousHolder, grantPending: r.GrantPending}
 			switch {
 			case r.AwaitsRelease():
@@ -238,7 +232,6 @@
 				if l.options.Observations != nil {
 					if expiry, known := l.options.Observations.grantExpiry(now, &r); known {
 						t.formerGrantExpiry = min(t.formerGrantExpiry, expiry)
-						t.nextReleaseAt = min(l.releasesBeginAt, l.options.Observations.releaseStart(&r))
 					}
 				}
 			case r.GrantPending:
@@ -267,9 +260,7 @@
 	}
 	l.recordRestarts(now)
 	if l.resigning {
-		if now >= l.releasesBeginAt {
-			l.draftResignation() // the next leader asks for releases at once
-		}
+		l.draftResignation()
 		if l.newestMap().Resigned {
 			return nil
 		}
--- a/core/assignment/observations.go
+++ b/core/assignment/observations.go
@@ -90,14 +90,3 @@
 	}
 	return expiry, known
 }
-
-// releaseStart returns from when the previous holder of a range may be asked to release it.
-// Leaders of earlier terms than that of the move can then no longer renew its grant over
-// new connections, and no grant from before the move is open. grantExpiry must be known.
-func (o *Observations) releaseStart(r *Range) time.Duration {
-	start := o.moves[r.Move] + CallTimeout
-	if term := r.Move >> fenceCounterBits; term > firstTerm && !o.terms[term].afterResignation {
-		start = max(start, o.terms[term].seenAt+confirmationGrace+CallTimeout)
-	}
-	return start
-}
