Raise the fence over a new connection before a release

Cause: a response to a grant that carries no ID counted as that grant's own, although it may be the copy of an earlier one on the connection. The grant then counted as accepted, the release followed, and the server carried the grant out after another one held the keys: its fence was the highest that the server had seen. Change: a response is identified if it carries the ID of the order or is the first one on its connection (upstream.Response.First, CallResult.Unidentified). If that to the last grant is not, also if it is a refusal, a grant of 100 ms raises the fence over a new connection (Call.NewConn) before the release. The release follows when that grant is answered, not at the next tick. No such grant is sent more than confirmationGrace after the last confirmation, when new connections must not be used. The simulation makes calls that follow others. Weighed: the release over the connection of the last grant, which costs nothing, but relies on servers that never go on to the next order without an answer to the last one; a connection for each grant, which leaves a leader that has lost the log without old ones. Conclusion: no copy of a response lets a range move while an earlier grant may still be accepted. The users' servers return no ID on orders, so most moves there open a connection.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -25,6 +25,10 @@
 //   - A range moves to another server only after the previous holder has released
 //     it, is known to have ended, or has outlived the last grant that may have
 //     reached it.
+//   - A holder that is asked to release has accepted a fence above those of all
+//     grants that may still be applied. A response that may be the copy of an earlier
+//     one on its connection does not prove that; a grant over a new connection then
+//     raises the fence first.
 //
 // The package does no I/O and reads no clock. Its times are time.Duration values
 // since an arbitrary origin, all from one monotonic clock of the host.
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -43,6 +43,9 @@
 	// before any later leader, and has seen the fence of one that made it release the
 	// range; a newer incarnation has seen none. 0 allows any connection.
 	ConnectedBefore time.Duration
+	// NewConn is set for a grant that only raises the fence. It is sent over a new
+	// connection, on which the first response is surely its own.
+	NewConn bool
 }
 
 // CallStatus is the outcome of a Call.
@@ -62,7 +65,10 @@
 type CallResult struct {
 	Status   CallStatus
 	Handover string // data of a successful release for the new owner
-	Err      error  // cause of a failure, for log lines; may be nil
+	// Unidentified is set for a response that may be the copy of an earlier one on its
+	// connection, so that a grant may still be applied.
+	Unidentified bool
+	Err          error // cause of a failure, for log lines; may be nil
 }
 
 // startDueCall records and returns the call to make for a range now, and whether there
@@ -96,10 +102,12 @@
 			return Call{}, false
 		case now < t.nextCallAt || now < l.refusedUntil[t.previousHolder] || now-l.leadershipConfirmedAt > moveConfirmationTimeout:
 			return Call{}, false
-		case !t.fenceConfirmed && t.latestGrantExpiry()-now < CallTimeout+FenceGrantDuration+GrantExpiryMargin:
+		case !t.fenceProven() && now-l.leadershipConfirmedAt > confirmationGrace:
+			return Call{}, false // a new connection must not be used
+		case !t.fenceProven() && t.latestGrantExpiry()-now < CallTimeout+FenceGrantDuration+GrantExpiryMargin:
 			return Call{}, false // an unanswered grant would delay the expiry
-		case !t.fenceConfirmed:
-			// An earlier grant may still arrive after the release; a higher fence makes
+		case !t.fenceProven():
+			// An earlier grant may still be applied after the release; a higher fence makes
 			// the server refuse it.
 			return l.startCall(now, t, GrantCall, t.previousHolder, "", FenceGrantDuration), true
 		}
@@ -112,6 +120,10 @@
 	}
 }
 
+// fenceProven reports whether the holder refuses all earlier grants: it has accepted the
+// fence, and the response that says so is surely that to the last grant.
+func (t *trackedRange) fenceProven() bool { return t.fenceConfirmed && t.responseIdentified }
+
 // isInState reports whether a map's range has the owner, the previous holder and the
 // grant state of the newest map.
 func (t *trackedRange) isInState(r *Range) bool {
@@ -176,7 +188,8 @@
 		t.grantExpiry = max(t.grantExpiry, now+CallTimeout+grantDuration+GrantExpiryMargin)
 	}
 	l.openCalls[l.lastCallID] = t
-	return Call{ID: l.lastCallID, Kind: kind, Service: t.service, Server: server, From: t.from, To: t.to, Fence: t.fence, GrantDuration: grantDuration, Handover: handover, ConnectedBefore: connectedBefore}
+	return Call{ID: l.lastCallID, Kind: kind, Service: t.service, Server: server, From: t.from, To: t.to, Fence: t.fence, GrantDuration: grantDuration, Handover: handover, ConnectedBefore: connectedBefore,
+		NewConn: kind == GrantCall && grantDuration == FenceGrantDuration}
 }
 
 // checkFenceCounters ends the term before a count of the term would run into the bits of
@@ -194,14 +207,19 @@
 // term. Results after the end of the term, and those of calls of other terms, are ignored.
 // After CallAddressReused the server counts as ended. A server that refused a call gets one in RefusedCallDelay, for a
 // range whose turn it is, until one succeeds. Other failed calls are repeated after
-// CallRetryDelay.
-func (l *Leader) HandleCallResult(now time.Duration, call Call, result CallResult) {
+// CallRetryDelay. If the release that follows a grant which raised the fence is due, it is
+// returned, to be made at once.
+func (l *Leader) HandleCallResult(now time.Duration, call Call, result CallResult) (next Call, due bool) {
 	t := l.openCalls[call.ID]
 	delete(l.openCalls, call.ID)
 	if t == nil || l.stopped {
-		return
+		return Call{}, false
 	}
 	t.callOpen = false
+	hadNoEffect := result.Status == CallNotExecuted && !result.Unidentified
+	if call.Kind == GrantCall && (result.Status == CallSucceeded || result.Unidentified) {
+		t.responseIdentified = !result.Unidentified
+	}
 	if result.Status == CallSucceeded {
 		delete(l.refusedUntil, call.Server)
 	}
@@ -222,19 +240,23 @@
 		t.nextCallAt = now + CallRetryDelay
 	case result.Status != CallSucceeded:
 		// An unanswered grant may still be applied.
-		t.fenceConfirmed = t.fenceConfirmed && result.Status == CallNotExecuted
+		t.fenceConfirmed = t.fenceConfirmed && hadNoEffect
 		t.nextCallAt = now + CallRetryDelay
-		if result.Status == CallNotExecuted {
+		if hadNoEffect {
 			t.grantExpiry = t.expiryBeforeCall
-			return
+			return Call{}, false
 		}
 		// The call may have ended later than CallTimeout after its start.
 		t.grantExpiry = max(t.grantExpiry, now+call.GrantDuration+GrantExpiryMargin)
 	case t.stage == stageReleasing:
 		t.fenceConfirmed, t.nextCallAt = true, now
+		if t.fenceProven() {
+			return l.startDueCall(now, t)
+		}
 	default:
 		l.completeGrant(now, t)
 	}
+	return Call{}, false
 }
 
 // completeGrant schedules the renewal of a grant that the owner accepted. If it was
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -26,7 +26,10 @@
 	nextReleaseAt  time.Duration // earliest start of a release; see beginTerm
 	fence          uint64        // fence of the last grant
 	fenceCounter   uint64        // number of the last grant in this term; 0 for none
-	fenceConfirmed bool          // no earlier grant may still arrive: the holder accepted the fence, or the former leader resigned
+	fenceConfirmed bool          // no grant is unanswered: the holder accepted the fence, or the former leader resigned
+	// responseIdentified reports that the response to the last grant was surely its own;
+	// see CallResult.Unidentified.
+	responseIdentified bool
 	// The holder may hold the range until the later of grantExpiry (grants of this
 	// term) and formerGrantExpiry (grants of former leaders).
 	grantExpiry           time.Duration
--- a/core/assignment/releases_test.go
+++ b/core/assignment/releases_test.go
@@ -44,3 +44,22 @@
 		require.Empty(t, l.TakeCompletedReleases())
 	}
 }
+
+// Guards against a grant that its server applies after the range has moved on, because
+// the copy of an earlier response was taken for its own.
+func TestUnidentifiedResponsesDoNotProveAFence(t *testing.T) {
+	for _, copies := range []CallStatus{CallSucceeded, CallNotExecuted, CallRefused} {
+		sim := newSimulation(t, "1", "2", "3", "4")
+		l := sim.leaderAfterPlacement("a")
+		sim.servers["1"].copies = copies
+		sim.run(RenewalInterval, l)
+		sim.servers["1"].copies, sim.servers["1"].Draining = 0, true
+		sim.servers["1"].refuses = func(c Call) bool { return c.NewConn }
+		l.SetServers(sim.serversExcept())
+		sim.run(CallTimeout, l)
+		sim.servers["1"].refuses = nil
+		sim.run(GrantDuration, l)
+		require.Zero(t, sim.rangesByOwner()["1"], copies)
+		require.Zero(t, sim.rangesByOwner()["moving"], copies)
+	}
+}
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -25,6 +25,7 @@
 	responsesLost bool                     // calls take effect but get no response
 	addressReused bool                     // another server responds at the address
 	refuses       func(Call) bool          // refused calls have no effect; nil for none
+	copies        CallStatus               // of the copies that answer grants over used connections, which are applied late; 0 for none
 }
 
 // isConnected reports whether the incarnation can have the connection that a call needs.
@@ -172,27 +173,21 @@
 func (sim *simulation) step(leaders ...*Leader) {
 	sim.now += 50 * time.Millisecond
 	sim.applyLateCalls()
-	openCalls := sim.openCalls[:0]
-	for _, o := range sim.openCalls {
+	openCalls := sim.openCalls
+	sim.openCalls = nil
+	for _, o := range openCalls {
 		if o.endsAt > sim.now {
-			openCalls = append(openCalls, o)
+			sim.openCalls = append(sim.openCalls, o)
 			continue
 		}
-		o.leader.HandleCallResult(sim.now, o.call, o.result)
+		sim.finish(o)
 	}
-	sim.openCalls = openCalls
 	for _, l := range leaders {
 		if sim.showsNoOtherLeader(l) {
 			l.ConfirmLeadership(sim.now)
 		}
 		for _, c := range l.Tick(sim.now) {
-			sim.sentCalls = append(sim.sentCalls, c)
-			result, endsAt := sim.deliver(c)
-			if endsAt > sim.now {
-				sim.openCalls = append(sim.openCalls, openCall{leader: l, call: c, endsAt: endsAt, result: result})
-				continue
-			}
-			l.HandleCallResult(sim.now, c, result)
+			sim.send(l, c)
 		}
 		sim.advanceWrites(l)
 	}
@@ -203,6 +198,25 @@
 	}
 }
 
+// send makes a call of a leader.
+func (sim *simulation) send(l *Leader, c Call) {
+	sim.sentCalls = append(sim.sentCalls, c)
+	result, endsAt := sim.deliver(c)
+	o := openCall{leader: l, call: c, endsAt: endsAt, result: result}
+	if endsAt > sim.now {
+		sim.openCalls = append(sim.openCalls, o)
+		return
+	}
+	sim.finish(o)
+}
+
+// finish passes the result of a call to its leader, and makes the call that follows.
+func (sim *simulation) finish(o openCall) {
+	if next, due := o.leader.HandleCallResult(sim.now, o.call, o.result); due {
+		sim.send(o.leader, next)
+	}
+}
+
 // applyLateCalls applies the late calls that are due. A call that arrives later reaches
 // whichever incarnation has the ID and the address then.
 func (sim *simulation) applyLateCalls() {
@@ -278,6 +292,9 @@
 		return CallResult{Status: CallRefused}, sim.now
 	case s.addressReused || s.ID != c.Server.ID:
 		return CallResult{Status: CallAddressReused}, sim.now
+	case s.copies != 0 && c.Kind == GrantCall && !c.NewConn:
+		sim.lateCalls = append(sim.lateCalls, lateCall{appliedAt: sim.now + GrantDuration - FenceGrantDuration, arrivedAt: sim.now, call: c, server: s})
+		return CallResult{Status: s.copies, Unidentified: true}, sim.now
 	case s.responsesLost && c.Kind == GrantCall && sim.random != nil && sim.random.IntN(2) == 0:
 		sim.lateCalls = append(sim.lateCalls, lateCall{appliedAt: sim.now + time.Duration(sim.random.IntN(9000))*time.Millisecond, arrivedAt: sim.now, call: c, server: s})
 		return CallResult{Status: CallUnanswered}, sim.now
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -250,7 +250,7 @@
 		case <-ctx.Done():
 			return nil
 		case m := <-a.messages:
-			a.handleMessage(m)
+			a.handleMessage(ctx, m)
 			a.leading.Store(a.leader != nil && a.leader.Leading())
 			continue
 		case <-ticker.C:
@@ -260,13 +260,13 @@
 	}
 }
 
-func (a *Assigner) handleMessage(m message) {
+func (a *Assigner) handleMessage(ctx context.Context, m message) {
 	now := a.options.Now()
 	switch {
 	case m.observedMap != nil:
 		a.handleObservedMap(now, m.observedMap)
 	case m.completedCall != nil:
-		a.handleCompletedCall(now, *m.completedCall)
+		a.handleCompletedCall(ctx, now, *m.completedCall)
 	case m.completedWrite != nil:
 		a.handleCompletedWrite(now, *m.completedWrite)
 	case m.loadReport != nil:
@@ -301,17 +301,20 @@
 	a.options.OnMap(m)
 }
 
-// handleCompletedCall passes the result of a call to the state machine. It logs the
+// handleCompletedCall passes the result of a call to the state machine, and sends the call
+// that follows at once. It logs the
 // failures: a call that may still take effect as GrantUnanswered, a grant that was refused
 // for a higher fence as GrantRefused, and one without effect as CallFailed. The client
 // of the servers logs AddressReused.
-func (a *Assigner) handleCompletedCall(now time.Duration, c completedCall) {
+func (a *Assigner) handleCompletedCall(ctx context.Context, now time.Duration, c completedCall) {
 	if code, ok := failureEvents[c.result.Status]; ok {
 		a.options.Journal.LogEvent(code, "service", c.call.Service, "server", c.call.Server.ID, "born", c.call.Server.Born, "call", c.call.Kind,
 			"from", c.call.From, "to", c.call.To, "fence", c.call.Fence, "error", c.result.Err)
 	}
 	if a.leader != nil {
-		a.leader.HandleCallResult(now, c.call, c.result)
+		if next, due := a.leader.HandleCallResult(now, c.call, c.result); due {
+			go a.sendCall(ctx, now, next)
+		}
 		a.dropStoppedLeader("a server has accepted the fence of a later term")
 	}
 }
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -70,11 +70,13 @@
 // ErrNoOldConn is the cause if no connection was opened before Exchange.OpenedBefore.
 var ErrNoOldConn = errors.New("no idle connection is old enough")
 
-// Response is a complete response.
+// Response is a complete response. First reports that it is the first one on its
+// connection, after the first request, so that it cannot be the copy of an earlier one.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	First  bool
 }
 
 // Exchange is one request to a server. Matches reports whether a response with the
@@ -126,6 +128,7 @@
 	openedAt    time.Time
 	idleSince   time.Time
 	idleTimeout time.Duration
+	used        bool // a request was written
 }
 
 // NewClient returns a client without connections, which opens them with DialTCP.
@@ -338,6 +341,8 @@
 // exchange writes the request and reads the response. sent reports that bytes were
 // written, reusable that the connection can serve another request.
 func (cn *conn) exchange(x Exchange) (response *Response, sent, reusable bool, err error) {
+	first := !cn.used
+	cn.used = true
 	n, err := cn.Write(x.RawRequest)
 	if err != nil && n == 0 {
 		return nil, false, false, err
@@ -350,6 +355,7 @@
 		if err != nil {
 			return nil, true, false, err
 		}
+		response.First, first = first, false
 		if x.Matches == nil || x.Matches(response.Header) {
 			return response, true, reusable, nil
 		}
