--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -73,11 +73,13 @@
 // ErrNoOldConn is the cause if no connection was opened before Exchange.OpenedBefore.
 var ErrNoOldConn = errors.New("no idle connection is old enough")
 
-// Response is a complete response.
+// Response is a complete response. First reports that it is the first one on its
+// connection, after the first request, so that it cannot be the copy of an earlier one.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	First  bool
 }
 
 // Exchange is one request to a server. Matches reports whether a response with the
@@ -135,6 +137,7 @@
 	openedAt    time.Time
 	idleSince   time.Time
 	idleTimeout time.Duration
+	used        bool // a response to a request was awaited
 }
 
 // NewClient returns a client without connections, which opens them with DialTCP.
@@ -393,11 +396,14 @@
 
 // readMatching reads responses up to the one to the request.
 func (cn *conn) readMatching(x Exchange) (response *Response, reusable bool, err error) {
+	first := !cn.used
+	cn.used = true
 	for range maxResponsesRead {
 		response, reusable, err = cn.readResponse(x.Method)
 		if err != nil {
 			return nil, false, err
 		}
+		response.First, first = first, false
 		if x.Matches == nil || x.Matches(response.Header) {
 			return response, reusable, nil
 		}
