Take a pause that several hosts were asked for as one of all hosts

Cause: the leader weighs a pause by the part of the hosts that report it. With many hosts most send the server nothing for seconds, learn of no pause and count as served, so the keys stay at the server.

Change: from eight hosts on the mean is over the hosts that report the pause.

Measured: TestPauseOfSeveralHostsCountsForAll on the code before: 8 ranges left with 8 of 295 hosts, expected none.

A pause of fewer hosts is still weighed by their part. A server that asks eight of many hosts to wait and serves the others has its keys moved for little; not measured.

--- a/core/assignment/pauses.go
+++ b/core/assignment/pauses.go
@@ -15,6 +15,8 @@
 	// pauses, as a mean over the hosts. Most callers can return within a shorter pause, and
 	// a move would take keys away from their server for nothing.
 	maxPausedTime = 500 * time.Millisecond
+	// severalHosts is the number of hosts from which a pause is taken for one of all hosts.
+	severalHosts = 8
 	// maxEmptiedShare is the share of a service's servers that are emptied at a time for
 	// their pauses, but at least one. When more of them pause, the service is overloaded,
 	// and the others have no room for these keys.
@@ -58,9 +60,13 @@
 }
 
 // pausedTime returns the time for which a server's keys will be unserved because of its
-// pauses, as a mean over the hosts.
+// pauses, as a mean over the hosts. If it asked several hosts, the others count as well:
+// those that have sent it nothing meanwhile have not been asked yet.
 func (l *Leader) pausedTime(server string) time.Duration {
 	p := l.pauses[server]
 	hosts := max(1, l.hostCount, p.Hosts)
+	if p.Hosts >= severalHosts {
+		hosts = p.Hosts
+	}
 	return p.Longest * time.Duration(p.Hosts) / time.Duration(hosts)
 }
--- a/core/assignment/pauses_test.go
+++ b/core/assignment/pauses_test.go
@@ -54,3 +54,16 @@
 	sim.run(500*time.Millisecond, l)
 	require.Equal(t, 8, sim.rangesByOwner()["1"])
 }
+
+// Guards against keys that stay unserved because most of many hosts have sent their server
+// nothing since it wants no requests, and against moves for a few of the hosts.
+func TestPauseOfSeveralHostsCountsForAll(t *testing.T) {
+	for hosts, ranges := range map[int]int{1: 8, 7: 8, 8: 0, 40: 0} {
+		sim := newSimulation(t, "1", "2", "3", "4")
+		l := sim.leaderAfterPlacement("a")
+		l.SetHostCount(295)
+		l.SetPauses(map[string]directory.Pause{"1": {Hosts: hosts, Longest: time.Second}})
+		sim.run(500*time.Millisecond, l)
+		require.Equal(t, ranges, sim.rangesByOwner()["1"], "%d hosts", hosts)
+	}
+}
