Drop load reports that no leader took within a second

Cause: while a host knows no leader its load report grows, a relay's with those of its followers up to 16,384 keys a service. The next leader took it for the load of an instant: requests of three seconds look like three times the load, by which it limits servers and moves keys. Change: a report that was begun more than a second ago starts anew. With a relay's sum the requests that reach a leader are at most two seconds old, beside the time of the call. Conclusion: reports have an age limit at each step. A report is taken once and lost with a call that fails, so that a relay that dies counts nothing twice.

--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -78,6 +78,8 @@
 
 	loadReportMu sync.Mutex
 	loadReport   LoadReport
+	// loadReportBegun is the time of the last take, or of the first record after a drop.
+	loadReportBegun time.Duration
 }
 
 // AssignmentView is the assignment map by which requests are routed to key
--- a/relay/edge/loadreport.go
+++ b/relay/edge/loadreport.go
@@ -30,10 +30,24 @@
 // includes those of its followers.
 const maxRelayedKeys = 32 * maxReportedKeys
 
+// maxReportSpan is the time from which a report that nobody took is dropped. Without a
+// leader, reports would grow, and the next one would take them for the load of an instant.
+const maxReportSpan = time.Second
+
+// dropOldReportLocked drops a report that was begun too long ago. e.loadReportMu must be
+// held.
+func (e *Edge) dropOldReportLocked() {
+	now := e.now()
+	if now-e.loadReportBegun > maxReportSpan {
+		e.loadReport, e.loadReportBegun = LoadReport{}, now
+	}
+}
+
 // recordKeyRequest adds the key of a request to the load report.
 func (e *Edge) recordKeyRequest(service string, key uint16) {
 	e.loadReportMu.Lock()
 	defer e.loadReportMu.Unlock()
+	e.dropOldReportLocked()
 	if e.loadReport.RequestedKeys == nil {
 		e.loadReport.RequestedKeys = map[string][]uint16{}
 	}
@@ -48,6 +62,7 @@
 func (e *Edge) recordServerLoad(server string, load dispatch.Load, served bool, latency time.Duration) {
 	e.loadReportMu.Lock()
 	defer e.loadReportMu.Unlock()
+	e.dropOldReportLocked()
 	if e.loadReport.ServiceTimes == nil {
 		e.loadReport.ServiceTimes = map[string]ServiceTime{}
 	}
@@ -66,6 +81,7 @@
 func (e *Edge) AddLoadReport(r LoadReport) {
 	e.loadReportMu.Lock()
 	defer e.loadReportMu.Unlock()
+	e.dropOldReportLocked()
 	if e.loadReport.RequestedKeys == nil {
 		e.loadReport.RequestedKeys = map[string][]uint16{}
 	}
@@ -87,7 +103,8 @@
 func (e *Edge) TakeLoadReport() LoadReport {
 	e.loadReportMu.Lock()
 	defer e.loadReportMu.Unlock()
+	e.dropOldReportLocked()
 	taken := e.loadReport
-	e.loadReport = LoadReport{}
+	e.loadReport, e.loadReportBegun = LoadReport{}, e.now()
 	return taken
 }
--- a/relay/follow/leadersize_test.go
+++ b/relay/follow/leadersize_test.go
@@ -62,7 +62,7 @@
 // relay polls the leader until ctx ends, with the reports of its followers: 14 requests a
 // second each, a fifth of them for a few busy keys that change.
 func (l *largeLeader) relay(ctx context.Context, t *testing.T, number, followers int) {
-	name, random, own, reportedAt := fmt.Sprint(number%5, "/relay", number), rand.New(rand.NewPCG(uint64(number), 1)), &edge.Edge{}, time.Now()
+	name, random, own, reportedAt := fmt.Sprint(number%5, "/relay", number), rand.New(rand.NewPCG(uint64(number), 1)), edge.New(edge.Options{}), time.Now()
 	request := &followv1.FollowRequest{Host: name, WaitMs: uint32(longPollWait.Milliseconds()), Followers: uint32(followers), Caller: &followv1.HostInfo{Incarnation: name, Zone: name[:1], ProcessorPerMille: 800}}
 	for ; ctx.Err() == nil; time.Sleep(3 * time.Millisecond) {
 		if requests := int(14 * time.Since(reportedAt).Seconds()); requests > 0 {
