Do not date a parent's state after the end of the call

Cause: a follower dates the state by the time for which its parent says it held the call. If the parent's clock jumps forward meanwhile, that is more than the call lasted: the state was dated in the future and looked fresh until the follower's clock had caught up, so that the host would not read the store. Change: the state is at most as young as the parent reports at the moment of the response. Measured: TestJumpOfTheParentsClockDoesNotMakeTheStateYounger on the code before: "-59.7s" is not greater than or equal to "300ms". Conclusion: a damaged time of the parent can make the state older, not younger, than the age that the parent reports.

--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -308,8 +308,8 @@
 	f.applyReceived(r)
 	age := time.Duration(r.AgeMs) * time.Millisecond
 	// The way of the response is unknown and may take as long as the poll. The called host
-	// looked at its state HeldMs after the request arrived there.
-	stateAt := sentAt + time.Duration(r.HeldMs)*time.Millisecond - age
+	// looked at its state HeldMs after the request arrived there, by a clock that may jump.
+	stateAt := min(sentAt+time.Duration(r.HeldMs)*time.Millisecond, f.options.Now()) - age
 	if age < neverReadAge {
 		f.hostState.RecordStoreContact(directory.Contact{Begin: stateAt, End: stateAt})
 	}
