Refuse a map from a parent that does not cover all keys once

Cause: a follower checked each range of a map change, but not the map that results. A damaged change left keys without a server, or with two ranges, until these ranges changed again, and the host passed the map on. Change: the map is checked as the records of the store are. A change that fails counts as a failed poll: the host tries another parent and reads the store once its state is too old. Measured: TestDamagedMapsAreNotTakenOver on the code before: missing keys (two cases), overlapping and unordered ranges: "An error is expected but got nil"; an unknown server and a key out of range were refused already. Conclusion: maps of parents and of the store meet the same condition.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -179,6 +179,23 @@
 	return sort.Search(len(ranges), func(i int) bool { return ranges[i].To >= key })
 }
 
+// IsComplete reports whether the ranges of each service are ordered and cover all keys once.
+func (m *Map) IsComplete() bool {
+	for _, ranges := range m.Services {
+		next := 0
+		for i := range ranges {
+			if int(ranges[i].From) != next || ranges[i].To < ranges[i].From {
+				return false
+			}
+			next = int(ranges[i].To) + 1
+		}
+		if next != KeyCount {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Map) clone() *Map {
 	c := *m
 	c.Services = make(map[string][]Range, len(m.Services))
--- a/relay/follow/damagedstate_test.go
+++ b/relay/follow/damagedstate_test.go
@@ -35,3 +35,25 @@
 		require.GreaterOrEqual(t, f.StateAge(), 300*time.Millisecond)
 	})
 }
+
+// Guards against a host that takes over a damaged map, in which it finds no server for some
+// keys, or two, until the next change of these ranges.
+func TestDamagedMapsAreNotTakenOver(t *testing.T) {
+	for name, ranges := range map[string][]*followv1.Range{
+		"keys are missing":        {{Service: "s", To: 9}, {Service: "s", From: 11, To: 65535}},
+		"the last key is missing": {{Service: "s", To: 65534}},
+		"ranges overlap":          {{Service: "s", To: 10}, {Service: "s", From: 10, To: 65535}},
+		"ranges are not in order": {{Service: "s", From: 10, To: 65535}, {Service: "s", To: 9}},
+		"unknown server":          {{Service: "s", To: 65535, Owner: 1}},
+		"key out of range":        {{Service: "s", To: 65536}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				state, f, err := pollOnce(t, &followv1.FollowResponse{Map: &followv1.MapChange{End: 2, Term: 1, Servers: []*followv1.Incarnation{{Id: "1"}}, Ranges: ranges}})
+				require.Error(t, err)
+				require.Nil(t, state.NewestMap())
+				require.False(t, f.InContact(), "the host is to read the store")
+			})
+		})
+	}
+}
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -432,7 +432,11 @@
 		updates = append(updates, u)
 	}
 	metadata := assignment.Map{Offset: c.Offset, NextOffset: c.End, Term: c.Term, Leader: c.Leader, Sequence: c.Sequence, Resigned: c.Resigned, EarlierLeaders: c.EarlierLeaders}
-	f.hostState.ObserveMap(assignment.ApplyUpdates(base, metadata, updates))
+	m := assignment.ApplyUpdates(base, metadata, updates)
+	if !m.IsComplete() {
+		return fmt.Errorf("map change with next offset %d dropped: its ranges overlap or leave out keys", c.End)
+	}
+	f.hostState.ObserveMap(m)
 	return nil
 }
 
