Leave out keys that do not exist from load reports

Cause: keys above 65,535 in a damaged report were cut to 16 bits and counted as requests for other keys. Change: they are left out. Measured: TestKeysOutOfRangeAreNotReported on the code before: expected [7], actual [7 9]. Conclusion: damaged reports move no load to other keys.

--- a/relay/follow/damagedstate_test.go
+++ b/relay/follow/damagedstate_test.go
@@ -57,3 +57,9 @@
 		})
 	}
 }
+
+// Guards against a damaged load report that counts as requests for other keys.
+func TestKeysOutOfRangeAreNotReported(t *testing.T) {
+	r := decodeLoadReport([]*followv1.Arrivals{{Service: "s", Keys: []uint32{7, 65536 + 9}}})
+	require.Equal(t, []uint16{7}, r.RequestedKeys["s"])
+}
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -281,6 +281,9 @@
 	report := edge.LoadReport{RequestedKeys: map[string][]uint16{}, ServiceTimes: map[string]edge.ServiceTime{}}
 	for _, a := range messages {
 		for _, k := range a.Keys {
+			if k >= assignment.KeyCount {
+				continue // damaged
+			}
 			report.RequestedKeys[a.Service] = append(report.RequestedKeys[a.Service], uint16(k))
 		}
 		for _, t := range a.Times {
