--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -326,8 +326,8 @@
 	f.applyReceived(r)
 	age := time.Duration(r.AgeMs) * time.Millisecond
 	// The way of the response is unknown and may take as long as the poll. The called host
-	// looked at its state HeldMs after the request arrived there.
-	stateAt := sentAt + time.Duration(r.HeldMs)*time.Millisecond - age
+	// looked at its state HeldMs after the request arrived there, by a clock that may jump.
+	stateAt := min(sentAt+time.Duration(r.HeldMs)*time.Millisecond, f.options.Now()) - age
 	if age < neverReadAge {
 		f.hostState.RecordStoreContact(directory.Contact{Begin: stateAt, End: stateAt})
 	}
@@ -450,7 +450,11 @@
 		updates = append(updates, u)
 	}
 	metadata := assignment.Map{Offset: c.Offset, NextOffset: c.End, Term: c.Term, Leader: c.Leader, Sequence: c.Sequence, Resigned: c.Resigned, EarlierLeaders: c.EarlierLeaders}
-	f.hostState.ObserveMap(assignment.ApplyUpdates(base, metadata, updates))
+	m := assignment.ApplyUpdates(base, metadata, updates)
+	if !m.IsComplete() {
+		return fmt.Errorf("map change with next offset %d dropped: its ranges overlap or leave out keys", c.End)
+	}
+	f.hostState.ObserveMap(m)
 	return nil
 }
 
