--- a/relay/follow/leadersize_test.go
+++ b/relay/follow/leadersize_test.go
@@ -39,7 +39,7 @@
 	return m.NextOffset, m.NextOffset + 1, err
 }
 
-func (l *largeLeader) Call(context.Context, assignment.Call, func() error) assignment.CallResult {
+func (l *largeLeader) Call(context.Context, assignment.Call, func() error, func(context.Context) error) assignment.CallResult {
 	time.Sleep(3 * time.Millisecond)
 	return assignment.CallResult{Status: assignment.CallSucceeded}
 }
