Let copies answer grants in the random faults

Cause: the simulation answered a grant only with its own response, so that the random faults could not show a range that moves while an earlier grant may still be applied. Change: copies with the status of a success, a refusal or a call without effect answer half of the grants to some servers, which apply them late. Conclusion: late grants after copies are part of the random faults.

--- a/core/assignment/randomfaults_test.go
+++ b/core/assignment/randomfaults_test.go
@@ -13,7 +13,7 @@
 const randomFaultSeeds = uint64(40)
 
 // Guards against two holders of a key under random faults: servers that drain,
-// restart, fail to respond or are not listed, a late server list, calls that are applied
+// restart, fail to respond, answer twice or are not listed, a late server list, calls that are applied
 // late, slow writes and acknowledgements, busy keys, and leaders that resign or are
 // replaced without notice.
 // Servers do not restart at their address while a former leader may call them.
@@ -113,6 +113,8 @@
 			sim.ackDelay = time.Duration(random.IntN(4000)) * time.Millisecond
 		case 12, 13: // and fast again
 			sim.ackDelay = 0
+		case 14, 15: // copies of responses start or stop answering grants to the server
+			s.copies = []CallStatus{0, CallSucceeded, CallNotExecuted, CallRefused}[random.IntN(4)]
 		}
 		var excluded []string
 		for id, h := range unlisted {
--- a/core/assignment/simulation_test.go
+++ b/core/assignment/simulation_test.go
@@ -292,7 +292,7 @@
 		return CallResult{Status: CallRefused}, sim.now
 	case s.addressReused || s.ID != c.Server.ID:
 		return CallResult{Status: CallAddressReused}, sim.now
-	case s.copies != 0 && c.Kind == GrantCall && !c.NewConn:
+	case s.copies != 0 && c.Kind == GrantCall && !c.NewConn && (sim.random == nil || sim.random.IntN(2) == 0):
 		sim.lateCalls = append(sim.lateCalls, lateCall{appliedAt: sim.now + GrantDuration - FenceGrantDuration, arrivedAt: sim.now, call: c, server: s})
 		return CallResult{Status: s.copies, Unidentified: true}, sim.now
 	case s.responsesLost && c.Kind == GrantCall && sim.random != nil && sim.random.IntN(2) == 0:
