Restore the concurrency limit if lowering it had no effect

Cause: the limiter took every rise of the latency for contention of the server. On a machine that is short of processor time, responses take longer whatever the concurrency; the limit fell to 1 and grew by 0.25 per 32 responses, while the queue filled: queue_full, queue_timeout and deadline_short with idle slots. In a failed run of TestDrainedServerGetsNoWork the limits of all servers were 1 from 2.8 s on, with up to 113 queued each. There is no lease_lost line in the 12 runs that were read. Change: once the concurrency is at most half of what it was, a latency that is closer to the former one than to a proportional one shows that the cause is not contention: the limit is restored and the latency becomes the base. The ramp-up counts as a bound of the concurrency. Errors and refusals for overload lower the limit as before. TestSlowPeriodsWithoutContention is new.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -271,6 +271,7 @@
 	if serviceTime <= 0 {
 		serviceTime = slotTime
 	}
+	c.limiter.rampUpLimit = c.rampUpLimit(now)
 	switch res.Outcome {
 	case OutcomeOK:
 		c.serviceTimes.add(serviceTime)
--- a/core/admission/flood_test.go
+++ b/core/admission/flood_test.go
@@ -159,3 +159,16 @@
 	t.Logf("requests on time per second: controller %.0f, FIFO with 6 slots %.0f, real capacity %.0f", controllerRate, fifoRate, real)
 	require.Greater(t, controllerRate, 0.75*real)
 }
+
+// Guards against refusals of a load that the declared slots can carry, by a limit that
+// falls although requests take longer for another reason than their concurrency, such
+// as a machine that is short of processor time.
+func TestSlowPeriodsWithoutContention(t *testing.T) {
+	for seed := range uint64(20) {
+		s := floodScenario(scenario{servers: 1, slots: 6, meanServiceTime: 3 * ms}, "", 0, seed)
+		s.loads, s.slowFactor = []rankLoad{{rank: "lookups", load: 0.05, deadline: 10 * time.Second}}, 10
+		r := simulateFlood(s)
+		t.Logf("seed %d: %v", seed, r)
+		require.Zero(t, r.during.ranks["lookups"].refused)
+	}
+}
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -16,6 +16,10 @@
 	latencyTolerance       = 1.5
 	minGradient            = 0.5  // smallest factor by which latency lowers the limit per window
 	limitIncreasePerWindow = 0.25 // requests
+	// effectCheckShare is the share of the former concurrency to which the limit must
+	// have been lowered before the effect on the latency is checked, since the effect
+	// of a smaller reduction cannot be told from noise.
+	effectCheckShare = 0.5
 	// errorShareTolerance is the share of errors in a window above which the
 	// limit is lowered.
 	errorShareTolerance = 0.1
@@ -28,12 +32,22 @@
 // limiter adapts the concurrency limit of a server. It compares the mean latency
 // of each window of responses with a slowly adapting base latency: within the
 // tolerance the limit grows by a constant, beyond it the limit is multiplied by
-// the gradient, the tolerated latency divided by the measured one.
+// the gradient, the tolerated latency divided by the measured one. If that does
+// not lower the latency, the cause is not contention, and the limit is restored:
+// fewer concurrent requests would only lower the throughput.
 type limiter struct {
 	slots       float64
 	limit       float64
 	baseLatency float64 // nanoseconds; the latency without contention
 
+	rampUpLimit float64 // bounds the concurrency, besides limit, during the ramp-up
+
+	// Since the first reduction for latency from which the limit has not recovered:
+	reduced           bool
+	limitBefore       float64 // before that reduction
+	concurrencyBefore float64 // the highest bound of the concurrency in a window with excessive latency
+	latencyBefore     float64 // nanoseconds; the latency in that window
+
 	// In the current window:
 	latencySum               float64 // nanoseconds
 	latencyCount, errorCount int
@@ -45,6 +59,7 @@
 func (l *limiter) setSlots(slots int) {
 	previousSlots := l.slots
 	l.slots = float64(slots)
+	l.rampUpLimit = l.slots
 	if l.limit == 0 || l.limit >= previousSlots {
 		l.limit = l.slots
 	}
@@ -68,6 +83,7 @@
 func (l *limiter) observeOverload() {
 	if !l.loweredForOverload {
 		l.loweredForOverload = true
+		l.forgetReduction()
 		l.limit = math.Max(l.limit*overloadDecreaseFactor, 1)
 	}
 }
@@ -77,6 +93,7 @@
 	switch {
 	case errorShare > errorShareTolerance:
 		l.limit *= errorDecreaseFactor
+		l.forgetReduction()
 	case l.latencyCount > 0:
 		l.adjustToLatency(l.latencySum / float64(l.latencyCount))
 	}
@@ -96,6 +113,14 @@
 		if !l.loweredForOverload {
 			l.limit += l.increasePerWindow()
 		}
+		if l.reduced && l.limit >= l.limitBefore {
+			l.forgetReduction()
+		}
+		return
+	}
+	if l.reductionHadNoEffect(meanLatency) {
+		l.limit, l.baseLatency = l.limitBefore, meanLatency
+		l.forgetReduction()
 		return
 	}
 	if l.limit <= 1 {
@@ -104,9 +129,28 @@
 		l.baseLatency = meanLatency
 		return
 	}
+	if !l.reduced {
+		l.reduced, l.limitBefore = true, l.limit
+	}
+	if bound := l.concurrencyBound(); bound >= l.concurrencyBefore {
+		l.concurrencyBefore, l.latencyBefore = bound, meanLatency
+	}
 	l.limit *= math.Max(gradient, minGradient)
 }
 
+func (l *limiter) concurrencyBound() float64 { return math.Min(l.limit, l.rampUpLimit) }
+
+func (l *limiter) forgetReduction() {
+	l.reduced, l.limitBefore, l.concurrencyBefore, l.latencyBefore = false, 0, 0, 0
+}
+
+// reductionHadNoEffect reports whether the latency is closer to that before the
+// reduction than to one that is proportional to the concurrency.
+func (l *limiter) reductionHadNoEffect(meanLatency float64) bool {
+	share := l.concurrencyBound() / l.concurrencyBefore
+	return l.reduced && share <= effectCheckShare && meanLatency > l.latencyBefore*(1+share)/2
+}
+
 func (l *limiter) increasePerWindow() float64 {
 	if l.serverReportsQueue {
 		return limitIncreasePerWindow / 2
--- a/core/admission/schedule.go
+++ b/core/admission/schedule.go
@@ -125,12 +125,16 @@
 // concurrencyLimit returns how many requests may run at now: at least 1 and at
 // most the number of slots.
 func (c *Controller) concurrencyLimit(now time.Duration) int {
-	limit := c.limiter.limit
+	limit := math.Min(c.limiter.limit, c.rampUpLimit(now))
+	return min(max(int(limit+0.5), 1), c.slots)
+}
+
+// rampUpLimit returns the limit that grows from 1 to the slots during the ramp-up.
+func (c *Controller) rampUpLimit(now time.Duration) float64 {
 	if sinceStart := now - c.rampUpStart; sinceStart < c.rampUpTime {
-		rampUpLimit := 1 + float64(c.slots-1)*float64(sinceStart)/float64(c.rampUpTime)
-		limit = math.Min(limit, rampUpLimit)
+		return 1 + float64(c.slots-1)*float64(sinceStart)/float64(c.rampUpTime)
 	}
-	return min(max(int(limit+0.5), 1), c.slots)
+	return float64(c.slots)
 }
 
 // meanServiceTime returns the mean service time of a rank, or of all ranks while
--- a/core/admission/sim_test.go
+++ b/core/admission/sim_test.go
@@ -72,6 +72,9 @@
 	// contention; with n times as many, service times are n*n times as long, so
 	// that throughput drops. 0 means no contention at any number.
 	realParallelism int
+	// slowFactor lengthens service times whatever the number of running requests, in
+	// every other period of 4 s. 0 means never.
+	slowFactor float64
 }
 
 type simEvent struct {
@@ -241,6 +244,9 @@
 			excess := float64(s.running[server]) / float64(s.realParallelism)
 			req.serviceTime = time.Duration(float64(req.serviceTime) * excess * excess)
 		}
+		if s.slowFactor > 0 && now/(4*time.Second)%2 == 1 {
+			req.serviceTime = time.Duration(float64(req.serviceTime) * s.slowFactor)
+		}
 		heap.Push(&s.events, simEvent{at: now + req.serviceTime, kind: 1, server: server, id: d.ID})
 	}
 }
