Wait for the former leader's grants after an unidentified response

Cause: a response that may be the copy of an earlier one on its connection ended the wait for the former leader's grants (formerGrantExpiry), like the response to the grant itself. If the holder has not applied the grant, it accepts renewals of the former leader for LeadershipConfirmationTimeout and CallTimeout, while the new leader, which cannot reach it any more, counts only its own grants and frees the range 8.36 s after the last of them. Change: completeGrant ends that wait only if the response is identified (fenceProven). Tests: TestUnidentifiedResponseDoesNotEndTheGrantsOfTheFormerLeader. Conclusion: a range whose holder ends within about 19 s after a leader that did not resign was replaced, without evidence of its end, is free after these 19 s instead of 8.36 s after the last grant, unless a response since was identified or the former process has ended.

--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -265,7 +265,10 @@
 // the owner's first one, the range is settled.
 func (l *Leader) completeGrant(now time.Duration, t *trackedRange) {
 	t.fenceConfirmed = true
-	t.grantExpiry, t.formerGrantExpiry = now+GrantDuration+GrantExpiryMargin, 0
+	t.grantExpiry = now + GrantDuration + GrantExpiryMargin
+	if t.fenceProven() {
+		t.formerGrantExpiry = 0 // the owner refuses the grants of former leaders
+	}
 	t.nextCallAt = t.renewalAt()
 	if t.stage == stageGranting {
 		t.stage, t.handover = stageSettled, ""
--- a/core/assignment/takeover_test.go
+++ b/core/assignment/takeover_test.go
@@ -19,6 +19,25 @@
 	require.Zero(t, sim.rangesByOwner()["1"])
 }
 
+// Guards against two holders of a key if the copy of an earlier response counts as proof
+// that a server refuses the former leader's grants: it never applied the new leader's.
+func TestUnidentifiedResponseDoesNotEndTheGrantsOfTheFormerLeader(t *testing.T) {
+	sim := newSimulation(t, "1", "2", "3", "4")
+	sim.leaderAfterPlacement("a")
+	renewal := sim.lastRenewal("1")
+	sim.servers["1"].copies = CallSucceeded
+	successor := sim.newLeader("b")
+	successor.SetServers(sim.serversExcept())
+	sim.run(2*tick, successor)
+	sim.servers["1"].unreachable = true
+	successor.SetServers(sim.serversExcept("1"))
+	arrival := sim.now + LeadershipConfirmationTimeout
+	sim.lateCalls = []lateCall{{appliedAt: arrival, arrivedAt: arrival, call: renewal}}
+	sim.run(LeadershipConfirmationTimeout+CallTimeout+GrantDuration+2*time.Second, successor)
+	require.Zero(t, sim.rangesByOwner()["moving"])
+	require.Zero(t, sim.rangesByOwner()["1"])
+}
+
 // Guards against an endless loop with Options.Stripes 0, and against keys without an
 // owner with a number that does not divide the keys.
 func TestAnyNumberOfStripesCoversAllKeys(t *testing.T) {
