Wait for grants that ended after another server responded

Cause: the response of another server at an address freed all ranges of the server whose last calls had been started before. A grant that was open then may be sent or answered later, by an incarnation that has started at the address since. Change: a grant that may have had an effect and ended after that response is waited for, until a later response proves the end. Tests: TestGrantThatEndsAfterAnotherServerRespondedIsWaitedFor. Conclusion: two processes must follow the server at its address within about a second for the fault. The price is a further call for such a range.

--- a/core/assignment/address_evidence_test.go
+++ b/core/assignment/address_evidence_test.go
@@ -42,3 +42,29 @@
 		})
 	}
 }
+
+// Guards against a server that is taken for ended although it accepted a grant that was
+// open when another server responded at its address: it has started again since.
+func TestGrantThatEndsAfterAnotherServerRespondedIsWaitedFor(t *testing.T) {
+	sim := newSimulation(t, "1", "2", "3", "4")
+	l := sim.leaderAfterPlacement("a")
+	sim.now += 2 * RenewalInterval
+	var toServer2 []Call
+	for _, c := range l.Tick(sim.now) {
+		if c.Server.ID == "2" {
+			toServer2 = append(toServer2, c)
+		} else {
+			sim.send(l, c)
+		}
+	}
+	l.HandleCallResult(sim.now, toServer2[0], CallResult{Status: CallAddressReused})
+	servers := sim.serversExcept()
+	sim.now += tick
+	restarted := sim.addServer("2")
+	for _, c := range toServer2[1:] {
+		l.HandleCallResult(sim.now, c, sim.apply(restarted, sim.now, c))
+	}
+	l.SetServers(servers)
+	restarted.unreachable = true
+	sim.run(time.Second, l)
+}
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -140,8 +140,9 @@
 // evidence, because calls for the former one may have reached it. Nor is the entry of
 // another server alone, which may outlast that server.
 func (l *Leader) hasEnded(t *trackedRange, holder ServerIncarnation) (ReleaseEvidence, bool) {
-	// A call that was started after the response may have reached a newer incarnation.
-	if reuse, ok := l.addressReused[holder.endpoint()]; ok && t.lastCallAt <= reuse.seenAt {
+	// A call that was started after the response, or a grant that ended after it, may have
+	// reached a newer incarnation.
+	if reuse, ok := l.addressReused[holder.endpoint()]; ok && max(t.lastCallAt, t.lastGrantEndedAt) <= reuse.seenAt {
 		return AddressTakenOver, true
 	}
 	newest := holder.Born
@@ -222,6 +223,9 @@
 	if call.Kind == GrantCall && (result.Status == CallSucceeded || result.Unidentified) {
 		t.responseIdentified = !result.Unidentified
 	}
+	if call.Kind == GrantCall && (result.Status == CallSucceeded || result.Status == CallUnanswered || result.Unidentified) {
+		t.lastGrantEndedAt = now
+	}
 	if result.Status == CallSucceeded {
 		delete(l.refusedUntil, call.Server)
 	}
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -17,15 +17,17 @@
 
 // trackedRange is a range with the leader's state of its grants and calls.
 type trackedRange struct {
-	service        string
-	from, to       uint16
-	stage          rangeStage
-	callOpen       bool
-	lastCallAt     time.Duration // start of the last call
-	nextCallAt     time.Duration // earliest start of the next call
-	fence          uint64        // fence of the last grant
-	fenceCounter   uint64        // number of the last grant in this term; 0 for none
-	fenceConfirmed bool          // no grant is unanswered: the holder accepted the fence, or the former leader resigned
+	service    string
+	from, to   uint16
+	stage      rangeStage
+	callOpen   bool
+	lastCallAt time.Duration // start of the last call
+	nextCallAt time.Duration // earliest start of the next call
+	// lastGrantEndedAt is the end of the last grant call that may have had an effect.
+	lastGrantEndedAt time.Duration
+	fence            uint64 // fence of the last grant
+	fenceCounter     uint64 // number of the last grant in this term; 0 for none
+	fenceConfirmed   bool   // no grant is unanswered: the holder accepted the fence, or the former leader resigned
 	// responseIdentified reports that the response to the last grant was surely its own;
 	// see CallResult.Unidentified.
 	responseIdentified bool
