--- a/relay/edge/signals.go
+++ b/relay/edge/signals.go
@@ -18,12 +18,9 @@
 // whatever its status and whether or not it is passed on.
 
 const (
-	// maxFullPause is the longest time for which a server that wants no requests gets none.
-	// In a longer one it gets up to two, as it may be able to serve again long before.
-	maxFullPause = 10 * time.Minute
-	// maxRequestedPause bounds what a server can ask for. A longer time is more likely a
+	// maxPause bounds the pause that a server can ask for. A longer one is more likely a
 	// damaged header, and would take a server out of use for as long as its life lasts.
-	maxRequestedPause = 24 * time.Hour
+	maxPause = 24 * time.Hour
 	// pauseStep is the unit to which the end of a pause is rounded up. Requests in flight are
 	// refused together and ask for nearly the same end, which then changes once.
 	pauseStep = 100 * time.Millisecond
@@ -36,7 +33,7 @@
 	Life        directory.Life
 	Leaving     bool
 	PausedUntil time.Duration // by Options.Now; 0 if the server asked for no pause
-	Limited     bool          // the server asked for more
+	Limited     bool          // the server asked for a pause beyond maxPause
 }
 
 // readSignals reports what a response says of its server to Options.OnSignal, unless it is
@@ -66,9 +63,9 @@
 		if !valid {
 			c.logIgnoredSignal(s, r, "retry_after_not_readable", strings.Join(retryAfter, ", "))
 		}
-		signal.Limited = pause > maxFullPause
+		signal.Limited = pause > maxPause
 		if pause > 0 {
-			until := c.edge.options.Now() + grantedPause(pause)
+			until := c.edge.options.Now() + min(pause, maxPause)
 			signal.PausedUntil = (until + pauseStep - 1) / pauseStep * pauseStep
 		}
 	}
@@ -77,14 +74,6 @@
 	}
 }
 
-// grantedPause returns the time for which a server gets no requests that asked for a pause.
-func grantedPause(requested time.Duration) time.Duration {
-	if requested <= maxFullPause {
-		return requested
-	}
-	return max(maxFullPause, min(requested, maxRequestedPause)/3)
-}
-
 // isNews reports whether the list of servers does not reflect a signal.
 func (e *Edge) isNews(signal Signal) bool {
 	s, known := e.knownServers()[signal.Life.ID]
@@ -138,7 +127,7 @@
 		if err != nil && !errors.Is(err, strconv.ErrRange) {
 			return 0, false
 		}
-		const longest = 2 * maxRequestedPause
+		const longest = 2 * maxPause
 		return time.Duration(min(seconds, longest.Seconds()) * float64(time.Second)), true
 	}
 	end, err := http.ParseTime(value)
