Move the model of hot keys to core/model

Change: core/model plays a scenario with several servers, classes of requests, waves, bursts, a hot key, slow servers and servers that refuse part of everything, with the pools of core/dispatch. Results hold counts by class and rank, waits, and new connections. TestHotKeyAtManyHosts and TestFewHostsUseTheSlots use it from the external test package; their assertions, bounds, seed and server ID are unchanged.

What it says at 295 and 3,000 hosts takes several seeds; one run says little.

--- a/core/dispatch/manyhosts_test.go
+++ b/core/dispatch/manyhosts_test.go
@@ -1,195 +1,52 @@
-package dispatch
+package dispatch_test
 
 import (
 	"fmt"
-	"math"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
-
-// boundedServer runs up to slots requests at a time, queues up to maxQueue others and
-// refuses the rest. It reports its load with all responses.
-type boundedServer struct {
-	slots, maxQueue int
-	serviceTime     time.Duration
-	resetsWhenFull  bool // closes the connection in place of a refusal
-	running         int
-	queue           []hostRequest
-}
-
-// load returns the load that the server reports.
-func (s *boundedServer) load() *Load {
-	return &Load{Running: s.running, Waiting: len(s.queue), Slots: s.slots}
-}
 
-// hostRequest is a request that a host has sent.
-type hostRequest struct {
-	host        int
-	submittedAt time.Duration // at the host
-	sentAt      time.Duration
-}
+	"parsleyrelay.example/core/model"
+)
 
 // hotKeyLoad is a key for which many hosts get requests, and the server that holds it.
 type hotKeyLoad struct {
-	hosts    int
-	server   boundedServer
-	overload float64 // requests of all hosts, relative to what the server can run
-	// admittedLoad is the load that the leader host lets through if the server is
-	// overloaded, relative to what it can run; 0 for no limit.
-	admittedLoad float64
+	hosts        int
+	server       model.Servers
 	maxQueueWait time.Duration
-
-	now    time.Duration
-	pools  []*Pool
-	ends   []attemptEnd
-	random *rand.Rand
-	counts hotKeyCounts
+	simulation   *model.Simulation
 }
 
-// hotKeyCounts counts what happened in a phase of a hotKeyLoad.
-type hotKeyCounts struct {
-	asked, refused, arrivals, rejected, served int
-	inTime                                     int           // served within three service times
-	busy                                       time.Duration // sum over the slots
-}
+const hotKeyServiceTime = 270 * time.Millisecond
 
-// attemptEnd is the end of an attempt, as the host sees it.
-type attemptEnd struct {
-	at      time.Duration
-	request hostRequest
-	result  AttemptResult
-}
-
-// rejectionTime is the time from sending a request to its rejection.
-const rejectionTime = 4 * time.Millisecond
+// hotKeyCounts counts what happened in a phase of a hotKeyLoad.
+type hotKeyCounts struct{ asked, refused, arrivals, rejected, inTime int }
 
 func newHotKeyLoad(hosts int, resetsWhenFull bool) *hotKeyLoad {
-	l := &hotKeyLoad{hosts: hosts, random: rand.New(rand.NewPCG(1, uint64(hosts))), maxQueueWait: 480 * time.Millisecond,
-		server: boundedServer{slots: 6, maxQueue: 24, serviceTime: 270 * time.Millisecond, resetsWhenFull: resetsWhenFull}}
-	for i := range hosts {
-		p := NewPool(fmt.Sprint("h", i), "a", func(uint16) (string, time.Duration) { return "s", 0 })
-		p.SetHostCount(hosts)
-		p.SetServers(0, []Server{{ID: "s", Zone: "a", Slots: l.server.slots}})
-		l.pools = append(l.pools, p)
-	}
-	return l
+	return &hotKeyLoad{hosts: hosts, maxQueueWait: 480 * time.Millisecond, server: model.Servers{ID: "s", Count: 1, Slots: 6, MaxQueue: 24, ResetsWhenFull: resetsWhenFull}}
 }
 
-// run plays a phase of the load and returns its counts.
+// run plays a phase of the load and returns its counts. admittedLoad is the load that the
+// leader host lets through, relative to what the server can run; 0 for no limit.
 func (l *hotKeyLoad) run(d time.Duration, overload, admittedLoad float64) hotKeyCounts {
-	l.counts = hotKeyCounts{}
-	l.overload, l.admittedLoad = overload, admittedLoad
-	perMillisecond := overload * float64(l.server.slots) / float64(l.server.serviceTime/time.Millisecond)
-	start := l.now
-	for l.now < start+d {
-		l.now += time.Millisecond
-		l.counts.busy += time.Duration(l.server.running) * time.Millisecond
-		l.endAttempts()
-		for n := l.poisson(perMillisecond); n > 0; n-- {
-			l.submit(l.random.IntN(l.hosts))
-		}
-		// The leader learns of the load within 700 ms and tells the hosts each 350 ms.
-		if elapsed := l.now - start; elapsed >= 700*time.Millisecond && elapsed%(350*time.Millisecond) == 0 {
-			l.setAdmittedShares()
-		}
-		if l.now%dispatchInterval == 0 {
-			for _, p := range l.pools {
-				p.Dispatch(l.now)
-			}
-		}
-	}
-	return l.counts
-}
-
-func (l *hotKeyLoad) setAdmittedShares() {
-	shares := map[string]float64{}
-	if l.admittedLoad > 0 && l.overload > l.admittedLoad {
-		shares["s"] = l.admittedLoad / l.overload
-	}
-	for _, p := range l.pools {
-		p.SetAdmittedShares(l.now, shares)
-	}
-}
-
-func (l *hotKeyLoad) poisson(mean float64) int {
-	n, limit := 0, math.Exp(-mean)
-	for product := l.random.Float64(); product > limit; product *= l.random.Float64() {
-		n++
-	}
-	return n
-}
-
-func (l *hotKeyLoad) submit(host int) {
-	l.counts.asked++
-	request := hostRequest{host: host, submittedAt: l.now}
-	l.pools[host].Submit(l.now, Request{Rank: 1, Deadline: l.now + 5*time.Second, MaxQueueWait: l.maxQueueWait, Keyed: true}, func(d Decision) {
-		if d.Reason != "" {
-			l.counts.refused++
-			return
-		}
-		request.sentAt = l.now
-		l.arrive(request)
-	})
-}
-
-func (l *hotKeyLoad) arrive(r hostRequest) {
-	s := &l.server
-	l.counts.arrivals++
-	switch {
-	case s.running < s.slots:
-		l.start(r)
-	case len(s.queue) < s.maxQueue:
-		s.queue = append(s.queue, r)
-	default:
-		l.counts.rejected++
-		result := AttemptResult{Outcome: ServerFull, Latency: rejectionTime, Load: s.load()}
-		if s.resetsWhenFull {
-			result = AttemptResult{Outcome: ConnectionLost, Latency: rejectionTime}
-		}
-		l.ends = append(l.ends, attemptEnd{at: l.now + rejectionTime, request: r, result: result})
-	}
-}
-
-func (l *hotKeyLoad) start(r hostRequest) {
-	l.server.running++
-	l.ends = append(l.ends, attemptEnd{at: l.now + l.server.serviceTime, request: r, result: AttemptResult{Outcome: OK, Rank: 1}})
-}
-
-func (l *hotKeyLoad) endAttempts() {
-	var due, remaining []attemptEnd
-	for _, e := range l.ends {
-		if e.at <= l.now {
-			due = append(due, e)
-		} else {
-			remaining = append(remaining, e)
-		}
-	}
-	l.ends = remaining
-	for _, e := range due {
-		if s := &l.server; e.result.Outcome == OK {
-			s.running--
-			if len(s.queue) > 0 {
-				next := s.queue[0]
-				s.queue = s.queue[1:]
-				l.start(next)
-			}
-			l.counts.served++
-			if l.now-e.request.submittedAt <= 3*s.serviceTime {
-				l.counts.inTime++
-			}
-			e.result.Load, e.result.Latency = s.load(), l.now-e.request.sentAt
+	phase := model.Phase{Name: "load", Duration: d, Load: overload}
+	if l.simulation == nil {
+		var err error
+		l.simulation, err = model.New(model.Scenario{AdmittedLoad: admittedLoad, IdleTimeout: time.Second, Servers: l.server, Phases: []model.Phase{phase}, Classes: []model.Class{
+			{Name: "key", Rank: 1, Share: 1, ServiceTime: hotKeyServiceTime, MaxQueueWait: l.maxQueueWait, Target: 3 * hotKeyServiceTime, Deadline: 5 * time.Second}}}, l.hosts, 1)
+		if err != nil {
+			panic(err)
 		}
-		l.pools[e.request.host].ReportResult(l.now, "s", e.result)
 	}
+	c := l.simulation.RunPhase(phase)
+	return hotKeyCounts{asked: c.Submitted, refused: c.RefusedAtHost, arrivals: c.Arrivals, rejected: c.Rejected, inTime: c.InTime}
 }
 
 // inTimeShare returns the requests served in time, relative to what the server can run
 // in d.
-func (c hotKeyCounts) inTimeShare(s boundedServer, d time.Duration) float64 {
-	return float64(c.inTime) / (float64(s.slots) * d.Seconds() / s.serviceTime.Seconds())
+func (c hotKeyCounts) inTimeShare(s model.Servers, d time.Duration) float64 {
+	return float64(c.inTime) / (float64(s.Slots) * d.Seconds() / hotKeyServiceTime.Seconds())
 }
 
 // scaleGoal is the least part of what is served with 30 hosts that must be served with
