Add parsleyctl model

Change: `parsleyctl model` reads a scenario in YAML or JSON, plays it for each number of hosts and each seed, and writes a table, JSON, YAML or an SVG plot.

The plot was checked as XML, not looked at.

--- a/cmd/parsleyctl/main.go
+++ b/cmd/parsleyctl/main.go
@@ -1,4 +1,5 @@
-// Command parsleyctl lets operators declare and watch resources, and generates load.
+// Command parsleyctl lets operators declare and watch resources, generates load, and runs
+// the model of many hosts.
 package main
 
 import (
@@ -7,8 +8,9 @@
 
 	"parsleyrelay.example/cmd/internal/ctl"
 	"parsleyrelay.example/cmd/internal/ctl/loadcmd"
+	"parsleyrelay.example/cmd/internal/ctl/modelcmd"
 )
 
 func main() {
-	os.Exit(ctl.Run(context.Background(), os.Args, os.Stdin, os.Stdout, os.Stderr, loadcmd.Command()))
+	os.Exit(ctl.Run(context.Background(), os.Args, os.Stdin, os.Stdout, os.Stderr, loadcmd.Command(), modelcmd.Command()))
 }
--- a/core/model/model_test.go
+++ b/core/model/model_test.go
@@ -42,18 +42,11 @@
 		s.Servers.ResetsWhenFull = resets
 		result, err := Run(s, 20, 1)
 		require.NoError(t, err)
-		var sum Counts
 		for _, p := range result.Phases {
-			for _, c := range p.Classes {
-				sum.Submitted += c.Submitted
-				sum.RefusedAtHost += c.RefusedAtHost
-				sum.Arrivals += c.Arrivals
-				sum.Rejected += c.Rejected
-				sum.Served += c.Served
-			}
 			require.LessOrEqual(t, p.UsedShare, 1.0)
 			require.LessOrEqual(t, p.NewConnections, p.Arrivals)
 		}
+		sum := result.Total()
 		require.NotZero(t, sum.Rejected)
 		require.Equal(t, sum.Submitted, sum.RefusedAtHost+sum.Arrivals)
 		require.Equal(t, sum.Arrivals, sum.Rejected+sum.Served)
--- a/core/model/result.go
+++ b/core/model/result.go
@@ -52,16 +52,29 @@
 	Phases []PhaseResult `json:"phases"`
 }
 
+// Total returns the counts of all phases.
+func (r Result) Total() Counts {
+	var total Counts
+	for _, p := range r.Phases {
+		total.add(p.Counts)
+	}
+	return total
+}
+
+func (c *Counts) add(other Counts) {
+	c.Submitted += other.Submitted
+	c.RefusedAtHost += other.RefusedAtHost
+	c.Arrivals += other.Arrivals
+	c.Rejected += other.Rejected
+	c.Served += other.Served
+	c.InTime += other.InTime
+}
+
 // finish computes the sums and percentiles of a phase.
 func (r *PhaseResult) finish() {
 	for i := range r.Classes {
 		c := &r.Classes[i]
-		r.Submitted += c.Submitted
-		r.RefusedAtHost += c.RefusedAtHost
-		r.Arrivals += c.Arrivals
-		r.Rejected += c.Rejected
-		r.Served += c.Served
-		r.InTime += c.InTime
+		r.add(c.Counts)
 		slices.Sort(c.waits)
 		c.WaitP50Millis, c.WaitP99Millis = percentileMillis(c.waits, 50), percentileMillis(c.waits, 99)
 	}
