--- a/core/model/scenario.go
+++ b/core/model/scenario.go
@@ -21,7 +21,8 @@
 	Hosts []int    `json:"hosts"` // numbers of entry hosts, one simulation each
 	Seeds []uint64 `json:"seeds"` // one simulation each
 	// AdmittedLoad is the load that the leader host lets through at an overloaded server,
-	// relative to its capacity; 0 for no limit.
+	// relative to its capacity; 0 for no limit. The leader of package assignment has none
+	// with fewer than 50 hosts.
 	AdmittedLoad float64 `json:"admittedLoad"`
 	// IdleTimeout is the time after which a host closes an unused connection.
 	IdleTimeout time.Duration `json:"idleTimeout"`
