Write the reports of load and model by the same code

Cause: the commands load and model wrote their output and files by two copies of the same functions.

Change: session.WriteReport serves both.

Conclusion: no output is changed.

--- a/cmd/internal/ctl/loadcmd/loadcmd.go
+++ b/cmd/internal/ctl/loadcmd/loadcmd.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"io"
-	"os"
 	"slices"
 	"time"
 
@@ -83,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	if err := writeReport(cmd, report); err != nil {
+	if err := session.WriteReport(cmd, report, cmd.String(flagOutput), cmd.String(flagJSON), cmd.String(flagSVG)); err != nil {
 		return err
 	}
 	if !report.HasResponses() {
@@ -132,37 +130,3 @@
 	}
 	return cfg, append(findings, cfg.Validate()...)
 }
-
-func writeReport(cmd *cli.Command, report *load.Report) error {
-	for file, writeTo := range map[string]func(io.Writer) error{
-		cmd.String(flagJSON): report.WriteJSON,
-		cmd.String(flagSVG):  report.WriteSVG,
-	} {
-		if err := writeReportFile(file, writeTo); err != nil {
-			return err
-		}
-	}
-	out := cmd.Root().Writer
-	switch cmd.String(flagOutput) {
-	case session.FormatJSON:
-		return report.WriteJSON(out)
-	case session.FormatYAML:
-		return session.WriteYAML(out, report)
-	}
-	return report.WriteTable(out)
-}
-
-func writeReportFile(name string, writeTo func(io.Writer) error) error {
-	if name == "" {
-		return nil
-	}
-	file, err := os.Create(name)
-	if err != nil {
-		return err
-	}
-	if err := writeTo(file); err != nil {
-		_ = file.Close()
-		return err
-	}
-	return file.Close()
-}
--- a/cmd/internal/ctl/modelcmd/modelcmd.go
+++ b/cmd/internal/ctl/modelcmd/modelcmd.go
@@ -63,7 +63,7 @@
 			r.Results = append(r.Results, result)
 		}
 	}
-	return writeReport(cmd, r)
+	return session.WriteReport(cmd, r, cmd.String(flagOutput), cmd.String(flagJSON), cmd.String(flagSVG))
 }
 
 // readConfig reads the scenario file and the flags, and returns all findings together.
@@ -97,41 +97,8 @@
 	return file.scenario, append(findings, file.allFindings()...)
 }
 
-func writeReport(cmd *cli.Command, r report) error {
-	for file, writeTo := range map[string]func(io.Writer) error{
-		cmd.String(flagJSON): r.writeJSON,
-		cmd.String(flagSVG):  r.writeSVG,
-	} {
-		if err := writeReportFile(file, writeTo); err != nil {
-			return err
-		}
-	}
-	out := cmd.Root().Writer
-	switch cmd.String(flagOutput) {
-	case session.FormatJSON:
-		return r.writeJSON(out)
-	case session.FormatYAML:
-		return session.WriteYAML(out, r)
-	}
-	return r.writeTable(out)
-}
-
-func writeReportFile(name string, writeTo func(io.Writer) error) error {
-	if name == "" {
-		return nil
-	}
-	file, err := os.Create(name)
-	if err != nil {
-		return err
-	}
-	if err := writeTo(file); err != nil {
-		_ = file.Close()
-		return err
-	}
-	return file.Close()
-}
-
-func (r report) writeJSON(w io.Writer) error {
+// WriteJSON implements session.Report.
+func (r report) WriteJSON(w io.Writer) error {
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
 	return enc.Encode(r)
--- a/cmd/internal/ctl/modelcmd/plot.go
+++ b/cmd/internal/ctl/modelcmd/plot.go
@@ -18,11 +18,11 @@
 
 var plotColors = []string{"#b2182b", "#2166ac", "#4d9221", "#762a83", "#e08214"}
 
-// writeSVG plots, for each phase over the number of hosts, the share of the arrivals that
+// WriteSVG plots, for each phase over the number of hosts, the share of the arrivals that
 // the servers rejected (dashed) and of the requests that were served in time (solid).
 // Lines are means over the seeds, vertical bars show the range. Responses to requests of
 // an earlier phase can raise the second share above 1, where it is cut off.
-func (r report) writeSVG(w io.Writer) error {
+func (r report) WriteSVG(w io.Writer) error {
 	var svg strings.Builder
 	hostCounts := r.hostCounts()
 	slices.Sort(hostCounts)
--- a/cmd/internal/ctl/modelcmd/report.go
+++ b/cmd/internal/ctl/modelcmd/report.go
@@ -69,10 +69,10 @@
 	return list
 }
 
-// writeTable writes one line per number of hosts, one per phase and number of hosts, and
+// WriteTable writes one line per number of hosts, one per phase and number of hosts, and
 // one per class of these. Counts and waits are means over the seeds, shares have their
 // range.
-func (r report) writeTable(w io.Writer) error {
+func (r report) WriteTable(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, "HOSTS\tSEEDS\tREJECTED\tIN TIME")
 	for _, hosts := range r.hostCounts() {
