Share the steps of a release and a restart between two tests

Cause: two tests of takeovers had the same seven lines, and the comment of draftResignation claimed that no earlier grant may still arrive, which a copy of a response does not prove (found by the reviewer).

Change: releaseAndRestart serves both tests, with the same conditions and times; the comment says what holds. No product code.

Conclusion: the tests guard the same failures with less text.

--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -162,7 +162,8 @@
 func (l *Leader) Resign() { l.resigning = true }
 
 // draftResignation drafts the map that ends the term, if no write, call or move is
-// open and no earlier grant may still arrive.
+// open and no grant is unanswered. A grant that the copy of another response answered may
+// still be applied, so the next leader raises each fence before a release.
 func (l *Leader) draftResignation() {
 	if l.inFlight != nil || l.draft != nil || len(l.openCalls) > 0 {
 		return
--- a/core/assignment/takeover_test.go
+++ b/core/assignment/takeover_test.go
@@ -76,15 +76,21 @@
 	sim := newSimulation(t, "1", "2", "3", "4")
 	former := sim.leaderAfterPlacement("a")
 	successor := sim.newLeader("b")
-	sim.servers["2"].Draining = true
-	successor.SetServers(sim.serversExcept())
-	sim.run(500*time.Millisecond, successor)
-	require.Zero(t, sim.rangesByOwner()["2"])
-	require.Zero(t, sim.rangesByOwner()["moving"])
-	sim.addServer("2")
+	sim.releaseAndRestart(successor, "2", 500*time.Millisecond)
 	sim.run(RenewalInterval, successor, former)
 }
 
+// releaseAndRestart makes a server release its ranges to others, within a time, and
+// restart.
+func (sim *simulation) releaseAndRestart(l *Leader, server string, within time.Duration) {
+	sim.servers[server].Draining = true
+	l.SetServers(sim.serversExcept())
+	sim.run(within, l)
+	require.Zero(sim.t, sim.rangesByOwner()[server])
+	require.Zero(sim.t, sim.rangesByOwner()["moving"])
+	sim.addServer(server)
+}
+
 // Guards against a grant of a former leader, confirmed a moment ago, that reaches a server
 // which has restarted since: its former incarnation has accepted the successor's fence.
 func TestFormerLeaderCannotLowerTheFenceOfANewIncarnation(t *testing.T) {
@@ -174,13 +180,8 @@
 				sim.run(100*time.Millisecond, former)
 				require.True(t, former.Stopped())
 			}
-			sim.servers["2"].Draining = true
 			successor := sim.newLeader("b")
-			successor.SetServers(sim.serversExcept())
-			sim.run(300*time.Millisecond, successor)
-			require.Zero(t, sim.rangesByOwner()["2"])
-			require.Zero(t, sim.rangesByOwner()["moving"])
-			sim.addServer("2")
+			sim.releaseAndRestart(successor, "2", 300*time.Millisecond)
 			sim.run(confirmationGrace, successor, former)
 		})
 	}
