--- a/review/harness/callers.go
+++ b/review/harness/callers.go
@@ -141,7 +141,7 @@
 	o := outcome{attempt: attempt, method: q.method, host: h, kept: kept}
 	_, err := io.WriteString(conn, head+"\r\n")
 	if err == nil && len(q.body) > 0 {
-		err = writePaced(conn, q.body)
+		err = writePaced(conn, &h.uploads, q.body)
 	}
 	var answer *http.Response
 	if err == nil {
@@ -174,17 +174,16 @@
 	return c.outcomes
 }
 
-// writePaced writes a body at the rate of a host's link.
-func writePaced(w io.Writer, body []byte) error {
-	const piece = 1 << 20
-	begin, sent := time.Now(), 0
+// writePaced writes a body. All bodies to a host together use no more than its link.
+func writePaced(w io.Writer, l *link, body []byte) error {
+	const piece = 256 << 10
 	for len(body) > 0 {
-		n, err := w.Write(body[:min(piece, len(body))])
-		if err != nil {
+		part := body[:min(piece, len(body))]
+		l.await(len(part))
+		if _, err := w.Write(part); err != nil {
 			return err
 		}
-		body, sent = body[n:], sent+n
-		time.Sleep(time.Until(begin.Add(time.Duration(float64(sent) / linkBytes * float64(time.Second)))))
+		body = body[len(part):]
 	}
 	return nil
 }
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -116,6 +116,7 @@
 	name, zone              string
 	listen, ready, internal string
 	link                    link // for endless answers
+	uploads                 link // for bodies of callers
 	mu                      sync.Mutex
 	process                 *os.Process
 	memoryKills, otherEnds  int
