Limit the heads of servers' responses

Callers saw: connections closed without an answer.

Cause: http.ReadResponse keeps a line, and a head, until it is complete, and relay/upstream gave it a reader without a limit; only the body was limited. Servers, orders and the store share this client. Interim responses (status 1xx) were skipped without a limit of their number.

Evidence: a heap profile in a trial test on, one server that sends a header line without end, 1.3 s after the request: 146.9 of 147.5 MB in use are held by textproto.Reader.readLineSlice below http.ReadResponse (heap 149 MB, 430 MB from the system). So neither unread bytes in the socket nor bodies or log lines hold them.

Change: all heads that are read for one request share MaxResponseHeadBytes, 64 KiB. The limited reader of relay/ingress moves to relay/readlimit and serves both.

--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"parsleyrelay.example/core/routes"
+	"parsleyrelay.example/relay/readlimit"
 )
 
 // Limits of a connection.
@@ -77,11 +78,11 @@
 
 type conn struct {
 	net.Conn
-	server        *Server
-	reader        *bufio.Reader
-	limitedReader *limitedReader
-	pending       chan *pipelinedRequest
-	cancel        context.CancelFunc
+	server  *Server
+	reader  *bufio.Reader
+	heads   *readlimit.Reader // below reader; limits the head of each request
+	pending chan *pipelinedRequest
+	cancel  context.CancelFunc
 
 	mu             sync.Mutex
 	unanswered     int  // requests read and not answered
@@ -115,8 +116,8 @@
 
 func (s *Server) startConn(c net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
-	limited := &limitedReader{reader: c}
-	cn := &conn{Conn: c, server: s, limitedReader: limited, reader: bufio.NewReaderSize(limited, readBufferSize), pending: make(chan *pipelinedRequest, maxPipelined), cancel: cancel}
+	heads := &readlimit.Reader{Source: c, Remaining: readlimit.None}
+	cn := &conn{Conn: c, server: s, heads: heads, reader: bufio.NewReaderSize(heads, readBufferSize), pending: make(chan *pipelinedRequest, maxPipelined), cancel: cancel}
 	s.mu.Lock()
 	if s.conns == nil {
 		s.conns = map[*conn]struct{}{}
@@ -192,7 +193,7 @@
 // connection ends.
 func (c *conn) awaitRequest() bool {
 	for {
-		c.limitedReader.remaining = -1
+		c.heads.Remaining = readlimit.None
 		c.mu.Lock()
 		c.readingRequest = false
 		switch {
@@ -236,16 +237,14 @@
 // the last request of the connection.
 func (c *conn) readRequest(ctx context.Context) bool {
 	limits := c.server.Limits()
-	c.limitedReader.remaining = int64(limits.HeaderBytes)
+	c.heads.Remaining = int64(limits.HeaderBytes)
 	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	request, err := http.ReadRequest(c.reader)
 	if err != nil {
-		// http.ReadRequest parses a line that a read error cut short and reports it
-		// as malformed, so the read error takes precedence.
-		c.handleReadError(cmp.Or(c.limitedReader.err, err))
+		c.handleReadError(cmp.Or(c.heads.Err, err))
 		return false
 	}
-	c.limitedReader.remaining = -1
+	c.heads.Remaining = readlimit.None
 	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	// 100 Continue is sent only if no response is outstanding, because it would
 	// arrive out of order. Callers send the body without it after a wait.
@@ -305,7 +304,7 @@
 func (c *conn) handleReadError(err error) {
 	var netErr net.Error
 	switch {
-	case errors.Is(err, errHeaderTooLarge):
+	case errors.Is(err, readlimit.ErrExceeded):
 		c.refuseUnread(http.StatusRequestHeaderFieldsTooLarge, err)
 	case errors.As(err, &netErr) && netErr.Timeout():
 		c.refuseUnread(http.StatusRequestTimeout, err)
@@ -377,31 +376,5 @@
 	}
 }
 
-// Errors of requests that exceed a limit.
-var (
-	errHeaderTooLarge = errors.New("request header exceeds the size limit")
-	errBodyTooLarge   = errors.New("request body exceeds the size limit")
-)
-
-// limitedReader fails after remaining bytes; a negative number means no limit.
-type limitedReader struct {
-	reader    io.Reader
-	remaining int64
-	err       error // of the last read
-}
-
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
-		l.err = errHeaderTooLarge
-		return 0, l.err
-	}
-	if l.remaining > 0 && int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.reader.Read(p)
-	if l.remaining > 0 {
-		l.remaining -= int64(n)
-	}
-	l.err = err
-	return n, err
-}
+// errBodyTooLarge is the error of a request whose body exceeds the limit.
+var errBodyTooLarge = errors.New("request body exceeds the size limit")
--- /dev/null
+++ b/relay/upstream/endless_test.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// endlessConn is a connection to a server that answers with bytes which do not end until
+// the connection is closed, or after endlessBytes.
+type endlessConn struct {
+	net.Conn        // nil
+	begin    string // sent once
+	repeated string // sent again and again after it
+	pending  string
+	read     int // bytes that the client has read
+}
+
+// endlessBytes ends the test, by the end of the connection, if the client has no limit.
+const endlessBytes = 48 << 20
+
+func (c *endlessConn) Read(p []byte) (int, error) {
+	if c.read >= endlessBytes {
+		return 0, io.ErrUnexpectedEOF
+	}
+	if c.pending == "" {
+		c.pending = c.begin
+		if c.begin == "" {
+			c.pending = c.repeated
+		}
+		c.begin = ""
+	}
+	n := copy(p, c.pending)
+	c.pending = c.pending[n:]
+	c.read += n
+	return n, nil
+}
+
+func (c *endlessConn) Write(p []byte) (int, error) { return len(p), nil }
+func (c *endlessConn) Close() error                { return nil }
+
+func exchangeWithEndless(c *endlessConn) error {
+	client := NewClientWithDial(func(context.Context, string) (net.Conn, error) { return c, nil })
+	_, err := client.Do(context.Background(), newExchange("server:80", "a"))
+	return err
+}
+
+// Guards against a server that takes a host over its memory by the head of a response that
+// does not end: the parser keeps it until the deadline of the request.
+func TestHeadsWithoutEndAreCutOff(t *testing.T) {
+	for name, c := range map[string]*endlessConn{
+		"status line":       {begin: "HTTP/1.1 200 ", repeated: "xxxxxxxxxxxxxxxx"},
+		"value of a header": {begin: "HTTP/1.1 200 OK\r\nX-Part: ", repeated: "xxxxxxxxxxxxxxxx"},
+		"headers":           {begin: "HTTP/1.1 200 OK\r\n", repeated: "X-Part: xxxxxxxx\r\n"},
+		"continued lines":   {begin: "HTTP/1.1 200 OK\r\nX-Part: x\r\n", repeated: " xxxxxxxx\r\n"},
+		"interim responses": {repeated: "HTTP/1.1 102 Processing\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := exchangeWithEndless(c)
+			require.ErrorIs(t, err, ErrHeadTooLarge)
+			require.LessOrEqual(t, c.read, MaxResponseHeadBytes)
+			var failure *Error
+			require.ErrorAs(t, err, &failure)
+			require.True(t, failure.Sent, "the server may have run the request")
+		})
+	}
+}
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"parsleyrelay.example/relay/readlimit"
 )
 
 // Limits of connections.
@@ -38,6 +40,9 @@
 	maxConnWait = 100 * time.Millisecond
 	// MaxResponseBytes limits a response body, which is held in memory.
 	MaxResponseBytes = 16 << 20
+	// MaxResponseHeadBytes limits the heads of all responses that are read for one request:
+	// skipped ones, interim ones (status 1xx) and the matching one.
+	MaxResponseHeadBytes = 64 << 10
 	// maxResponsesRead limits the responses read for one request, including the
 	// matching one; those of earlier requests are skipped.
 	maxResponsesRead = 3
@@ -68,6 +73,7 @@
 	ErrContentEncoding    = errors.New("response has a content encoding that was not requested")
 	ErrUnmatchedResponses = errors.New("no response matches the request")
 	ErrResponseTooLarge   = errors.New("response body exceeds the size limit")
+	ErrHeadTooLarge       = errors.New("response heads exceed the size limit")
 )
 
 // ErrNoOldConn is the cause if no connection was opened before Exchange.OpenedBefore.
@@ -134,6 +140,7 @@
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
+	heads       *readlimit.Reader // below reader; limits the heads of the responses to one request
 	openedAt    time.Time
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -213,7 +220,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferSize), openedAt: time.Now(), idleTimeout: defaultIdleTimeout}, nil
+	heads := &readlimit.Reader{Source: nc, Remaining: readlimit.None}
+	return &conn{Conn: nc, heads: heads, reader: bufio.NewReaderSize(heads, readBufferSize), openedAt: time.Now(), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // acquireOldConn returns an idle connection that was opened before x.OpenedBefore. It
@@ -398,8 +406,9 @@
 func (cn *conn) readMatching(x Exchange) (response *Response, reusable bool, err error) {
 	first := !cn.used
 	cn.used = true
+	headBytesLeft := int64(MaxResponseHeadBytes)
 	for range maxResponsesRead {
-		response, reusable, err = cn.readResponse(x.Method)
+		response, reusable, err = cn.readResponse(x.Method, &headBytesLeft)
 		if err != nil {
 			return nil, false, err
 		}
@@ -415,11 +424,9 @@
 	return nil, false, ErrUnmatchedResponses
 }
 
-func (cn *conn) readResponse(method string) (*Response, bool, error) {
-	r, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
-	for err == nil && r.StatusCode < http.StatusOK {
-		r, err = http.ReadResponse(cn.reader, &http.Request{Method: method})
-	}
+// readResponse reads one response. The size of its head is subtracted from headBytesLeft.
+func (cn *conn) readResponse(method string, headBytesLeft *int64) (*Response, bool, error) {
+	r, err := cn.readHead(method, headBytesLeft)
 	if err != nil {
 		return nil, false, err
 	}
@@ -438,6 +445,23 @@
 	return &Response{Status: r.StatusCode, Header: r.Header, Body: body}, reusable, nil
 }
 
+// readHead reads the head of a response, and interim responses before it.
+func (cn *conn) readHead(method string, bytesLeft *int64) (*http.Response, error) {
+	cn.heads.Remaining = *bytesLeft
+	defer func() { *bytesLeft, cn.heads.Remaining = cn.heads.Remaining, readlimit.None }()
+	for {
+		r, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
+		switch {
+		case err != nil && errors.Is(cn.heads.Err, readlimit.ErrExceeded):
+			return nil, ErrHeadTooLarge
+		case err != nil:
+			return nil, err
+		case r.StatusCode >= http.StatusOK:
+			return r, nil
+		}
+	}
+}
+
 // announcedIdleTimeout returns the usable idle time of a "Keep-Alive: timeout=N"
 // header, or the default without one.
 func announcedIdleTimeout(h http.Header) time.Duration {
