Stop reading a response body at its limit

Cause: after an error in a body, such as one beyond MaxResponseBytes, readResponse closed the body. Close of a body with a length or in chunks reads on to its end, so the exchange, its connection and the link stayed busy until the deadline of the request if the server sent without end.

Change: the body is not closed; the connection is, as after every error.

Before (parent of this commit): TestBodiesWithoutEndAreCutOff fails for a body with an announced length and for chunks: 50,331,657 and 50,331,656 bytes read, all that the test offers, where 16.8 and 23.1 million are allowed. A body until the end of the connection, the size of a chunk, a trailer, trailers and an unmatched response were cut off before. After: the test passes.

Conclusion: an exchange ends at the limit. Callers get their answer, or the next attempt, without the wait for the deadline.

--- a/relay/upstream/endless_test.go
+++ b/relay/upstream/endless_test.go
@@ -68,3 +68,27 @@
 		})
 	}
 }
+
+// Guards against bodies, chunks and trailers of a server that do not end, which keep an
+// exchange and its connection busy until the deadline.
+func TestBodiesWithoutEndAreCutOff(t *testing.T) {
+	const head, other = "HTTP/1.1 200 OK\r\nX-Id: a\r\n", "HTTP/1.1 200 OK\r\nX-Id: other\r\n"
+	for name, test := range map[string]struct {
+		conn    endlessConn
+		maxRead int // from the connection
+	}{
+		"body":               {endlessConn{begin: head + "\r\n", repeated: "xxxxxxxxxxxxxxxx"}, MaxResponseBytes},
+		"announced body":     {endlessConn{begin: head + "Content-Length: 99999999999\r\n\r\n", repeated: "xxxxxxxxxxxxxxxx"}, MaxResponseBytes},
+		"chunks":             {endlessConn{begin: head + "Transfer-Encoding: chunked\r\n\r\n", repeated: "10\r\nxxxxxxxxxxxxxxxx\r\n"}, MaxResponseBytes / 16 * 22},
+		"size of a chunk":    {endlessConn{begin: head + "Transfer-Encoding: chunked\r\n\r\n10;x=", repeated: "xxxxxxxxxxxxxxxx"}, 0},
+		"trailer":            {endlessConn{begin: head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Part: ", repeated: "xxxxxxxxxxxxxxxx"}, 0},
+		"trailers":           {endlessConn{begin: head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", repeated: "X-Part: xxxxxxxx\r\n"}, 0},
+		"unmatched response": {endlessConn{begin: other + "\r\n", repeated: "xxxxxxxxxxxxxxxx"}, MaxResponseBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := exchangeWithEndless(&test.conn)
+			require.Error(t, err)
+			require.LessOrEqual(t, test.conn.read, test.maxRead+MaxResponseHeadBytes)
+		})
+	}
+}
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -430,7 +430,8 @@
 	if err != nil {
 		return nil, false, err
 	}
-	defer r.Body.Close()
+	// The body is not closed: Close would read the rest of it, which may not end. After an
+	// error the connection is closed.
 	body, err := io.ReadAll(io.LimitReader(r.Body, MaxResponseBytes+1))
 	switch {
 	case err != nil:
