Bound the sum of the response bodies that are being read

Cause: a response body may have 16 MiB, and nothing bounded the sum of those that a host reads at a time; io.ReadAll also kept the body of a response that belongs to another request, until the next one was read.

No body may get larger than what is left, so small responses find room beside bodies without end. Bodies of unmatched responses are not kept.

Conclusion: what servers send can no longer exceed the process's memory while it is read.

--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -26,6 +26,7 @@
 	MetricConfigEffectTime    = "parsleyrelay_configuration_effect_seconds"
 	MetricStoreCalls          = "parsleyrelay_store_calls_total"
 	MetricServerConnections   = "parsleyrelay_server_connections_total"
+	MetricResponsesCutOff     = "parsleyrelay_responses_cut_off_total"
 	MetricLinesOmitted        = "parsleyrelay_log_lines_omitted_total"
 	MetricConfigVersion       = "parsleyrelay_configuration_version"
 	MetricStateAge            = "parsleyrelay_state_age_seconds"
@@ -58,6 +59,7 @@
 	{MetricConfigEffectTime, Histogram, "s", nil, "Time from the acceptance of a change to its effect on this host."},
 	{MetricStoreCalls, ObservableCounter, "1", []string{"purpose", "role"}, "Calls to the platform's store, refused ones too."},
 	{MetricServerConnections, ObservableCounter, "1", nil, "Connections opened to backend servers."},
+	{MetricResponsesCutOff, ObservableCounter, "1", []string{"limit"}, "Responses of servers and the store that were cut off: head and body by their size, memory by the sum of the bodies being read."},
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
 	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
--- a/relay/upstream/endless_test.go
+++ b/relay/upstream/endless_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/relay/memory"
 )
 
 // endlessConn is a connection to a server that answers with bytes which do not end until
@@ -42,8 +44,9 @@
 func (c *endlessConn) Write(p []byte) (int, error) { return len(p), nil }
 func (c *endlessConn) Close() error                { return nil }
 
-func exchangeWithEndless(c *endlessConn) error {
+func exchangeWithEndless(c *endlessConn, bodies *memory.Account) error {
 	client := NewClientWithDial(func(context.Context, string) (net.Conn, error) { return c, nil })
+	client.Bodies = bodies
 	_, err := client.Do(context.Background(), newExchange("server:80", "a"))
 	return err
 }
@@ -59,7 +62,7 @@
 		"interim responses": {repeated: "HTTP/1.1 102 Processing\r\n\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			err := exchangeWithEndless(c)
+			err := exchangeWithEndless(c, memory.NewAccount(0))
 			require.ErrorIs(t, err, ErrHeadTooLarge)
 			require.LessOrEqual(t, c.read, MaxResponseHeadBytes)
 			var failure *Error
@@ -69,8 +72,8 @@
 	}
 }
 
-// Guards against bodies, chunks and trailers of a server that do not end, which keep an
-// exchange and its connection busy until the deadline.
+// Guards against bodies, chunks and trailers of a server that do not end, and against
+// bodies that are kept although they belong to no request.
 func TestBodiesWithoutEndAreCutOff(t *testing.T) {
 	const head, other = "HTTP/1.1 200 OK\r\nX-Id: a\r\n", "HTTP/1.1 200 OK\r\nX-Id: other\r\n"
 	for name, test := range map[string]struct {
@@ -86,9 +89,59 @@
 		"unmatched response": {endlessConn{begin: other + "\r\n", repeated: "xxxxxxxxxxxxxxxx"}, MaxResponseBytes},
 	} {
 		t.Run(name, func(t *testing.T) {
-			err := exchangeWithEndless(&test.conn)
+			bodies := memory.NewAccount(4 << 20)
+			err := exchangeWithEndless(&test.conn, bodies)
 			require.Error(t, err)
 			require.LessOrEqual(t, test.conn.read, test.maxRead+MaxResponseHeadBytes)
+			require.Zero(t, bodies.Held())
 		})
 	}
 }
+
+// gatedConn is a connection to a server whose response waits for a gate after a part.
+type gatedConn struct {
+	endlessConn
+	part    int // bytes before the gate
+	waiting chan<- struct{}
+	gate    <-chan struct{}
+}
+
+func (c *gatedConn) Read(p []byte) (int, error) {
+	if c.read >= c.part && c.waiting != nil {
+		c.waiting <- struct{}{}
+		<-c.gate
+		c.waiting = nil
+	}
+	return c.endlessConn.Read(p)
+}
+
+// Guards against servers that together take a host over its memory by bodies of which each
+// is within the limit, and against such bodies that leave no room for other responses.
+func TestBodiesBeingReadShareTheMemory(t *testing.T) {
+	const limit, servers = 8 << 20, 12
+	bodies, waiting, gate := memory.NewAccount(limit), make(chan struct{}, servers), make(chan struct{})
+	conns := make(chan net.Conn, servers+1)
+	client := NewClientWithDial(func(context.Context, string) (net.Conn, error) { return <-conns, nil })
+	client.Bodies = bodies
+	results := make(chan error, servers)
+	for range servers {
+		conns <- &gatedConn{endlessConn{begin: "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n", repeated: "xxxxxxxxxxxxxxxx"}, 256 << 10, waiting, gate}
+		go func() {
+			_, err := client.Do(context.Background(), newExchange("server:80", "a"))
+			results <- err
+		}()
+	}
+	for range servers {
+		<-waiting
+	}
+	require.GreaterOrEqual(t, bodies.Held(), int64(servers*256<<10))
+	require.LessOrEqual(t, bodies.Held(), int64(limit))
+	conns <- &endlessConn{begin: responseA}
+	_, err := client.Do(context.Background(), newExchange("server:81", "a"))
+	require.NoError(t, err, "a small response beside the bodies")
+	close(gate)
+	for range servers {
+		require.ErrorIs(t, <-results, ErrNoMemory)
+	}
+	require.Zero(t, bodies.Held())
+}
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -19,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"parsleyrelay.example/relay/memory"
 	"parsleyrelay.example/relay/readlimit"
 )
 
@@ -47,6 +48,10 @@
 	// matching one; those of earlier requests are skipped.
 	maxResponsesRead = 3
 	readBufferSize   = 4096
+	// minBodyBuffer and maxFirstBodyBuffer limit the first buffer of a body. It grows only
+	// with the bytes that arrive, whatever length the response announces.
+	minBodyBuffer      = 1 << 10
+	maxFirstBodyBuffer = 64 << 10
 	// longRequestBytes is the size up to which a request fits into the buffers of a
 	// connection, so that its write does not wait for the server.
 	longRequestBytes = 16 << 10
@@ -73,6 +78,7 @@
 	ErrContentEncoding    = errors.New("response has a content encoding that was not requested")
 	ErrUnmatchedResponses = errors.New("no response matches the request")
 	ErrResponseTooLarge   = errors.New("response body exceeds the size limit")
+	ErrNoMemory           = errors.New("no memory for the response body beside those of other requests")
 	ErrHeadTooLarge       = errors.New("response heads exceed the size limit")
 )
 
@@ -86,6 +92,8 @@
 	Header http.Header
 	Body   []byte
 	First  bool
+
+	matches bool // the response is the one to the request; otherwise Body is nil
 }
 
 // Exchange is one request to a server. Matches reports whether a response with the
@@ -130,17 +138,23 @@
 
 // Client pools connections by address. It is safe for concurrent use.
 type Client struct {
-	dial         DialFunc
+	dial DialFunc
+	// Bodies holds the response bodies that are being read. It may be replaced before the
+	// first Do; the account of a new client has no limit.
+	Bodies       *memory.Account
 	mu           sync.Mutex
 	idle         map[string][]*conn
 	released     map[string]chan struct{} // by address; see acquireOldConn
 	DialAttempts atomic.Uint64            // connections opened, including failed attempts
+	HeadsCutOff  atomic.Uint64            // exchanges that failed with ErrHeadTooLarge
+	BodiesCutOff atomic.Uint64            // exchanges that failed with ErrResponseTooLarge
 }
 
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
 	heads       *readlimit.Reader // below reader; limits the heads of the responses to one request
+	bodies      *memory.Account   // see Client.Bodies
 	openedAt    time.Time
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -152,7 +166,7 @@
 
 // NewClientWithDial returns a client without connections, which opens them with dial.
 func NewClientWithDial(dial DialFunc) *Client {
-	return &Client{dial: dial, idle: map[string][]*conn{}, released: map[string]chan struct{}{}}
+	return &Client{dial: dial, Bodies: memory.NewAccount(0), idle: map[string][]*conn{}, released: map[string]chan struct{}{}}
 }
 
 // Do runs an exchange. All errors are *Error. Nothing is sent after the end of ctx. When
@@ -190,6 +204,7 @@
 		cn.reset()
 	}
 	if err != nil {
+		c.countCutOff(err)
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -198,6 +213,15 @@
 	return response, nil
 }
 
+func (c *Client) countCutOff(err error) {
+	switch {
+	case errors.Is(err, ErrHeadTooLarge):
+		c.HeadsCutOff.Add(1)
+	case errors.Is(err, ErrResponseTooLarge):
+		c.BodiesCutOff.Add(1)
+	}
+}
+
 // acquireConn returns an idle connection that is still usable, or opens one.
 func (c *Client) acquireConn(ctx context.Context, x Exchange) (*conn, error) {
 	if !x.OpenedBefore.IsZero() && x.ConfirmNewConn == nil {
@@ -221,7 +245,7 @@
 		return nil, err
 	}
 	heads := &readlimit.Reader{Source: nc, Remaining: readlimit.None}
-	return &conn{Conn: nc, heads: heads, reader: bufio.NewReaderSize(heads, readBufferSize), openedAt: time.Now(), idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: nc, heads: heads, bodies: c.Bodies, reader: bufio.NewReaderSize(heads, readBufferSize), openedAt: time.Now(), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // acquireOldConn returns an idle connection that was opened before x.OpenedBefore. It
@@ -408,12 +432,12 @@
 	cn.used = true
 	headBytesLeft := int64(MaxResponseHeadBytes)
 	for range maxResponsesRead {
-		response, reusable, err = cn.readResponse(x.Method, &headBytesLeft)
+		response, reusable, err = cn.readResponse(x, &headBytesLeft)
 		if err != nil {
 			return nil, false, err
 		}
 		response.First, first = first, false
-		if x.Matches == nil || x.Matches(response.Header) {
+		if response.matches {
 			return response, reusable, nil
 		}
 		// The server closes the connection, so no further response follows.
@@ -424,26 +448,66 @@
 	return nil, false, ErrUnmatchedResponses
 }
 
-// readResponse reads one response. The size of its head is subtracted from headBytesLeft.
-func (cn *conn) readResponse(method string, headBytesLeft *int64) (*Response, bool, error) {
-	r, err := cn.readHead(method, headBytesLeft)
+// readResponse reads one response, and drops its body unless the response matches. The
+// size of its head is subtracted from headBytesLeft.
+func (cn *conn) readResponse(x Exchange, headBytesLeft *int64) (*Response, bool, error) {
+	r, err := cn.readHead(x.Method, headBytesLeft)
 	if err != nil {
 		return nil, false, err
 	}
 	// The body is not closed: Close would read the rest of it, which may not end. After an
 	// error the connection is closed.
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxResponseBytes+1))
+	matches := x.Matches == nil || x.Matches(r.Header)
+	body, err := cn.readBody(r, matches)
 	switch {
 	case err != nil:
 		return nil, false, err
-	case len(body) > MaxResponseBytes:
-		return nil, false, ErrResponseTooLarge
 	case r.Header.Get("Content-Encoding") != "":
 		return nil, false, ErrContentEncoding
 	}
 	cn.idleTimeout = announcedIdleTimeout(r.Header)
 	reusable := !r.Close && cn.reader.Buffered() == 0
-	return &Response{Status: r.StatusCode, Header: r.Header, Body: body}, reusable, nil
+	return &Response{Status: r.StatusCode, Header: r.Header, Body: body, matches: matches}, reusable, nil
+}
+
+// readBody reads the body of a response. It returns nil if the body is not to be kept.
+// cn.bodies bounds the bodies that are being read, since their servers decide how large
+// they get and when they end.
+func (cn *conn) readBody(r *http.Response, keep bool) ([]byte, error) {
+	limited := &io.LimitedReader{R: r.Body, N: MaxResponseBytes + 1}
+	if !keep {
+		n, err := io.Copy(io.Discard, limited)
+		if err == nil && n > MaxResponseBytes {
+			err = ErrResponseTooLarge
+		}
+		return nil, err
+	}
+	hold := memory.Hold{Account: cn.bodies}
+	defer hold.Release()
+	size := int64(minBodyBuffer)
+	if r.ContentLength >= 0 {
+		size = min(r.ContentLength+1, maxFirstBodyBuffer) // one more, so that the end is read without growing
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if !hold.Grow(size) {
+				return nil, ErrNoMemory
+			}
+			body = append(make([]byte, 0, int64(cap(body))+size), body...)
+			size = min(int64(cap(body)), MaxResponseBytes+1-int64(cap(body)))
+		}
+		n, err := limited.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > MaxResponseBytes:
+			return nil, ErrResponseTooLarge
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
 }
 
 // readHead reads the head of a response, and interim responses before it.
