Limit the messages between hosts

Cause: the generated twirp code reads the body of a call and of its response whole, and neither relay/follow nor the internal listener set a limit; net/http lets a head of a response have 10 MB. Whatever runs at the address of a former host decides how much a follower keeps.

The client that relay/peer uses for this moves to relay/readlimit and serves both.

Conclusion: a call between hosts ends at its limit and counts as failed, so that a follower goes on with another parent.

--- /dev/null
+++ b/relay/follow/endless_test.go
@@ -0,0 +1,70 @@
+package follow
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/api/followv1"
+	"parsleyrelay.example/relay/readlimit"
+)
+
+// endlessMessage yields bytes without end, up to four times the limit.
+type endlessMessage struct{ read atomic.Int64 }
+
+func (m *endlessMessage) Read(p []byte) (int, error) {
+	if m.read.Add(int64(len(p))) > 4*maxMessageBytes {
+		return 0, io.EOF
+	}
+	return len(p), nil
+}
+
+// Guards against a response of another host, or of whatever runs at its address, that takes
+// a follower over its memory because it does not end.
+func TestResponsesWithoutEndAreCutOff(t *testing.T) {
+	for name, serve := range map[string]http.HandlerFunc{
+		"body": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/protobuf")
+			_, _ = io.Copy(w, &endlessMessage{})
+		},
+		"body of an error": func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = io.Copy(w, &endlessMessage{})
+		},
+		"head": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Part", strings.Repeat("x", 4<<20))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := httptest.NewServer(serve)
+			defer h.Close()
+			_, f := newFollowerOf(t, h, io.Discard)
+			_, err := f.clientFor("leader").Follow(t.Context(), f.newRequest())
+			require.Error(t, err)
+			require.LessOrEqual(t, f.client.Received.Load(), uint64(maxMessageBytes+1<<20))
+			if name == "head" {
+				require.ErrorContains(t, err, "server response headers exceeded")
+				return
+			}
+			var size *readlimit.ResponseTooLargeError
+			require.ErrorAs(t, err, &size)
+		})
+	}
+}
+
+// Guards against a request to a leader that takes it over its memory because its body does
+// not end.
+func TestRequestsWithoutEndAreCutOff(t *testing.T) {
+	message := &endlessMessage{}
+	r := httptest.NewRequest(http.MethodPost, followv1.LeaderPathPrefix+"Follow", message)
+	r.Header.Set("Content-Type", "application/protobuf")
+	w := httptest.NewRecorder()
+	NewHandler(fixedParent{}).ServeHTTP(w, r)
+	require.NotEqual(t, http.StatusOK, w.Code)
+	require.LessOrEqual(t, message.read.Load(), int64(2*maxMessageBytes))
+}
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -183,18 +183,24 @@
 	options := testOptions("leader")
 	options.OnServerSignals = leader.recordSignals
 	leader.source = NewSource(options, leader, fakeUpstream{}, func(edge.LoadReport) {})
-	h := httptest.NewServer(followv1.NewLeaderServer(leader.source))
+	h := httptest.NewServer(NewHandler(leader.source))
 	t.Cleanup(h.Close)
-	state := &followerState{leader: "leader", addresses: map[string]string{"leader": h.Listener.Addr().String()}}
-	journal := telemetry.NewJournal(out, "f", "z")
-	f := NewFollower(testOptions("follower"), state, journal)
+	state, f := newFollowerOf(t, h, out)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done; journal.Close() })
+	t.Cleanup(func() { cancel(); <-done })
 	return leader, state, f
 }
 
+// newFollowerOf returns a follower that does not run, whose map names h as the leader.
+func newFollowerOf(t *testing.T, h *httptest.Server, out io.Writer) (*followerState, *Follower) {
+	state := &followerState{leader: "leader", addresses: map[string]string{"leader": h.Listener.Addr().String()}}
+	journal := telemetry.NewJournal(out, "f", "z")
+	t.Cleanup(journal.Close)
+	return state, NewFollower(testOptions("follower"), state, journal)
+}
+
 // Guards against followers that miss a change of the configuration, the servers, the map
 // or the number of hosts, or that apply the difference of two maps incorrectly. Also
 // guards against load reports that don't reach the leader.
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -17,6 +17,7 @@
 	"parsleyrelay.example/core/followtree"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/edge"
+	"parsleyrelay.example/relay/readlimit"
 	"parsleyrelay.example/relay/telemetry"
 )
 
@@ -108,6 +109,7 @@
 	hostState  HostState
 	journal    *telemetry.Journal
 	http       *http.Client
+	client     *readlimit.Client        // limits the responses to calls over http
 	stateAt    atomic.Int64             // when the store sent the state that was received last, by Options.Now
 	lastLeader atomic.Pointer[string]   // incarnation of the leader that the state came from; empty if a relay had none
 	received   atomic.Pointer[Received] // by the last successful poll
@@ -159,7 +161,9 @@
 func NewFollower(o Options, hostState HostState, journal *telemetry.Journal) *Follower {
 	f := &Follower{options: o, hostState: hostState, journal: journal, parents: followtree.NewParents(o.Incarnation)}
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return o.Dial(ctx, address) }
-	f.http = &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}, Timeout: longPollWait + responseTimeout}
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxHeadBytes}
+	f.http = &http.Client{Transport: transport, Timeout: longPollWait + responseTimeout}
+	f.client = &readlimit.Client{HTTP: f.http, MaxBytes: maxMessageBytes}
 	f.stateAt.Store(int64(neverRead))
 	f.received.Store(&Received{})
 	return f
@@ -286,7 +290,7 @@
 }
 
 func (f *Follower) clientFor(incarnation string) followv1.Leader {
-	return followv1.NewLeaderProtobufClient("http://"+f.hostState.AddressOf(incarnation), f.http)
+	return followv1.NewLeaderProtobufClient("http://"+f.hostState.AddressOf(incarnation), f.client)
 }
 
 // updateContact logs when the follower gains or loses contact, and when a poll, which
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -12,6 +12,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -33,6 +34,11 @@
 	// for the leader if it loses the store. If a third of the hosts lose the store
 	// together, all 8 peers of one in 6,561 (3^8) of them have lost it too.
 	maxPeers = 8
+	// maxMessageBytes limits the body of a call between hosts and of its response, which the
+	// generated code reads whole.
+	maxMessageBytes = 16 << 20
+	// MaxHeadBytes limits the head of a call between hosts and of its response.
+	MaxHeadBytes = 64 << 10
 	// maxLongPollWait limits the wait that a request may ask for.
 	maxLongPollWait = 2 * time.Second
 )
@@ -128,6 +134,12 @@
 	return s
 }
 
+// NewHandler returns the handler of the calls of followers, for paths below
+// followv1.LeaderPathPrefix.
+func NewHandler(s followv1.Leader) http.Handler {
+	return http.MaxBytesHandler(followv1.NewLeaderServer(s), maxMessageBytes)
+}
+
 // neverRead is the time of a read that has not happened. The state is then older than
 // neverReadAge.
 const (
--- a/relay/peer/transport.go
+++ b/relay/peer/transport.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"parsleyrelay.example/api/peerv1"
+	"parsleyrelay.example/relay/readlimit"
 )
 
 // Default limits of calls.
@@ -84,27 +82,27 @@
 // concurrent use.
 type Transport struct {
 	options Options
-	client  *limitedClient
+	client  *readlimit.Client
 }
 
 // Traffic returns the bytes of message bodies sent and received so far.
 func (t *Transport) Traffic() (sent, received uint64) {
-	return t.client.sent.Load(), t.client.received.Load()
+	return t.client.Sent.Load(), t.client.Received.Load()
 }
 
 // NewTransport returns a transport over inner, which carries the TLS settings.
 func NewTransport(inner http.RoundTripper, o Options) *Transport {
 	o = o.withDefaults()
-	return &Transport{options: o, client: &limitedClient{
-		httpClient: &http.Client{Transport: inner, CheckRedirect: refuseRedirect},
-		maxBytes:   o.MaxMessageBytes,
+	return &Transport{options: o, client: &readlimit.Client{
+		HTTP:     &http.Client{Transport: inner, CheckRedirect: refuseRedirect},
+		MaxBytes: o.MaxMessageBytes,
 	}}
 }
 
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Close closes idle connections.
-func (t *Transport) Close() { t.client.httpClient.CloseIdleConnections() }
+func (t *Transport) Close() { t.client.HTTP.CloseIdleConnections() }
 
 // Poll polls the witness at url.
 func (t *Transport) Poll(ctx context.Context, url string, r *peerv1.PollRequest) (*peerv1.PollResponse, error) {
@@ -138,48 +136,3 @@
 func (t *Transport) peer(url string) peerv1.Peer {
 	return peerv1.NewPeerProtobufClient(url, t.client)
 }
-
-// ResponseTooLargeError reports a response larger than the limit.
-type ResponseTooLargeError struct{ MaxBytes int64 }
-
-// Error implements error.
-func (e *ResponseTooLargeError) Error() string {
-	return fmt.Sprintf("peer response exceeds %d bytes", e.MaxBytes)
-}
-
-type limitedClient struct {
-	httpClient *http.Client
-	maxBytes   int64
-	sent       atomic.Uint64
-	received   atomic.Uint64
-}
-
-// Do implements twirp's HTTPClient.
-func (c *limitedClient) Do(r *http.Request) (*http.Response, error) {
-	c.sent.Add(uint64(max(0, r.ContentLength)))
-	response, err := c.httpClient.Do(r)
-	if err != nil {
-		return nil, err
-	}
-	response.Body = &limitedBody{ReadCloser: response.Body, remaining: c.maxBytes, maxBytes: c.maxBytes, received: &c.received}
-	return response, nil
-}
-
-type limitedBody struct {
-	io.ReadCloser
-	remaining int64
-	maxBytes  int64
-	received  *atomic.Uint64
-}
-
-// Read fails once more bytes than the limit have arrived. Truncating the message instead
-// could yield one that still decodes.
-func (b *limitedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.remaining -= int64(n)
-	b.received.Add(uint64(n))
-	if b.remaining < 0 {
-		return 0, &ResponseTooLargeError{MaxBytes: b.maxBytes}
-	}
-	return n, err
-}
--- a/relay/peer/transport_test.go
+++ b/relay/peer/transport_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/goleak"
 
 	"parsleyrelay.example/api/peerv1"
+	"parsleyrelay.example/relay/readlimit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -69,6 +70,6 @@
 	require.Error(t, err, "request larger than the limit")
 	daemon.data = make([]byte, 2000)
 	_, err = client.Poll(t.Context(), server.URL, &peerv1.PollRequest{})
-	var size *ResponseTooLargeError
+	var size *readlimit.ResponseTooLargeError
 	require.ErrorAs(t, err, &size)
 }
--- a/relay/readlimit/readlimit.go
+++ b/relay/readlimit/readlimit.go
@@ -1,5 +1,6 @@
-// Package readlimit bounds the bytes that are read from a connection while the head of a
-// message is parsed. The parsers of net/http keep a head in memory until it is complete.
+// Package readlimit bounds the bytes of a message that are read from a connection: of its
+// head, which the parsers of net/http keep in memory until it is complete (Reader), and of
+// its body, where generated code reads it whole (Client).
 package readlimit
 
 import (
