Cut long texts in log lines off

An error of a parser quotes the line that it could not parse, and some lines have values of headers, so what a server sends in place of a response stays in memory until the line is written. Since the limit of heads that is 64 KiB a line, 128 MiB with a full queue; before, as much as the sender chose.

Change: a text in a line has at most 1 KiB, with its length behind it. An error is kept as its text.

Before: TestJournalCutsLongTextsOff writes a line of 2,097,262 bytes. After: it passes.

Conclusion: a full queue holds a few MB, whatever others send.

--- a/relay/telemetry/journal.go
+++ b/relay/telemetry/journal.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,9 @@
 	// are bounded by journalCapacity only.
 	routineLinesPerSecond  = 25
 	omissionReportInterval = time.Second
+	// maxValueBytes bounds a text in a line. Some texts come from other processes, such as
+	// the bytes that an error of a parser quotes.
+	maxValueBytes = 1 << 10
 	// timestampFormat has a fixed width and the date, so that sorting the lines of
 	// all hosts gives their order in time.
 	timestampFormat = "2006-01-02T15:04:05.000Z07:00"
@@ -91,6 +95,9 @@
 // queue is full.
 func (j *Journal) LogEvent(code event.Code, keyvals ...any) {
 	line := append([]any{"event", int(code), "name", j.eventNames[code]}, keyvals...)
+	for i, v := range line {
+		line[i] = clip(v)
+	}
 	select {
 	case j.queue <- line:
 	default:
@@ -98,6 +105,22 @@
 	}
 }
 
+// clip cuts a text off at maxValueBytes, so that a line does not keep a long one in memory.
+// An error becomes its text.
+func clip(value any) any {
+	text, ok := value.(string)
+	if err, isError := value.(error); isError {
+		text, ok = err.Error(), true
+	}
+	if !ok {
+		return value
+	}
+	if len(text) <= maxValueBytes {
+		return text
+	}
+	return fmt.Sprintf("%s... (%d bytes)", text[:maxValueBytes], len(text))
+}
+
 // LogRoutineEvent logs an event that can be frequent and may be left out of the
 // log: at most routineLinesPerSecond are written.
 func (j *Journal) LogRoutineEvent(code event.Code, keyvals ...any) {
--- a/relay/telemetry/journal_test.go
+++ b/relay/telemetry/journal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -64,3 +65,16 @@
 	}
 	b.ReportMetric(float64(j.droppedLines.Load())/float64(b.N), "dropped/op")
 }
+
+// Guards against lines that keep what another process sent, in a text or quoted in an
+// error, and take a process over its memory while they wait to be written.
+func TestJournalCutsLongTextsOff(t *testing.T) {
+	var out bytes.Buffer
+	j := NewJournal(&out, "h", "z")
+	long := strings.Repeat("x", 1<<20)
+	j.LogEvent(event.ServerPaused, "found", long, "error", fmt.Errorf("malformed response %q", long))
+	j.Close()
+	require.Less(t, out.Len(), 3*maxValueBytes)
+	require.Contains(t, out.String(), "(1048576 bytes)")
+	require.Contains(t, out.String(), "malformed response")
+}
