Refuse a response body by its announced length

Cause: a body whose announced length is over the limit was read up to the limit before the exchange failed; what cannot be served is refused at once.

Change: the length is checked before the body is read, except for HEAD, whose responses have a length without a body.

--- a/relay/upstream/endless_test.go
+++ b/relay/upstream/endless_test.go
@@ -81,7 +81,7 @@
 		maxRead int // from the connection
 	}{
 		"body":               {endlessConn{begin: head + "\r\n", repeated: "xxxxxxxxxxxxxxxx"}, MaxResponseBytes},
-		"announced body":     {endlessConn{begin: head + "Content-Length: 99999999999\r\n\r\n", repeated: "xxxxxxxxxxxxxxxx"}, MaxResponseBytes},
+		"announced body":     {endlessConn{begin: head + "Content-Length: 99999999999\r\n\r\n", repeated: "xxxxxxxxxxxxxxxx"}, 0},
 		"chunks":             {endlessConn{begin: head + "Transfer-Encoding: chunked\r\n\r\n", repeated: "10\r\nxxxxxxxxxxxxxxxx\r\n"}, MaxResponseBytes / 16 * 22},
 		"size of a chunk":    {endlessConn{begin: head + "Transfer-Encoding: chunked\r\n\r\n10;x=", repeated: "xxxxxxxxxxxxxxxx"}, 0},
 		"trailer":            {endlessConn{begin: head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Part: ", repeated: "xxxxxxxxxxxxxxxx"}, 0},
--- a/relay/upstream/response.go
+++ b/relay/upstream/response.go
@@ -71,6 +71,10 @@
 // cn.bodies bounds the bodies that are being read, since their servers decide how large
 // they get and when they end.
 func (cn *conn) readBody(r *http.Response, keep bool) ([]byte, error) {
+	hasBody := r.Body != http.NoBody // the response to HEAD has a length without one
+	if hasBody && r.ContentLength > MaxResponseBytes {
+		return nil, ErrResponseTooLarge
+	}
 	limited := &io.LimitedReader{R: r.Body, N: MaxResponseBytes + 1}
 	if !keep {
 		n, err := io.Copy(io.Discard, limited)
@@ -82,7 +86,7 @@
 	hold := memory.Hold{Account: cn.bodies}
 	defer hold.Release()
 	size := int64(minBodyBuffer)
-	if r.ContentLength >= 0 {
+	if hasBody && r.ContentLength >= 0 {
 		size = min(r.ContentLength+1, maxFirstBodyBuffer) // one more, so that the end is read without growing
 	}
 	var body []byte
