--- a/relay/memory/memory.go
+++ b/relay/memory/memory.go
@@ -34,11 +34,10 @@
 // Refusals returns how often a hold could not grow.
 func (a *Account) Refusals() uint64 { return a.refusals.Load() }
 
-// Hold is a part of an account. The zero value of the fields but Account is an empty hold.
-// It is not safe for concurrent use.
+// Hold is the part of an account that one message takes. It is not safe for concurrent use.
 type Hold struct {
 	Account *Account
-	size    int64
+	size    int64 // in bytes
 }
 
 // Grow enlarges the hold by a number of bytes. It returns false and changes nothing if
