--- a/relay/follow/endless_test.go
+++ b/relay/follow/endless_test.go
@@ -12,6 +12,7 @@
 
 	"parsleyrelay.example/api/followv1"
 	"parsleyrelay.example/relay/readlimit"
+	"parsleyrelay.example/relay/telemetry"
 )
 
 // endlessMessage yields bytes without end, up to four times the limit.
@@ -24,6 +25,14 @@
 	return len(p), nil
 }
 
+// newFollowerOf returns a follower that does not run, whose map names h as the leader.
+func newFollowerOf(t *testing.T, h *httptest.Server, out io.Writer) (*followerState, *Follower) {
+	state := &followerState{leader: "leader", addresses: map[string]string{"leader": h.Listener.Addr().String()}}
+	journal := telemetry.NewJournal(out, "f", "z")
+	t.Cleanup(journal.Close)
+	return state, NewFollower(testOptions("follower"), state, journal)
+}
+
 // Guards against a response of another host, or of whatever runs at its address, that takes
 // a follower over its memory because it does not end.
 func TestResponsesWithoutEndAreCutOff(t *testing.T) {
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -21,7 +21,6 @@
 	"parsleyrelay.example/core/followtree"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/edge"
-	"parsleyrelay.example/relay/telemetry"
 	"parsleyrelay.example/relay/upstream"
 )
 
@@ -193,14 +192,6 @@
 	return leader, state, f
 }
 
-// newFollowerOf returns a follower that does not run, whose map names h as the leader.
-func newFollowerOf(t *testing.T, h *httptest.Server, out io.Writer) (*followerState, *Follower) {
-	state := &followerState{leader: "leader", addresses: map[string]string{"leader": h.Listener.Addr().String()}}
-	journal := telemetry.NewJournal(out, "f", "z")
-	t.Cleanup(journal.Close)
-	return state, NewFollower(testOptions("follower"), state, journal)
-}
-
 // Guards against followers that miss a change of the configuration, the servers, the map
 // or the number of hosts, or that apply the difference of two maps incorrectly. Also
 // guards against load reports that don't reach the leader.
