Close connections that are accepted during a shutdown

Cause: the accept loop was late, so the test's idle connection was accepted after Shutdown had looked through the connections. Such a connection is neither closed nor waited for, and a request on it is cut off when the process exits. In the product the listener is closed before, so the window is that of an accept under way.

Change: Shutdown marks the server, under the lock under which connections are added. One that is accepted later is closed unread, which callers may take as not run. The wait group gets no further entries once Shutdown waits.

Before: TestConnectionAcceptedAfterShutdownIsClosedUnread fails, the connection stays open. After: it passes, as do the tests of the package three times with the race detector, and those of drain and shutdown 20 times.

--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -62,10 +62,11 @@
 	// error status because it could not be read.
 	OnReadError func(caller string, status int, cause error)
 
-	mu        sync.Mutex
-	conns     map[*conn]struct{}
-	draining  atomic.Bool
-	connLoops sync.WaitGroup
+	mu           sync.Mutex
+	conns        map[*conn]struct{}
+	shuttingDown bool // no connection is added to connLoops any more
+	draining     atomic.Bool
+	connLoops    sync.WaitGroup
 }
 
 // pipelinedRequest is a request in the order of its connection. response is set
@@ -119,12 +120,18 @@
 	heads := &readlimit.Reader{Source: c, Remaining: readlimit.None}
 	cn := &conn{Conn: c, server: s, heads: heads, reader: bufio.NewReaderSize(heads, readBufferSize), pending: make(chan *pipelinedRequest, maxPipelined), cancel: cancel}
 	s.mu.Lock()
+	if s.shuttingDown {
+		s.mu.Unlock()
+		cancel()
+		_ = c.Close()
+		return
+	}
 	if s.conns == nil {
 		s.conns = map[*conn]struct{}{}
 	}
 	s.conns[cn] = struct{}{}
-	s.mu.Unlock()
 	s.connLoops.Add(2)
+	s.mu.Unlock()
 	go cn.readLoop(ctx)
 	go cn.writeLoop()
 }
@@ -140,9 +147,11 @@
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Shutdown closes idle connections and waits until the requests on the others are
-// answered or ctx ends.
+// answered or ctx ends. A connection that is accepted later is closed unread, so that its
+// caller may send its requests again.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
+	s.shuttingDown = true
 	for cn := range s.conns {
 		cn.requestClose()
 	}
--- a/relay/ingress/ingress_test.go
+++ b/relay/ingress/ingress_test.go
@@ -162,6 +162,17 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// Guards against a connection that is accepted while the server shuts down, and is neither
+// waited for nor closed: a request on it is cut off by the end of the process.
+func TestConnectionAcceptedAfterShutdownIsClosedUnread(t *testing.T) {
+	s, address := startServer(t, echoHandler)
+	require.NoError(t, s.Shutdown(context.Background()))
+	late, _ := dial(t, address)
+	require.NoError(t, late.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
+	_, err := late.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
+
 // Guards against oversized, slow or malformed requests that get no error status, and
 // against the refusal of a chunked body within the limits.
 func TestLimits(t *testing.T) {
