Report responses that callers may not have received in whole

Change: event 608 (response_cut_off) and parsleyrelay_caller_responses_cut_off_total name the request, the reason (write_failed, write_timed_out, unread_bytes), the bytes written and whether the host drains. No change of what callers get. Result: TestCutOffResponsesAreReported and TestUnreadBytesAreReported pass three times with -race; they do not compile before. Conclusion: the hypotheses differ in the log now, but for bytes that arrive after the close, which the process cannot see.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -119,6 +119,7 @@
 	RequestCompleted   Code = 605
 	RequestAbandoned   Code = 606
 	ServerPaused       Code = 607
+	ResponseCutOff     Code = 608
 	ChangeAccepted     Code = 701
 	ChangeRefused      Code = 702
 	ZoneDeclaredLost   Code = 703
@@ -203,6 +204,7 @@
 	{RequestCompleted, "request_completed", "A request got a response of a backend server."},
 	{RequestAbandoned, "request_abandoned", "The caller left before the response."},
 	{ServerPaused, "server_paused", "An attempt at a backend server failed; the server gets no requests for a while."},
+	{ResponseCutOff, "response_cut_off", "A caller may not have received a response in whole; the line names the reason."},
 	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
 	{ChangeRefused, "change_refused", "A change of a resource was refused."},
 	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -61,6 +61,9 @@
 	// OnReadError, if not nil, is called for each request that is answered with an
 	// error status because it could not be read.
 	OnReadError func(caller string, status int, cause error)
+	// OnCutOff, if not nil, is called for each response that its caller may not have
+	// received in whole.
+	OnCutOff func(CutOff)
 
 	mu           sync.Mutex
 	conns        map[*conn]struct{}
@@ -90,6 +93,7 @@
 	closing        bool // the last response is decided; no further request is accepted
 	closeWhenIdle  bool // close the connection once all requests are answered
 	readingRequest bool // the first byte of a request has arrived, the rest is being read
+	unreadBytes    bool // bytes have arrived behind the last request
 }
 
 // Serve accepts connections until the listener is closed.
@@ -195,7 +199,11 @@
 	var b [1]byte
 	if _, err := c.Read(b[:]); err != nil {
 		c.cancel()
+		return
 	}
+	c.mu.Lock()
+	c.unreadBytes = true
+	c.mu.Unlock()
 }
 
 // awaitRequest waits for the first byte of a request. It returns false if the
@@ -345,10 +353,14 @@
 		if p.response == nil || p.response.Abort {
 			break
 		}
-		if err := writeResponse(c, p, last); err != nil {
+		start := time.Now()
+		written, err := writeResponse(c, p, last)
+		if err != nil {
+			c.reportCutOff(p, CutOff{Reason: writeFailureReason(err), Written: written, Elapsed: time.Since(start), Err: err})
 			break
 		}
 		if last {
+			c.reportUnreadBytes(p, written)
 			break
 		}
 		c.responseWritten()
--- a/relay/ingress/ingress_test.go
+++ b/relay/ingress/ingress_test.go
@@ -16,10 +16,15 @@
 )
 
 func startServer(t *testing.T, handler Handler) (*Server, string) {
+	return startServerWith(t, &Server{Handler: handler})
+}
+
+// startServerWith starts s with limits that are short enough for tests.
+func startServerWith(t *testing.T, s *Server) (*Server, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	limits := routes.Limits{HeaderBytes: 1024, BodyBytes: 64, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: time.Second}
-	s := &Server{Handler: handler, Limits: func() routes.Limits { return limits }}
+	s.Limits = func() routes.Limits { return limits }
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = l.Close() })
 	return s, l.Addr().String()
--- /dev/null
+++ b/relay/ingress/report_test.go
@@ -0,0 +1,59 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a caller that loses a part of a response without any trace at the host.
+func TestCutOffResponsesAreReported(t *testing.T) {
+	reports := make(chan CutOff, 1)
+	started, release := make(chan struct{}), make(chan struct{})
+	_, address := startServerWith(t, &Server{OnCutOff: func(c CutOff) { reports <- c }, Handler: func(ctx context.Context, r *Request) *Response {
+		close(started)
+		<-release
+		response := bufferedBodyHandler(ctx, r)
+		response.Body = make([]byte, 16<<20) // more than the buffers of both ends take
+		return response
+	}})
+	c, reader := dial(t, address)
+	_, err := io.WriteString(c, formatGet("/1"))
+	require.NoError(t, err)
+	<-started
+	close(release)
+	_, err = reader.ReadByte() // the server writes the response
+	require.NoError(t, err)
+	require.NoError(t, c.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, c.Close())
+	report := <-reports
+	require.Equal(t, WriteFailed, report.Reason)
+	require.Equal(t, c.LocalAddr().String(), report.Caller)
+	require.Equal(t, "/1", report.Request.URL.Path)
+	require.Positive(t, report.Written)
+	require.Less(t, report.Written, 16<<20)
+	require.Error(t, report.Err)
+}
+
+// Guards against a connection that is closed with bytes unread without any trace.
+func TestUnreadBytesAreReported(t *testing.T) {
+	reports := make(chan CutOff, 1)
+	release := make(chan struct{})
+	_, address := startServerWith(t, &Server{OnCutOff: func(c CutOff) { reports <- c }, Handler: func(ctx context.Context, r *Request) *Response {
+		<-release
+		return echoHandler(ctx, r)
+	}})
+	c, _ := dial(t, address)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(c, formatGet("/2"))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	require.Equal(t, UnreadBytes, (<-reports).Reason)
+}
--- a/relay/ingress/write.go
+++ b/relay/ingress/write.go
@@ -35,8 +35,8 @@
 }
 
 // writeResponse writes a response with Content-Length; closing adds
-// "Connection: close".
-func writeResponse(w io.Writer, p *pipelinedRequest, closing bool) error {
+// "Connection: close". It returns the number of bytes written, with the head.
+func writeResponse(w io.Writer, p *pipelinedRequest, closing bool) (int, error) {
 	response := p.response
 	b := make([]byte, 0, 512+len(response.Body))
 	b = append(b, "HTTP/1.1 "...)
@@ -57,6 +57,5 @@
 	if p.request.Method != http.MethodHead {
 		b = append(b, response.Body...)
 	}
-	_, err := w.Write(b)
-	return err
+	return w.Write(b)
 }
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -2,34 +2,35 @@
 
 // Names of the metrics in a scrape.
 const (
-	MetricRequests            = "parsleyrelay_requests_total"
-	MetricRequestTime         = "parsleyrelay_request_seconds"
-	MetricQueueTime           = "parsleyrelay_queue_seconds"
-	MetricQueuedRequests      = "parsleyrelay_queued_requests"
-	MetricConcurrencyLimit    = "parsleyrelay_concurrency_limit"
-	MetricRetries             = "parsleyrelay_retries_total"
-	MetricReplacedRequests    = "parsleyrelay_requests_replaced_total"
-	MetricReplays             = "parsleyrelay_replays_total"
-	MetricKeyImbalance        = "parsleyrelay_key_imbalance_ratio"
-	MetricMovedKeyShare       = "parsleyrelay_moved_key_share_total"
-	MetricKeyUnavailableTime  = "parsleyrelay_key_unavailable_seconds"
-	MetricSlices              = "parsleyrelay_slices"
-	MetricHomes               = "parsleyrelay_homes"
-	MetricLeaseValid          = "parsleyrelay_prefix_lease_valid"
-	MetricAppliedOffset       = "parsleyrelay_applied_offset"
-	MetricLogReachable        = "parsleyrelay_log_reachable"
-	MetricLogAppends          = "parsleyrelay_log_appends_total"
-	MetricRingOverflows       = "parsleyrelay_ring_overflows_total"
-	MetricTimelineOverwritten = "parsleyrelay_timeline_overwritten_total"
-	MetricCPU                 = "parsleyrelay_process_cpu_seconds_total"
-	MetricControlBytes        = "parsleyrelay_control_bytes_total"
-	MetricConfigEffectTime    = "parsleyrelay_configuration_effect_seconds"
-	MetricStoreCalls          = "parsleyrelay_store_calls_total"
-	MetricServerConnections   = "parsleyrelay_server_connections_total"
-	MetricResponsesCutOff     = "parsleyrelay_responses_cut_off_total"
-	MetricLinesOmitted        = "parsleyrelay_log_lines_omitted_total"
-	MetricConfigVersion       = "parsleyrelay_configuration_version"
-	MetricStateAge            = "parsleyrelay_state_age_seconds"
+	MetricRequests              = "parsleyrelay_requests_total"
+	MetricRequestTime           = "parsleyrelay_request_seconds"
+	MetricQueueTime             = "parsleyrelay_queue_seconds"
+	MetricQueuedRequests        = "parsleyrelay_queued_requests"
+	MetricConcurrencyLimit      = "parsleyrelay_concurrency_limit"
+	MetricRetries               = "parsleyrelay_retries_total"
+	MetricReplacedRequests      = "parsleyrelay_requests_replaced_total"
+	MetricReplays               = "parsleyrelay_replays_total"
+	MetricKeyImbalance          = "parsleyrelay_key_imbalance_ratio"
+	MetricMovedKeyShare         = "parsleyrelay_moved_key_share_total"
+	MetricKeyUnavailableTime    = "parsleyrelay_key_unavailable_seconds"
+	MetricSlices                = "parsleyrelay_slices"
+	MetricHomes                 = "parsleyrelay_homes"
+	MetricLeaseValid            = "parsleyrelay_prefix_lease_valid"
+	MetricAppliedOffset         = "parsleyrelay_applied_offset"
+	MetricLogReachable          = "parsleyrelay_log_reachable"
+	MetricLogAppends            = "parsleyrelay_log_appends_total"
+	MetricRingOverflows         = "parsleyrelay_ring_overflows_total"
+	MetricTimelineOverwritten   = "parsleyrelay_timeline_overwritten_total"
+	MetricCPU                   = "parsleyrelay_process_cpu_seconds_total"
+	MetricControlBytes          = "parsleyrelay_control_bytes_total"
+	MetricConfigEffectTime      = "parsleyrelay_configuration_effect_seconds"
+	MetricStoreCalls            = "parsleyrelay_store_calls_total"
+	MetricServerConnections     = "parsleyrelay_server_connections_total"
+	MetricResponsesCutOff       = "parsleyrelay_responses_cut_off_total"
+	MetricCallerResponsesCutOff = "parsleyrelay_caller_responses_cut_off_total"
+	MetricLinesOmitted          = "parsleyrelay_log_lines_omitted_total"
+	MetricConfigVersion         = "parsleyrelay_configuration_version"
+	MetricStateAge              = "parsleyrelay_state_age_seconds"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -60,6 +61,7 @@
 	{MetricStoreCalls, ObservableCounter, "1", []string{"purpose", "role"}, "Calls to the platform's store, refused ones too."},
 	{MetricServerConnections, ObservableCounter, "1", nil, "Connections opened to backend servers."},
 	{MetricResponsesCutOff, ObservableCounter, "1", []string{"limit"}, "Responses of servers and the store that were cut off: head and body by their size, memory by the sum of the bodies being read."},
+	{MetricCallerResponsesCutOff, Counter, "1", []string{"reason"}, "Responses that callers may not have received in whole, by the reason."},
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
 	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
