Close callers' connections without losing their last response

Cause: the connection was closed right after the last write. The system resets a socket that is closed with bytes unread, or receives bytes after it, and drops what it has to send. The wait counts against the grace time. Connections whose last response is older are closed at once, as before. The read loop goes on until the last response is written, so that the caller's close is noticed behind further bytes, too. TestDrainAnswersPipelinedRequests now closes its connection as callers do, since a shutdown waits for that; its check of the idle connection comes before the wait. The reason unread_bytes of response_cut_off becomes not_closed. Conclusion: no response is lost to a close as long as the caller goes on reading and closes.

--- a/relay/ingress/cutoff.go
+++ b/relay/ingress/cutoff.go
@@ -2,9 +2,24 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
 	"time"
+
+	"parsleyrelay.example/relay/linger"
+)
+
+// Times for the delivery of responses.
+const (
+	// writeTimeout is the longest time for writing a response.
+	writeTimeout = 10 * time.Second
+	// lingerTimeout is how long a connection that this host closes waits for the caller's
+	// close, from the write of the last response. It covers several losses of a packet.
+	lingerTimeout = 5 * time.Second
+	// minDeliveryRate, in bytes a second, is the mean rate at which callers have to take
+	// long responses.
+	minDeliveryRate = 32 << 10
+	// maxBuffered limits the bytes that are counted as being in the system's buffers.
+	maxBuffered = 4 << 20
 )
 
 // CutOffReason says why a caller may not have received a response in whole.
@@ -16,10 +31,9 @@
 	WriteFailed CutOffReason = "write_failed"
 	// WriteTimedOut means that the caller did not take the response in time.
 	WriteTimedOut CutOffReason = "write_timed_out"
-	// UnreadBytes means that the connection was closed with bytes unread that had arrived
-	// behind the last request. The system then resets it and drops what it still has to
-	// send. Bytes that arrive later have the same effect and are not reported.
-	UnreadBytes CutOffReason = "unread_bytes"
+	// NotClosed means that the caller did not close a connection in time after its last
+	// response, so that the response may not have arrived.
+	NotClosed CutOffReason = "not_closed"
 )
 
 // CutOff describes a response that its caller may not have received in whole.
@@ -29,33 +43,68 @@
 	Request *http.Request
 	Status  int
 	Written int           // bytes given to the system, with the head
-	Elapsed time.Duration // since the write began
+	Dropped int64         // bytes that arrived behind the last request of the connection
+	Elapsed time.Duration // since the write began, or since it ended for NotClosed
 	Err     error         // of the connection, if any
 }
 
-func (c *conn) reportCutOff(p *pipelinedRequest, cutOff CutOff) {
-	if c.server.OnCutOff == nil {
-		return
+// writtenResponse is a response that the system has taken. The caller may still have to
+// receive it.
+type writtenResponse struct {
+	request *http.Request
+	status  int
+	size    int // bytes, with the head
+	at      time.Time
+}
+
+// deliveryDeadline returns the time until which the response may take to arrive.
+func (w writtenResponse) deliveryDeadline() time.Time {
+	return w.at.Add(lingerTimeout + deliveryTime(min(w.size, maxBuffered)))
+}
+
+// deliveryTime returns the time that a number of bytes takes at minDeliveryRate.
+func deliveryTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / minDeliveryRate
+}
+
+// writeResponse writes a response. It returns false if the caller did not take all of it.
+func (c *conn) writeResponse(p *pipelinedRequest, closing bool) bool {
+	start, b := time.Now(), encodeResponse(p, closing)
+	_ = c.SetWriteDeadline(start.Add(writeTimeout))
+	written, err := c.Write(b)
+	if err != nil {
+		reason := WriteFailed
+		if isTimeout(err) {
+			reason = WriteTimedOut
+		}
+		c.lastWritten = writtenResponse{} // what follows a part of a response needs no delivery
+		c.reportCutOff(CutOff{Reason: reason, Request: p.request, Status: p.response.Status, Written: written, Elapsed: time.Since(start), Err: err})
+		return false
 	}
-	cutOff.Caller, cutOff.Request, cutOff.Status = c.RemoteAddr().String(), p.request, p.response.Status
-	c.server.OnCutOff(cutOff)
+	c.lastWritten = writtenResponse{request: p.request, status: p.response.Status, size: len(b), at: time.Now()}
+	return true
 }
 
-// reportUnreadBytes reports the last response of a connection as cut off if bytes have
-// arrived behind its request.
-func (c *conn) reportUnreadBytes(p *pipelinedRequest, written int) {
-	c.mu.Lock()
-	unread := c.unreadBytes
-	c.mu.Unlock()
-	if unread {
-		c.reportCutOff(p, CutOff{Reason: UnreadBytes, Written: written})
+// closeLingering closes the connection. If it was written to recently, it waits until the
+// caller has closed it, too.
+func (c *conn) closeLingering() {
+	last := c.lastWritten
+	if last.request == nil || time.Now().After(last.deliveryDeadline()) {
+		_ = c.Close()
+		return
+	}
+	dropped, err := linger.Close(c.Conn, last.deliveryDeadline())
+	if isTimeout(err) || errors.Is(err, linger.ErrPeerSends) {
+		c.mu.Lock()
+		dropped += c.dropped
+		c.mu.Unlock()
+		c.reportCutOff(CutOff{Reason: NotClosed, Request: last.request, Status: last.status, Written: last.size, Dropped: dropped, Elapsed: time.Since(last.at), Err: err})
 	}
 }
 
-func writeFailureReason(err error) CutOffReason {
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
-		return WriteTimedOut
+func (c *conn) reportCutOff(cutOff CutOff) {
+	if c.server.OnCutOff != nil {
+		cutOff.Caller = c.RemoteAddr().String()
+		c.server.OnCutOff(cutOff)
 	}
-	return WriteFailed
 }
--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -18,13 +18,13 @@
 	"time"
 
 	"parsleyrelay.example/core/routes"
+	"parsleyrelay.example/relay/linger"
 	"parsleyrelay.example/relay/readlimit"
 )
 
 // Limits of a connection.
 const (
 	maxPipelined   = 16 // requests of one connection that run concurrently
-	writeTimeout   = 10 * time.Second
 	readBufferSize = 4096
 	// idleTimeoutSlack is added to the idle timeout, so that a request sent just
 	// before the timeout is still read.
@@ -89,11 +89,15 @@
 	cancel  context.CancelFunc
 
 	mu             sync.Mutex
-	unanswered     int  // requests read and not answered
-	closing        bool // the last response is decided; no further request is accepted
-	closeWhenIdle  bool // close the connection once all requests are answered
-	readingRequest bool // the first byte of a request has arrived, the rest is being read
-	unreadBytes    bool // bytes have arrived behind the last request
+	unanswered     int   // requests read and not answered
+	closing        bool  // the last response is decided; no further request is accepted
+	closeWhenIdle  bool  // close the connection once all requests are answered
+	readingRequest bool  // the first byte of a request has arrived, the rest is being read
+	readStopped    bool  // the read loop ends; read deadlines are not changed any more
+	dropped        int64 // bytes that arrived behind the last request, as of the end of the read loop
+
+	// Of writeLoop only.
+	lastWritten writtenResponse
 }
 
 // Serve accepts connections until the listener is closed.
@@ -176,7 +180,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closeWhenIdle = true
-	if c.unanswered == 0 && !c.readingRequest {
+	if c.unanswered == 0 && !c.readingRequest && !c.closing {
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -193,17 +197,38 @@
 			break
 		}
 	}
-	// The last request of the connection is running. A read shows when the caller
-	// closes the connection.
-	_ = c.SetReadDeadline(time.Time{})
-	var b [1]byte
-	if _, err := c.Read(b[:]); err != nil {
+	// The last request of the connection is running. Reads show when the caller closes the
+	// connection.
+	c.limitRead(time.Time{})
+	dropped, err := linger.Drop(c.Conn)
+	if !isTimeout(err) && !errors.Is(err, linger.ErrPeerSends) {
 		c.cancel()
-		return
 	}
 	c.mu.Lock()
-	c.unreadBytes = true
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	c.dropped = dropped + int64(c.reader.Buffered())
+}
+
+// limitRead sets the deadline of reads, unless the read loop is to end.
+func (c *conn) limitRead(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.readStopped {
+		_ = c.SetReadDeadline(deadline)
+	}
+}
+
+// stopReading ends the read loop and refuses further requests.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing, c.readStopped = true, true
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // awaitRequest waits for the first byte of a request. It returns false if the
@@ -234,8 +259,7 @@
 			c.mu.Unlock()
 			return true
 		}
-		var netErr net.Error
-		if !errors.As(err, &netErr) || !netErr.Timeout() {
+		if !isTimeout(err) {
 			return false
 		}
 		c.mu.Lock()
@@ -255,14 +279,14 @@
 func (c *conn) readRequest(ctx context.Context) bool {
 	limits := c.server.Limits()
 	c.heads.Remaining = int64(limits.HeaderBytes)
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.limitRead(time.Now().Add(limits.HeaderTimeout))
 	request, err := http.ReadRequest(c.reader)
 	if err != nil {
 		c.handleReadError(cmp.Or(c.heads.Err, err))
 		return false
 	}
 	c.heads.Remaining = readlimit.None
-	_ = c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	c.limitRead(time.Now().Add(bodyReadTimeout))
 	// 100 Continue is sent only if no response is outstanding, because it would
 	// arrive out of order. Callers send the body without it after a wait.
 	if request.Header.Get("Expect") != "" && c.isIdle() {
@@ -319,11 +343,15 @@
 // handleReadError answers a request that failed to be read, or only cancels the
 // running ones if the connection ended.
 func (c *conn) handleReadError(err error) {
+	c.mu.Lock()
+	stopped := c.readStopped
+	c.mu.Unlock()
 	var netErr net.Error
 	switch {
+	case stopped: // the response before it closes the connection
 	case errors.Is(err, readlimit.ErrExceeded):
 		c.refuseUnread(http.StatusRequestHeaderFieldsTooLarge, err)
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case isTimeout(err):
 		c.refuseUnread(http.StatusRequestTimeout, err)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
 		c.cancel()
@@ -349,28 +377,22 @@
 	for p := range c.pending {
 		<-p.done
 		last := c.closeAfter(p)
-		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if p.response == nil || p.response.Abort {
 			break
 		}
-		start := time.Now()
-		written, err := writeResponse(c, p, last)
-		if err != nil {
-			c.reportCutOff(p, CutOff{Reason: writeFailureReason(err), Written: written, Elapsed: time.Since(start), Err: err})
-			break
-		}
-		if last {
-			c.reportUnreadBytes(p, written)
+		if !c.writeResponse(p, last) || last {
 			break
 		}
 		c.responseWritten()
 	}
-	c.mu.Lock()
-	c.closing = true
-	c.mu.Unlock()
+	c.stopReading()
 	c.cancel()
-	_ = c.Close()
+	var unanswered []*pipelinedRequest
 	for p := range c.pending {
+		unanswered = append(unanswered, p)
+	}
+	c.closeLingering()
+	for _, p := range unanswered {
 		<-p.done
 	}
 }
--- a/relay/ingress/ingress_test.go
+++ b/relay/ingress/ingress_test.go
@@ -162,9 +162,10 @@
 	close(release)
 	require.False(t, readResponse(t, reader).Close)
 	require.True(t, readResponse(t, reader).Close)
-	require.NoError(t, <-finished)
 	_, err = idle.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, c.Close())
+	require.NoError(t, <-finished)
 }
 
 // Guards against a connection that is accepted while the server shuts down, and is neither
--- a/relay/ingress/write.go
+++ b/relay/ingress/write.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 )
@@ -34,9 +33,8 @@
 	return b
 }
 
-// writeResponse writes a response with Content-Length; closing adds
-// "Connection: close". It returns the number of bytes written, with the head.
-func writeResponse(w io.Writer, p *pipelinedRequest, closing bool) (int, error) {
+// encodeResponse returns a response with Content-Length; closing adds "Connection: close".
+func encodeResponse(p *pipelinedRequest, closing bool) []byte {
 	response := p.response
 	b := make([]byte, 0, 512+len(response.Body))
 	b = append(b, "HTTP/1.1 "...)
@@ -57,5 +55,5 @@
 	if p.request.Method != http.MethodHead {
 		b = append(b, response.Body...)
 	}
-	return w.Write(b)
+	return b
 }
