Write responses as long as their caller reads

Cause: the write timeout was for the whole response, not for a caller that stands still. Change: a write fails if the caller takes nothing for 10 s, or less than 32 KiB/s after 10 s. A stalled write is tried again each second, since the system reports room only when a third of its buffer is free.

--- a/relay/ingress/cutoff.go
+++ b/relay/ingress/cutoff.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"errors"
 	"net/http"
 	"time"
@@ -10,8 +11,12 @@
 
 // Times for the delivery of responses.
 const (
-	// writeTimeout is the longest time for writing a response.
-	writeTimeout = 10 * time.Second
+	// writeStallTimeout is the longest time in which a caller may take nothing of a response.
+	writeStallTimeout = 10 * time.Second
+	// writeAttemptsPerStall is how often a stalled write is tried again within that time.
+	// The system reports room only when a third of its buffer is free, which a slow caller
+	// may need longer for.
+	writeAttemptsPerStall = 10
 	// lingerTimeout is how long a connection that this host closes waits for the caller's
 	// close, from the write of the last response. It covers several losses of a packet.
 	lingerTimeout = 5 * time.Second
@@ -70,8 +75,7 @@
 // writeResponse writes a response. It returns false if the caller did not take all of it.
 func (c *conn) writeResponse(p *pipelinedRequest, closing bool) bool {
 	start, b := time.Now(), encodeResponse(p, closing)
-	_ = c.SetWriteDeadline(start.Add(writeTimeout))
-	written, err := c.Write(b)
+	written, err := c.writeAll(b)
 	if err != nil {
 		reason := WriteFailed
 		if isTimeout(err) {
@@ -85,6 +89,29 @@
 	return true
 }
 
+// writeAll writes b as long as the caller takes a part of it within each stall timeout and
+// keeps to minDeliveryRate. It returns the number of bytes written.
+func (c *conn) writeAll(b []byte) (written int, err error) {
+	stallTimeout := cmp.Or(c.server.writeStallTimeout, writeStallTimeout)
+	now := time.Now()
+	end, progressAt := now.Add(stallTimeout+deliveryTime(len(b))), now
+	for {
+		_ = c.SetWriteDeadline(now.Add(stallTimeout / writeAttemptsPerStall))
+		n, err := c.Write(b[written:])
+		written += n
+		if !isTimeout(err) {
+			return written, err
+		}
+		now = time.Now()
+		if n > 0 {
+			progressAt = now
+		}
+		if now.After(end) || now.Sub(progressAt) >= stallTimeout {
+			return written, err
+		}
+	}
+}
+
 // closeLingering closes the connection. If it was written to recently, it waits until the
 // caller has closed it, too.
 func (c *conn) closeLingering() {
--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -65,6 +65,8 @@
 	// received in whole.
 	OnCutOff func(CutOff)
 
+	writeStallTimeout time.Duration // 0 for the default
+
 	mu           sync.Mutex
 	conns        map[*conn]struct{}
 	shuttingDown bool // no connection is added to connLoops any more
--- a/relay/ingress/report_test.go
+++ b/relay/ingress/report_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -59,3 +60,41 @@
 	require.EqualValues(t, len(formatGet("/2")), report.Dropped)
 	require.InDelta(t, lingerTimeout.Seconds(), time.Since(start).Seconds(), 1)
 }
+
+// Guards against a response that is cut off because writing it takes longer than a caller
+// may stand still, although the caller reads steadily.
+func TestSteadyReaderGetsTheWholeResponse(t *testing.T) {
+	const stallTimeout, steps, size = 200 * time.Millisecond, 40, 16 << 20
+	_, address := startServerWith(t, &Server{writeStallTimeout: stallTimeout, Handler: func(context.Context, *Request) *Response {
+		return &Response{Status: http.StatusOK, Body: make([]byte, size)}
+	}})
+	c, reader := dialSmall(t, address)
+	_, err := io.WriteString(c, formatGet("/"))
+	require.NoError(t, err)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	var received int64
+	for err == nil {
+		var n int64
+		n, err = io.CopyN(io.Discard, response.Body, size/steps)
+		received += n
+		time.Sleep(stallTimeout / 4)
+	}
+	require.ErrorIs(t, err, io.EOF, "the response ended after %d bytes", received)
+	require.EqualValues(t, size, received)
+}
+
+// Guards against a caller that stands still and keeps a response in memory for longer than
+// the timeout.
+func TestCallerThatStandsStillLosesTheResponse(t *testing.T) {
+	reports := make(chan CutOff, 1)
+	_, address := startServerWith(t, &Server{OnCutOff: func(c CutOff) { reports <- c }, writeStallTimeout: 200 * time.Millisecond, Handler: func(context.Context, *Request) *Response {
+		return &Response{Status: http.StatusOK, Body: make([]byte, 16<<20)}
+	}})
+	c, _ := dialSmall(t, address)
+	_, err := io.WriteString(c, formatGet("/"))
+	require.NoError(t, err)
+	report := <-reports
+	require.Equal(t, WriteTimedOut, report.Reason)
+	require.Less(t, report.Elapsed, time.Second)
+}
