Close a connection whose response was being written when the shutdown began

What callers saw: a caller that was still reading a long response when its host began to shut down kept the connection, sent its next request on it, and lost the response to that at the end of the process, or held the stop up until its grace time. Cause: Shutdown interrupts the read of idle connections only. A connection that became idle afterwards waited for its next request or its idle timeout (15 s), longer than the grace time. Change: the last response that is written after a shutdown began interrupts the read as well. Evidence: TestShutdownDuringAWriteClosesTheConnection fails 3 of 3 times before (the connection stays open for 1.5 s, the idle timeout of the test) and passes with -race.

--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -183,10 +183,13 @@
 	defer c.mu.Unlock()
 	c.closeWhenIdle = true
 	if c.unanswered == 0 && !c.readingRequest && !c.closing {
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		c.interruptRead()
 	}
 }
 
+// interruptRead makes a pending or later read fail with a timeout.
+func (c *conn) interruptRead() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+
 func (c *conn) readLoop(ctx context.Context) {
 	defer c.server.connLoops.Done()
 	defer close(c.pending)
@@ -225,7 +228,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing, c.readStopped = true, true
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	c.interruptRead()
 }
 
 func isTimeout(err error) bool {
@@ -416,7 +419,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered--
-	if c.unanswered == 0 && !c.readingRequest {
+	switch {
+	case c.unanswered > 0 || c.readingRequest:
+	case c.closeWhenIdle:
+		c.interruptRead()
+	default:
 		_ = c.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout + idleTimeoutSlack))
 	}
 }
