Give the steady reader of a test more time to be scheduled

TestSteadyReaderGetsTheWholeResponse failed once in a run with -race at a load average of 23: its stall timeout of 200 ms was as short as a pause of the test's own reader may be on a busy machine. The timeout is 1 s now, with 16 reads in it.

--- a/relay/ingress/report_test.go
+++ b/relay/ingress/report_test.go
@@ -64,7 +64,7 @@
 // Guards against a response that is cut off because writing it takes longer than a caller
 // may stand still, although the caller reads steadily.
 func TestSteadyReaderGetsTheWholeResponse(t *testing.T) {
-	const stallTimeout, steps, size = 200 * time.Millisecond, 40, 16 << 20
+	const stallTimeout, steps, size = time.Second, 40, 16 << 20
 	_, address := startServerWith(t, &Server{writeStallTimeout: stallTimeout, Handler: func(context.Context, *Request) *Response {
 		return &Response{Status: http.StatusOK, Body: make([]byte, size)}
 	}})
@@ -78,7 +78,7 @@
 		var n int64
 		n, err = io.CopyN(io.Discard, response.Body, size/steps)
 		received += n
-		time.Sleep(stallTimeout / 4)
+		time.Sleep(stallTimeout / 16)
 	}
 	require.ErrorIs(t, err, io.EOF, "the response ended after %d bytes", received)
 	require.EqualValues(t, size, received)
