Close connections at a stop although a request is always pending

What callers saw: with requests pipelined without a pause, a connection stayed in use until the end of the grace time. The process then ended with the requests that it had passed on: their connection ended without a response (LOST). Cause: a draining host closed a connection only after a response behind which none was pending, and went on accepting requests on it. For such a caller that moment never comes, or by chance. Change: from the first response after the drain or shutdown began, the connection accepts no further request; it closes after the last pending one. What a caller sent behind is not run.

--- a/relay/ingress/drain_test.go
+++ b/relay/ingress/drain_test.go
@@ -1,8 +1,11 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +13,66 @@
 	"github.com/stretchr/testify/require"
 )
 
+// errNotClosed is the error of a connection that ends without a closing response.
+var errNotClosed = errors.New("the connection ended without a closing response")
+
+// pipeline keeps several requests outstanding on a connection until a response closes it.
+func pipeline(c net.Conn, reader *bufio.Reader) error {
+	const outstanding = 4
+	for range outstanding {
+		if _, err := io.WriteString(c, formatGet("/")); err != nil {
+			return err
+		}
+	}
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return errors.Join(errNotClosed, err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return err
+		}
+		if response.Close {
+			return c.Close()
+		}
+		if _, err := io.WriteString(c, formatGet("/")); err != nil {
+			return errors.Join(errNotClosed, err)
+		}
+	}
+}
+
+// Guards against a host whose stop waits until the end of the grace time for callers that
+// always have a request outstanding, and then cuts off the requests that run.
+func TestStopEndsConnectionsThatAreNeverIdle(t *testing.T) {
+	for name, stop := range map[string]func(*Server, context.Context) error{
+		"drain":    func(s *Server, _ context.Context) error { s.Drain(); return nil },
+		"shutdown": (*Server).Shutdown,
+	} {
+		t.Run(name, func(t *testing.T) {
+			oneAtATime := make(chan struct{}, 1)
+			s, address := startServer(t, func(ctx context.Context, r *Request) *Response {
+				oneAtATime <- struct{}{}
+				defer func() { <-oneAtATime }()
+				time.Sleep(10 * time.Millisecond)
+				return echoHandler(ctx, r)
+			})
+			c, reader := dial(t, address)
+			ended := make(chan error, 1)
+			go func() { ended <- pipeline(c, reader) }()
+			time.Sleep(100 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			require.NoError(t, stop(s, ctx), "requests run on")
+			select {
+			case err := <-ended:
+				require.NoError(t, err)
+			case <-ctx.Done():
+				t.Fatal("the connection is still in use")
+			}
+		})
+	}
+}
+
 // Guards against a connection that stays open after a shutdown, because its response was
 // being written when the shutdown began. A request on it is cut off by the end of the
 // process.
--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -152,8 +152,9 @@
 	s.mu.Unlock()
 }
 
-// Drain makes each connection close after its last pending response. It returns at
-// once and leaves idle connections open; Shutdown closes those and waits.
+// Drain makes each connection close after the requests that are pending at its next
+// response. It returns at once and leaves idle connections open; Shutdown closes those and
+// waits.
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Shutdown closes idle connections and waits until the requests on the others are
@@ -402,12 +403,13 @@
 	}
 }
 
-// closeAfter decides whether the connection closes after this response and, if so,
-// stops it from accepting requests. It stays open while later requests are pending.
+// closeAfter reports whether the connection closes after this response. Once the
+// connection is to close, it accepts no further request, and closes after the last one
+// that is pending.
 func (c *conn) closeAfter(p *pipelinedRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered == 1 && (p.request.Close || c.closeWhenIdle || c.server.draining.Load()) {
+	if p.request.Close || c.closeWhenIdle || c.server.draining.Load() {
 		c.closing = true
 	}
 	return c.closing && c.unanswered == 1
