Close the connections of net/http's servers without losing a response

A part of the last response arrived, then the connection was reset, if they had sent bytes of a next request: at a stop (during a response, or with the response still in the buffers of a connection that counts as idle), and after any response with Connection: close. Cause: net/http's server closes a connection at once if the handler has read the body. The system resets a connection that is closed with bytes unread, or receives bytes after it. Server.Shutdown closes connections as idle as soon as the system has taken the response. Change: linger.Listener. Close of its connections returns at once, ends reads in progress and the own direction, and closes in the background when the peer has closed, with the bounds of relay/ingress, which move to relay/linger. Connections that failed, that the peer has closed, or whose written bytes are older than the bounds are closed at once. The daemon wraps its listeners below TLS (so the TLS settings move to its Options) and, after the shutdown of its servers, waits for such connections within the drain timeout; beyond it, adapter_failed says so. A TLS connection writes an alert when it is closed, so it waits for its peer's close for up to 5 s even if it was idle for long. Other listeners: the peer, operator and metrics listeners of the daemon are wrapped, too. Clients of the peer, readiness and internal listeners are HTTP/1.1 clients that send nothing on a connection before they have read the whole response (net/http's Transport without pipelining), so the cause does not act there; a response that the system has taken is delivered after the end of the process. This is argued, not shown by a test. A peer that calls in the moment of the stop gets an error as from a lost host, and calls another. Conclusion: open in net/http, not changed: a request whose first bytes arrive in the moment in which Shutdown closes its idle connection may run without a response.

--- a/relay/daemon/daemon.go
+++ b/relay/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"parsleyrelay.example/relay/control"
 	"parsleyrelay.example/relay/frontend"
 	"parsleyrelay.example/relay/home"
+	"parsleyrelay.example/relay/linger"
 	"parsleyrelay.example/relay/platform"
 )
 
@@ -41,13 +42,15 @@
 	DrainTimeout   time.Duration
 	OperatorToken  string
 	AnonymousRead  bool
+	CallerTLS      *tls.Config // of the caller and operator listeners, nil for plaintext
+	PeerServerTLS  *tls.Config // of the peer listener, nil for plaintext
 	PeerTLS        *tls.Config // for calls to other daemons, nil for plaintext
 	// PolicyOff replaces rank scheduling by one FIFO queue per server, as a baseline
 	// for measurements.
 	PolicyOff bool
 }
 
-// Listeners are the daemon's sockets.
+// Listeners are the daemon's TCP sockets.
 type Listeners struct {
 	Caller   net.Listener
 	Peer     net.Listener
@@ -76,6 +79,7 @@
 	drainStarted chan struct{}
 
 	httpServers []*http.Server
+	listeners   []*linger.Listener // of httpServers
 	background  sync.WaitGroup
 }
 
@@ -154,9 +158,21 @@
 	}
 	// Until Shutdown closes their connections, callers can still send requests, which
 	// are forwarded to the new homes.
+	d.shutDownServers(ctx)
+}
+
+// shutDownServers closes the listeners, and each connection once its requests are answered
+// and its peer has received the responses.
+func (d *Daemon) shutDownServers(ctx context.Context) {
 	for _, server := range d.httpServers {
 		_ = server.Shutdown(ctx)
 	}
+	for _, l := range d.listeners {
+		if err := l.Wait(ctx); err != nil {
+			d.sink.emitAdapterFailure("wait for connections to close", err)
+			return
+		}
+	}
 }
 
 func (d *Daemon) close() {
@@ -174,33 +190,41 @@
 
 func (d *Daemon) serve() <-chan error {
 	serveErrors := make(chan error, 4)
-	serve := func(l net.Listener, h http.Handler) {
-		if l == nil {
-			return
-		}
-		httpServer := &http.Server{
-			// Twice the limit, so that the handler can refuse slightly larger headers
-			// with a reason. net/http answers even larger ones with status 431.
-			Handler: h, MaxHeaderBytes: 2 * d.opts.MaxHeaderBytes,
-			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-			ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Error(libraryLogger(d.opts.Logger))), "", 0),
-		}
-		d.httpServers = append(d.httpServers, httpServer)
-		d.background.Go(func() {
-			if err := httpServer.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				serveErrors <- err
-			}
-		})
-	}
-	serve(d.opts.Listeners.Caller, d.frontend.CallerHandler())
-	serve(d.opts.Listeners.Operator, d.operatorRoutes())
-	serve(d.opts.Listeners.Metrics, d.metricsRoutes())
+	d.serveListener(d.opts.Listeners.Caller, d.opts.CallerTLS, d.frontend.CallerHandler(), serveErrors)
+	d.serveListener(d.opts.Listeners.Operator, d.opts.CallerTLS, d.operatorRoutes(), serveErrors)
+	d.serveListener(d.opts.Listeners.Metrics, nil, d.metricsRoutes(), serveErrors)
 	// The peer listener comes last, since listeners are shut down in this order: a
 	// draining daemon answers its peers until the requests of callers have finished.
-	serve(d.opts.Listeners.Peer, d.peerRoutes())
+	d.serveListener(d.opts.Listeners.Peer, d.opts.PeerServerTLS, d.peerRoutes(), serveErrors)
 	return serveErrors
 }
 
+// serveListener serves the connections of a listener, without TLS if config is nil. It does
+// nothing if the listener is nil.
+func (d *Daemon) serveListener(l net.Listener, config *tls.Config, h http.Handler, serveErrors chan<- error) {
+	if l == nil {
+		return
+	}
+	lingering := linger.NewListener(l)
+	d.listeners = append(d.listeners, lingering)
+	if l = lingering; config != nil {
+		l = tls.NewListener(l, config)
+	}
+	httpServer := &http.Server{
+		// Twice the limit, so that the handler can refuse slightly larger headers
+		// with a reason. net/http answers even larger ones with status 431.
+		Handler: h, MaxHeaderBytes: 2 * d.opts.MaxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Error(libraryLogger(d.opts.Logger))), "", 0),
+	}
+	d.httpServers = append(d.httpServers, httpServer)
+	d.background.Go(func() {
+		if err := httpServer.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			serveErrors <- err
+		}
+	})
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/relay/daemon/settings.go
+++ b/relay/daemon/settings.go
@@ -21,17 +21,16 @@
 	for _, l := range []struct {
 		into    *net.Listener
 		address string
-		config  *tls.Config
 	}{
-		{&listeners.Caller, s.CallerAddress, callerTLS},
-		{&listeners.Operator, s.OperatorAddress, callerTLS},
-		{&listeners.Metrics, s.MetricsAddress, nil},
-		{&listeners.Peer, s.PeerAddress, peerServerTLS},
+		{&listeners.Caller, s.CallerAddress},
+		{&listeners.Operator, s.OperatorAddress},
+		{&listeners.Metrics, s.MetricsAddress},
+		{&listeners.Peer, s.PeerAddress},
 	} {
 		if l.address == "" {
 			continue
 		}
-		opened, err := listen(l.address, l.config)
+		opened, err := net.Listen("tcp", l.address)
 		if err != nil {
 			listeners.close()
 			return nil, err
@@ -43,7 +42,7 @@
 		Platform: platform.Options{BaseURL: s.PlatformURL}, Logger: logger, LogRetention: s.LogRetention,
 		MaxRequests: s.MaxRequests, MaxHeaderBytes: s.MaxHeaderBytes, DrainTimeout: s.DrainTimeout,
 		OperatorToken: s.OperatorToken, AnonymousRead: s.AnonymousRead,
-		PeerTLS: peerClientTLS, PolicyOff: s.PolicyOff,
+		CallerTLS: callerTLS, PeerServerTLS: peerServerTLS, PeerTLS: peerClientTLS, PolicyOff: s.PolicyOff,
 	})
 	if err != nil {
 		listeners.close()
@@ -55,14 +54,6 @@
 	return d, nil
 }
 
-func listen(address string, config *tls.Config) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil || config == nil {
-		return l, err
-	}
-	return tls.NewListener(l, config), nil
-}
-
 func (l *Listeners) close() {
 	for _, open := range []net.Listener{l.Caller, l.Operator, l.Metrics, l.Peer} {
 		if open != nil {
--- a/relay/ingress/cutoff.go
+++ b/relay/ingress/cutoff.go
@@ -17,14 +17,6 @@
 	// The system reports room only when a third of its buffer is free, which a slow caller
 	// may need longer for.
 	writeAttemptsPerStall = 10
-	// lingerTimeout is how long a connection that this host closes waits for the caller's
-	// close, from the write of the last response. It covers several losses of a packet.
-	lingerTimeout = 5 * time.Second
-	// minDeliveryRate, in bytes a second, is the mean rate at which callers have to take
-	// long responses.
-	minDeliveryRate = 32 << 10
-	// maxBuffered limits the bytes that are counted as being in the system's buffers.
-	maxBuffered = 4 << 20
 )
 
 // CutOffReason says why a caller may not have received a response in whole.
@@ -63,14 +55,7 @@
 }
 
 // deliveryDeadline returns the time until which the response may take to arrive.
-func (w writtenResponse) deliveryDeadline() time.Time {
-	return w.at.Add(lingerTimeout + deliveryTime(min(w.size, maxBuffered)))
-}
-
-// deliveryTime returns the time that a number of bytes takes at minDeliveryRate.
-func deliveryTime(bytes int) time.Duration {
-	return time.Duration(bytes) * time.Second / minDeliveryRate
-}
+func (w writtenResponse) deliveryDeadline() time.Time { return linger.Deadline(w.at, w.size) }
 
 // writeResponse writes a response. It returns false if the caller did not take all of it.
 func (c *conn) writeResponse(p *pipelinedRequest, closing bool) bool {
@@ -90,11 +75,11 @@
 }
 
 // writeAll writes b as long as the caller takes a part of it within each stall timeout and
-// keeps to minDeliveryRate. It returns the number of bytes written.
+// keeps to linger.MinRate. It returns the number of bytes written.
 func (c *conn) writeAll(b []byte) (written int, err error) {
 	stallTimeout := cmp.Or(c.server.writeStallTimeout, writeStallTimeout)
 	now := time.Now()
-	end, progressAt := now.Add(stallTimeout+deliveryTime(len(b))), now
+	end, progressAt := now.Add(stallTimeout+linger.DeliveryTime(len(b))), now
 	for {
 		_ = c.SetWriteDeadline(now.Add(stallTimeout / writeAttemptsPerStall))
 		n, err := c.Write(b[written:])
--- a/relay/ingress/report_test.go
+++ b/relay/ingress/report_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/relay/linger"
 )
 
 // Guards against a caller that loses a part of a response without any trace at the host.
@@ -46,19 +48,19 @@
 	reports := make(chan CutOff, 1)
 	_, address := startServerWith(t, &Server{OnCutOff: func(c CutOff) { reports <- c }, Handler: echoHandler})
 	c, reader := dial(t, address)
-	require.NoError(t, c.SetDeadline(time.Now().Add(2*lingerTimeout)))
+	require.NoError(t, c.SetDeadline(time.Now().Add(2*linger.Timeout)))
 	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"+formatGet("/2"))
 	require.NoError(t, err)
 	start := time.Now()
 	require.True(t, readResponse(t, reader).Close)
 	_, err = reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
-	require.Less(t, time.Since(start), lingerTimeout/2, "the end of the response is not shown at once")
+	require.Less(t, time.Since(start), linger.Timeout/2, "the end of the response is not shown at once")
 	report := <-reports
 	require.Equal(t, NotClosed, report.Reason)
 	require.Equal(t, "/1", report.Request.URL.Path)
 	require.EqualValues(t, len(formatGet("/2")), report.Dropped)
-	require.InDelta(t, lingerTimeout.Seconds(), time.Since(start).Seconds(), 1)
+	require.InDelta(t, linger.Timeout.Seconds(), time.Since(start).Seconds(), 1)
 }
 
 // Guards against a response that is cut off because writing it takes longer than a caller
