Contain a panic in the handling of a request

No such panic has been seen; the fault is that nothing bounds one. Cause: relay/ingress runs each handler in a goroutine of its own, without net/http's recover. Change: the goroutine recovers. A connection to a server in use at the panic is closed by the garbage collector. Not covered: panics outside of a request's handler still end the process. By place: - the read and write loops of a connection (parsing by net/http, encoding of responses): could be contained to their connection, not done here. - edge.scheduleDispatchLocked and startSlowTimer (timers): they run dispatch.Pool under its lock. After a panic there a queued request may be lost from the pool and wait without end, so that an end is better than going on. A process that goes on without one of them serves by a state that ages or, as the leader, grants by a broken one. They should end the process, and their hosts' peers take over. - parsleyrelayd run: net/http recovers for its handlers, and the connection breaks without a response; the control loop and queues (relay/control, relay/home) are as the assigner. What a panic leaves behind in relay/home was not looked at. Fatal errors of the runtime (concurrent map writes, no memory) cannot be recovered. Conclusion: one request's panic costs that request only.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -120,6 +120,7 @@
 	RequestAbandoned   Code = 606
 	ServerPaused       Code = 607
 	ResponseCutOff     Code = 608
+	RequestPanicked    Code = 609
 	ChangeAccepted     Code = 701
 	ChangeRefused      Code = 702
 	ZoneDeclaredLost   Code = 703
@@ -205,6 +206,7 @@
 	{RequestAbandoned, "request_abandoned", "The caller left before the response."},
 	{ServerPaused, "server_paused", "An attempt at a backend server failed; the server gets no requests for a while."},
 	{ResponseCutOff, "response_cut_off", "A caller may not have received a response in whole; the line names the reason."},
+	{RequestPanicked, "request_panicked", "The code that handles a request panicked; the request is answered with status 502 and the process goes on."},
 	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
 	{ChangeRefused, "change_refused", "A change of a resource was refused."},
 	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -56,6 +56,7 @@
 	possibleRuns    int                // attempts that a server may have run
 	mapVersion      uint64             // version of the assignment map by which the last server was selected
 	reservedRetry   *dispatch.Decision // server reserved, and retry of the budget spent, for the next attempt
+	unreported      bool               // the present attempt holds its server; its result is not reported
 	plannedRetry    *plannedRetry      // set while another attempt is to follow a failed one
 	triedServerIDs  []string
 	sentServerIDs   []string          // servers to which the request was sent, also if they may be tried again
@@ -196,8 +197,10 @@
 	s := decision.Server
 	reserved := c.reservedRetry != nil
 	c.reservedRetry = nil
+	c.unreported = true
+	defer c.releaseUnreported(s.ID)
 	if c.attemptsSent > 0 && !reserved && !c.pool.tryReserveRetryBudget() {
-		c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.giveUp("retry_budget"), false
 	}
 	c.recordRetry()
@@ -210,6 +213,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(responseGrace))
 	defer cancel()
 	stopTimer := c.startSlowTimer(decision, cancel)
+	defer stopTimer()
 	start := time.Now()
 	response, err := c.edge.options.Client.Do(ctx, upstream.Exchange{
 		Address: s.Address, Method: c.request.Method, RawRequest: c.encodeRequest(s), Matches: c.matchesResponse,
@@ -231,6 +235,19 @@
 	return c.handleResponse(callerCtx, s, latency, response)
 }
 
+// reportResult reports the result of the attempt at a server and releases the server.
+func (c *callerRequest) reportResult(id string, r dispatch.AttemptResult) {
+	c.unreported = false
+	c.pool.reportResult(id, r)
+}
+
+// releaseUnreported releases a server whose attempt ended by a panic, without a result.
+func (c *callerRequest) releaseUnreported(id string) {
+	if c.unreported {
+		c.reportResult(id, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+	}
+}
+
 // checkBeforeSend returns an error if the request must not be sent any more when the
 // connection to its server is open.
 func (c *callerRequest) checkBeforeSend(callerCtx context.Context, s dispatch.Server) error {
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -32,15 +32,15 @@
 	var exchangeError *upstream.Error
 	sent := errors.As(err, &exchangeError) && exchangeError.Sent
 	if errors.Is(err, errDeadlineTooClose) {
-		c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.giveUp("deadline"), false
 	}
 	if errors.Is(err, errCallerLeft) {
-		c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.abandon(), false
 	}
 	if cause := placementError(""); errors.As(err, &cause) {
-		c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		if cause != errServerPaused { // the pool knows when a pause ends
 			c.triedServerIDs = append(c.triedServerIDs, s.ID)
 		}
@@ -68,7 +68,7 @@
 	case sent:
 		outcome = dispatch.ConnectionLost
 	}
-	c.pool.reportResult(s.ID, dispatch.AttemptResult{Outcome: outcome, Rank: c.route.Rank, Latency: latency})
+	c.reportResult(s.ID, dispatch.AttemptResult{Outcome: outcome, Rank: c.route.Rank, Latency: latency})
 	if sent {
 		c.attemptsSent++
 		c.possibleRuns++
@@ -147,7 +147,7 @@
 	if result.Outcome == dispatch.Misdirected {
 		result.Outcome = c.classifyMisdirected(s, r)
 	}
-	c.pool.reportResult(s.ID, result)
+	c.reportResult(s.ID, result)
 	if c.keyed && result.Load != nil {
 		c.edge.recordServerLoad(s.ID, *result.Load, result.Outcome == dispatch.OK, latency)
 	}
--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -64,6 +64,8 @@
 	// OnCutOff, if not nil, is called for each response that its caller may not have
 	// received in whole.
 	OnCutOff func(CutOff)
+	// OnPanic, if not nil, is called for each request whose Handler panics.
+	OnPanic func(Panic)
 
 	writeStallTimeout time.Duration // 0 for the default
 
@@ -310,10 +312,7 @@
 	if !c.enqueue(p) {
 		return false
 	}
-	go func() {
-		defer close(p.done)
-		p.response = c.server.Handler(ctx, &Request{Request: request, Payload: body, ReceivedAt: time.Now()})
-	}()
+	go c.handle(ctx, p, body)
 	return !request.Close
 }
 
--- /dev/null
+++ b/relay/ingress/panic.go
@@ -0,0 +1,63 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"time"
+)
+
+// maxStackFrames limits the calls that a Panic lists.
+const maxStackFrames = 12
+
+// Panic describes a panic of the Handler. The request is answered with status 502, since
+// it may have run, and its connection closes when its other requests are answered.
+type Panic struct {
+	Caller  string // address
+	Request *http.Request
+	Value   any
+	// Stack lists the innermost calls first, each as function, file and line.
+	Stack string
+}
+
+// handle runs the handler for a request and sets its response.
+func (c *conn) handle(ctx context.Context, p *pipelinedRequest, payload []byte) {
+	defer close(p.done)
+	defer func() {
+		if value := recover(); value != nil {
+			p.response = &Response{Status: http.StatusBadGateway}
+			c.requestClose()
+			c.reportPanic(Panic{Request: p.request, Value: value, Stack: formatStack()})
+		}
+	}()
+	p.response = c.server.Handler(ctx, &Request{Request: p.request, Payload: payload, ReceivedAt: time.Now()})
+}
+
+func (c *conn) reportPanic(p Panic) {
+	if c.server.OnPanic != nil {
+		p.Caller = c.RemoteAddr().String()
+		c.server.OnPanic(p)
+	}
+}
+
+// formatStack returns the stack of the panic that the calling function has recovered.
+func formatStack() string {
+	pcs := make([]uintptr, 2*maxStackFrames)
+	frames := runtime.CallersFrames(pcs[:runtime.Callers(0, pcs)])
+	var calls []string
+	for more, panicked := true, false; more && len(calls) < maxStackFrames; {
+		var f runtime.Frame
+		f, more = frames.Next()
+		switch {
+		case f.Function == "runtime.gopanic":
+			panicked = true
+			calls = nil
+		case panicked && !strings.HasPrefix(f.Function, "runtime."):
+			calls = append(calls, fmt.Sprintf("%s %s:%d", filepath.Base(f.Function), filepath.Base(f.File), f.Line))
+		}
+	}
+	return strings.Join(calls, " < ")
+}
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -28,6 +28,7 @@
 	MetricServerConnections     = "parsleyrelay_server_connections_total"
 	MetricResponsesCutOff       = "parsleyrelay_responses_cut_off_total"
 	MetricCallerResponsesCutOff = "parsleyrelay_caller_responses_cut_off_total"
+	MetricRequestPanics         = "parsleyrelay_request_panics_total"
 	MetricLinesOmitted          = "parsleyrelay_log_lines_omitted_total"
 	MetricConfigVersion         = "parsleyrelay_configuration_version"
 	MetricStateAge              = "parsleyrelay_state_age_seconds"
@@ -62,6 +63,7 @@
 	{MetricServerConnections, ObservableCounter, "1", nil, "Connections opened to backend servers."},
 	{MetricResponsesCutOff, ObservableCounter, "1", []string{"limit"}, "Responses of servers and the store that were cut off: head and body by their size, memory by the sum of the bodies being read."},
 	{MetricCallerResponsesCutOff, Counter, "1", []string{"reason"}, "Responses that callers may not have received in whole, by the reason."},
+	{MetricRequestPanics, Counter, "1", nil, "Requests that ended by a panic of the code that handles them."},
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
 	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
