Answer requests whose target cannot be parsed

Cause: the parser's *url.Error has the methods of net.Error, so handleReadError took it for an error of the network and only cancelled the connection.

Change: a *url.Error is answered with 400, as other requests that cannot be read. The requests before it get their responses. The connection closes after the 400, because the rest of the request has not been parsed; what was sent behind it counts as not read.

--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -349,8 +350,11 @@
 	stopped := c.readStopped
 	c.mu.Unlock()
 	var netErr net.Error
+	var targetErr *url.Error
 	switch {
 	case stopped: // the response before it closes the connection
+	case errors.As(err, &targetErr): // implements net.Error, but is not one of the network
+		c.refuseUnread(http.StatusBadRequest, err)
 	case errors.Is(err, readlimit.ErrExceeded):
 		c.refuseUnread(http.StatusRequestHeaderFieldsTooLarge, err)
 	case isTimeout(err):
