Promise that an order has not run only if its servers stated it

They take these statuses for the promise that the order has not run, and send it again.

Cause: a server's answer was passed on with its status, whatever the status promises. Status 421 and any response with the header counted as proof, also a success.

Change: relay/edge/response.go has one function that decides what a response shows (showsNotRun: the header beside anything but a success, or 421 of another server than the one meant), and one for what the caller may get (mayPassOn: no unsigned success, and for an order no 408, 421, 429 or 503 of a server that may have run it). All responses of servers that may have run the request count as runs. An order whose answer may not be passed on gets 502 (504 after the deadline) of the host's own, without the signature. Idempotent requests get the server's answer as before; for them 421 without proof now counts as a run, and is passed on if no further attempt follows. docs/callers.md gives the choices. newCallerResponse, refuse and giveUp moved to response.go.

Evidence: TestStatusesPromiseOnlyWhatServersState plays 1,184 cases (kind, keyed or not, earlier attempt, answer) over pipes. 140 failed before: - order, first attempt or after a refusal: 408, 421, 429, 503 without the header, signed or not, with the ID of the meant server or none, and 408, 429, 503 with another ID (88); - idempotent request: 421 without the header, with the ID of the meant server or none, at the first attempt and after a refusal, no answer or a failure (32); - success with the header: signed, all but an order after no answer or after a failure (12); unsigned, at the first attempt and after a refusal (8).

Two tests expected the fault and are replaced, as strict: TestRefusalOnlyIfNotRun asked for the signature of a signed 503 to an order, so for the status 503, and now checks both kinds with 503 and 500, status and signature; TestPauseIsNoProofThatARequestHasNotRun asked for 503 and now asks for 502 without signature.

Conclusion: no order is promised not to have run unless its servers stated it for every attempt that was sent.

--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"net/url"
@@ -52,18 +51,18 @@
 	key       uint16
 	keyed     bool
 
-	attemptsSent    int                // attempts that may have reached a server
-	possibleRuns    int                // attempts that a server may have run
-	mapVersion      uint64             // version of the assignment map by which the last server was selected
-	reservedRetry   *dispatch.Decision // server reserved, and retry of the budget spent, for the next attempt
-	plannedRetry    *plannedRetry      // set while another attempt is to follow a failed one
-	triedServerIDs  []string
-	sentServerIDs   []string          // servers to which the request was sent, also if they may be tried again
-	failureResponse *ingress.Response // a server's own error response, sent if all further attempts fail
-	retryAfter      time.Duration     // for the caller, by the last refusal of a server; 0 for none
-	lastServerID    string
-	lastError       error
-	failureReason   string // reason of a refusal or failure, for metrics
+	attemptsSent   int                // attempts that may have reached a server
+	possibleRuns   int                // attempts that a server may have run
+	mapVersion     uint64             // version of the assignment map by which the last server was selected
+	reservedRetry  *dispatch.Decision // server reserved, and retry of the budget spent, for the next attempt
+	plannedRetry   *plannedRetry      // set while another attempt is to follow a failed one
+	triedServerIDs []string
+	sentServerIDs  []string          // servers to which the request was sent, also if they may be tried again
+	serverResponse *ingress.Response // the last response of a server that may be passed on; sent if no further attempt gets another
+	retryAfter     time.Duration     // for the caller, by the last refusal of a server; 0 for none
+	lastServerID   string
+	lastError      error
+	failureReason  string // reason of a refusal or failure, for metrics
 }
 
 // Handle forwards a request to a backend server and returns the response for the
@@ -340,58 +339,6 @@
 	return listed
 }
 
-// newCallerResponse converts a server's response into the caller's, without the
-// headers meant for the entry host only.
-func (c *callerRequest) newCallerResponse(r *upstream.Response) *ingress.Response {
-	headers := c.edge.options.Headers
-	dropped := connectionOptions(r.Header)
-	h := make(http.Header, len(r.Header))
-	for name, values := range r.Header {
-		if name != headers.ServerLoad && name != headers.ServerLeaving && !dropped[name] {
-			h[name] = values
-		}
-	}
-	if r.Status == http.StatusServiceUnavailable && h.Get(headers.RetryAfter) != "" {
-		// The server asked this host for a pause. Callers may be served by others sooner.
-		h.Set(headers.RetryAfter, formatSeconds(cmp.Or(c.retryAfter, defaultRetryAfter)))
-	}
-	return &ingress.Response{Status: r.Status, Header: h, Body: r.Body}
-}
-
-// refuse returns a 503 response, which promises that the request did not run. If it
-// may have run, it returns the response of giveUp.
-func (c *callerRequest) refuse(decision dispatch.Decision) *ingress.Response {
-	if c.failureResponse != nil || c.possibleRuns > 0 {
-		return c.giveUp(string(decision.Reason))
-	}
-	c.failureReason = string(decision.Reason)
-	c.edge.options.Journal.LogEvent(event.RequestRefused, "request_id", c.requestID, "route", c.route.Name, "service", c.service, "reason", decision.Reason,
-		"rank", c.route.Rank, "key", c.key, "sends", c.attemptsSent, "last_server", c.lastServerID, "waited_ms", time.Since(c.request.ReceivedAt).Milliseconds(),
-		"left_ms", time.Until(c.deadline).Milliseconds(), "retry_after_ms", decision.RetryAfter.Milliseconds(),
-		"config", c.edge.ConfigVersion(), "map", c.edge.mapVersion())
-	return emptyResponse(http.StatusServiceUnavailable, decision.RetryAfter)
-}
-
-// giveUp returns the response for a request that gets no further attempt: a refusal
-// if it certainly did not run, else the server's own error response if there is one,
-// else 502 or, after the deadline, 504.
-func (c *callerRequest) giveUp(reason string) *ingress.Response {
-	if c.failureResponse == nil && c.possibleRuns == 0 {
-		return c.refuse(dispatch.Decision{Reason: dispatch.RefusalReason(reason), RetryAfter: cmp.Or(c.retryAfter, defaultRetryAfter)})
-	}
-	c.failureReason = reason
-	c.edge.options.Journal.LogEvent(event.RequestUnknown, "request_id", c.requestID, "route", c.route.Name, "service", c.service, "reason", reason,
-		"server", c.lastServerID, "sends", c.attemptsSent, "runs", c.possibleRuns, "ms", time.Since(c.request.ReceivedAt).Milliseconds(),
-		"config", c.edge.ConfigVersion(), "map", c.edge.mapVersion(), "error", c.lastError)
-	if c.failureResponse != nil {
-		return c.failureResponse
-	}
-	if time.Until(c.deadline) <= 0 {
-		return emptyResponse(http.StatusGatewayTimeout, 0)
-	}
-	return emptyResponse(http.StatusBadGateway, 0)
-}
-
 // abandon ends a request whose caller has closed its connection.
 func (c *callerRequest) abandon() *ingress.Response {
 	c.failureReason = "caller_left"
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -132,16 +132,15 @@
 	c.readSignals(s, r)
 	headers := c.edge.options.Headers
 	result := dispatch.AttemptResult{Outcome: dispatch.OK, Rank: c.route.Rank, Latency: latency, Load: parseLoad(r.Header.Get(headers.ServerLoad))}
-	refused := r.Header.Get(headers.NotExecuted) != "" || r.Status == http.StatusMisdirectedRequest
-	signed := r.Header.Get(headers.Signature) != ""
+	notRun := c.showsNotRun(s, r)
 	switch {
-	case refused && r.Status == http.StatusMisdirectedRequest:
+	case r.Status == http.StatusMisdirectedRequest:
 		result.Outcome = dispatch.Misdirected
-	case refused && result.Load.HasShortQueue():
+	case notRun && result.Load.HasShortQueue():
 		result.Outcome = dispatch.RefusedWithoutQueue
-	case refused:
+	case notRun:
 		result.Outcome = dispatch.ServerFull
-	case r.Status >= http.StatusInternalServerError || r.Status < 300 && !signed:
+	case r.Status >= http.StatusInternalServerError || r.Status < 300 && !c.isSigned(r):
 		result.Outcome = dispatch.ErrorResponse
 	}
 	if result.Outcome == dispatch.Misdirected {
@@ -151,15 +150,20 @@
 	if c.keyed && result.Load != nil {
 		c.edge.recordServerLoad(s.ID, *result.Load, result.Outcome == dispatch.OK, latency)
 	}
-	switch {
-	case refused:
+	if notRun {
 		return c.handleRefusal(ctx, s, r, result.Load)
-	case result.Outcome == dispatch.ErrorResponse:
-		return c.handleFailure(s, r, signed)
+	}
+	c.possibleRuns++
+	mayPassOn := c.mayPassOn(r)
+	if mayPassOn {
+		c.serverResponse = c.newCallerResponse(r)
+	}
+	if !mayPassOn || result.Outcome != dispatch.OK {
+		return c.handleFailure(s, r)
 	}
 	c.edge.options.Journal.LogRoutineEvent(event.RequestCompleted, "request_id", c.requestID, "route", c.route.Name, "service", c.service, "server", s.ID,
 		"status", r.Status, "sends", c.attemptsSent, "ms", time.Since(c.request.ReceivedAt).Milliseconds())
-	return c.newCallerResponse(r), false
+	return c.serverResponse, false
 }
 
 // classifyMisdirected returns the outcome of an attempt with status 421. A different
@@ -223,14 +227,10 @@
 	return true
 }
 
-// handleFailure handles a 5xx response of a server that may have run the request,
-// and a success response without a signature, which is not passed on to the caller.
-func (c *callerRequest) handleFailure(s dispatch.Server, r *upstream.Response, signed bool) (*ingress.Response, bool) {
-	c.possibleRuns++
+// handleFailure handles a response that is not passed on at once, of a server that may have
+// run the request. Another attempt follows if the request may run again.
+func (c *callerRequest) handleFailure(s dispatch.Server, r *upstream.Response) (*ingress.Response, bool) {
 	c.triedServerIDs = append(c.triedServerIDs, s.ID)
-	if signed || r.Status >= http.StatusInternalServerError {
-		c.failureResponse = c.newCallerResponse(r)
-	}
 	if !c.mayRunAgain() {
 		return c.giveUp("server_failed"), false
 	}
