Close a connection that becomes idle just after a shutdown began

What callers saw: a kept connection stayed open at a host that had shut down, until the idle timeout (15 s by default) or the end of the grace time, when the process ended with whatever request had just been passed on. The stop took the whole grace time; adapter_failed operation="wait for requests in flight" was the only trace. Cause: if Shutdown asks for the close of a connection between the decision that a response does not close it and the count of that response as answered, it finds a request unanswered and does not interrupt the read; responseWritten then started the idle timeout without a look at the request to close. Change: responseWritten interrupts the read in that case.

--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -185,10 +185,13 @@
 	defer c.mu.Unlock()
 	c.closeWhenIdle = true
 	if c.unanswered == 0 && !c.readingRequest && !c.closing {
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		c.interruptRead()
 	}
 }
 
+// interruptRead ends the pending read of the connection by a timeout.
+func (c *conn) interruptRead() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+
 func (c *conn) readLoop(ctx context.Context) {
 	defer c.server.connLoops.Done()
 	defer close(c.pending)
@@ -227,7 +230,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing, c.readStopped = true, true
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	c.interruptRead()
 }
 
 func isTimeout(err error) bool {
@@ -409,13 +412,17 @@
 	return c.closing && c.unanswered == 1
 }
 
-// responseWritten counts a request as answered and starts the idle timeout if it was
-// the last one pending.
+// responseWritten counts a request as answered. If it was the last one pending, it starts
+// the idle timeout, or closes the connection if that was requested meanwhile.
 func (c *conn) responseWritten() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered--
-	if c.unanswered == 0 && !c.readingRequest {
+	switch {
+	case c.unanswered > 0 || c.readingRequest:
+	case c.closeWhenIdle:
+		c.interruptRead()
+	default:
 		_ = c.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout + idleTimeoutSlack))
 	}
 }
--- /dev/null
+++ b/relay/ingress/shutdown_test.go
@@ -0,0 +1,67 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// acceptAs opens a connection to s, which s serves as the connection that wrap returns.
+func acceptAs(t *testing.T, s *Server, request string, wrap func(*net.TCPConn) net.Conn) net.Conn {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	c, _ := dial(t, l.Addr().String())
+	_, err = io.WriteString(c, request)
+	require.NoError(t, err)
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	s.startConn(wrap(accepted.(*net.TCPConn)))
+	return c
+}
+
+// startShutdown shuts s down and returns when its connections are asked to close.
+func startShutdown(s *Server) (finished chan error) {
+	finished = make(chan error, 1)
+	go func() { finished <- s.Shutdown(context.Background()) }()
+	for shuttingDown := false; !shuttingDown; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		shuttingDown = s.shuttingDown
+		s.mu.Unlock()
+	}
+	return finished
+}
+
+// slowWriter is a connection whose writes return late.
+type slowWriter struct {
+	*net.TCPConn
+	proceed <-chan struct{}
+}
+
+func (c *slowWriter) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	<-c.proceed
+	return n, err
+}
+
+// Guards against a shutdown that waits for the idle timeout of a connection whose last
+// response is just written when the shutdown begins.
+func TestConnectionThatBecomesIdleDuringAShutdownIsClosed(t *testing.T) {
+	s, _ := startServer(t, echoHandler)
+	proceed := make(chan struct{})
+	c := acceptAs(t, s, formatGet("/"), func(c *net.TCPConn) net.Conn { return &slowWriter{TCPConn: c, proceed: proceed} })
+	reader := bufio.NewReader(c)
+	require.False(t, readResponse(t, reader).Close)
+	finished := startShutdown(s)
+	close(proceed)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
+	_, err := reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.NoError(t, c.Close())
+	require.NoError(t, <-finished)
+}
