Serve requests that have arrived when a shutdown begins

What callers saw: a connection that was reset without a response to a request which had arrived before the shutdown, if the host had not read it yet: on a connection that was just accepted, or on a kept one in a process short of processor time. The request has not run, but its caller cannot know. Cause: Shutdown interrupts the reads of idle connections by a deadline in the past, and a read with such a deadline does not look into the system's buffer; a connection whose read loop had not begun was closed without any read. Change: the read loop reads an idle connection for 50 ms more before it closes it. The shutdown of idle connections takes 50 ms longer. Conclusion: a request that crosses the close is still not answered; it has not run.

--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -29,6 +29,9 @@
 	// idleTimeoutSlack is added to the idle timeout, so that a request sent just
 	// before the timeout is still read.
 	idleTimeoutSlack = 500 * time.Millisecond
+	// lastReadTime is how long an idle connection that is to be closed is read once more,
+	// since a request may have arrived that is not read yet.
+	lastReadTime = 50 * time.Millisecond
 )
 
 // DefaultLimits apply until a configuration is loaded.
@@ -96,6 +99,7 @@
 	unanswered     int   // requests read and not answered
 	closing        bool  // the last response is decided; no further request is accepted
 	closeWhenIdle  bool  // close the connection once all requests are answered
+	lastRead       bool  // the connection is idle and to be closed; it is read once more
 	readingRequest bool  // the first byte of a request has arrived, the rest is being read
 	readStopped    bool  // the read loop ends; read deadlines are not changed any more
 	dropped        int64 // bytes that arrived behind the last request, as of the end of the read loop
@@ -249,10 +253,9 @@
 		case c.closing:
 			c.mu.Unlock()
 			return false // the writer closes the connection after the last response
-		case c.unanswered == 0 && c.closeWhenIdle && c.reader.Buffered() == 0:
-			c.closing = true
-			c.mu.Unlock()
-			return false
+		case c.unanswered == 0 && c.closeWhenIdle:
+			c.lastRead = true
+			_ = c.SetReadDeadline(time.Now().Add(lastReadTime))
 		case c.unanswered == 0:
 			_ = c.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout + idleTimeoutSlack))
 		default:
@@ -270,12 +273,12 @@
 			return false
 		}
 		c.mu.Lock()
-		idle := c.unanswered == 0
-		if idle {
+		ends := c.unanswered == 0 && (c.lastRead || !c.closeWhenIdle)
+		if ends {
 			c.closing = true
 		}
 		c.mu.Unlock()
-		if idle {
+		if ends {
 			return false
 		}
 	}
--- a/relay/ingress/shutdown_test.go
+++ b/relay/ingress/shutdown_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -49,6 +50,34 @@
 	return n, err
 }
 
+// lateReader is a connection whose reads begin late, as in a process that is short of
+// processor time.
+type lateReader struct {
+	*net.TCPConn
+	proceed <-chan struct{}
+}
+
+func (c *lateReader) Read(b []byte) (int, error) {
+	<-c.proceed
+	return c.TCPConn.Read(b)
+}
+
+// Guards against a request that gets no response because a shutdown begins when it has
+// arrived, but before the server has read it.
+func TestRequestInTheBuffersIsServedAtAShutdown(t *testing.T) {
+	s, _ := startServer(t, echoHandler)
+	proceed := make(chan struct{})
+	c := acceptAs(t, s, formatGet("/arrived"), func(c *net.TCPConn) net.Conn { return &lateReader{TCPConn: c, proceed: proceed} })
+	s.Drain()
+	finished := startShutdown(s)
+	close(proceed)
+	response := readResponse(t, bufio.NewReader(c))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.True(t, response.Close)
+	require.NoError(t, c.Close())
+	require.NoError(t, <-finished)
+}
+
 // Guards against a shutdown that waits for the idle timeout of a connection whose last
 // response is just written when the shutdown begins.
 func TestConnectionThatBecomesIdleDuringAShutdownIsClosed(t *testing.T) {
