Serve connections that are accepted just before the listener is closed

What callers saw: a new connection was reset without a response, although the host had accepted it before it closed its listener. Cause: a stop closes the listener and then shuts the connections down. A connection that Accept has returned by then, but that Serve has not registered, counts as accepted after the shutdown and is closed unread; bytes of its request reset it. Change: StopAccepting closes the listener and waits until Serve has registered what it has accepted. An accept of the whole queue before the close needs accept4 on the raw socket, and leaves the handshakes in progress; not done.

--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -77,6 +77,7 @@
 	shuttingDown bool // no connection is added to connLoops any more
 	draining     atomic.Bool
 	connLoops    sync.WaitGroup
+	acceptLoops  sync.WaitGroup
 }
 
 // pipelinedRequest is a request in the order of its connection. response is set
@@ -110,6 +111,8 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	s.acceptLoops.Add(1)
+	defer s.acceptLoops.Done()
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -127,6 +130,14 @@
 	}
 }
 
+// StopAccepting closes the listener of Serve and returns when the connections that it has
+// accepted are being served, so that Shutdown closes none of them unread.
+func (s *Server) StopAccepting(l net.Listener) error {
+	err := l.Close()
+	s.acceptLoops.Wait()
+	return err
+}
+
 // acceptRetryDelay avoids a busy loop while Accept fails, such as for lack of file
 // descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
--- a/relay/ingress/shutdown_test.go
+++ b/relay/ingress/shutdown_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/core/routes"
 )
 
 // acceptAs opens a connection to s, which s serves as the connection that wrap returns.
@@ -78,6 +80,50 @@
 	require.NoError(t, <-finished)
 }
 
+// lateListener returns accepted connections late.
+type lateListener struct {
+	net.Listener
+	accepted chan struct{}
+	proceed  <-chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- struct{}{}
+		<-l.proceed
+	}
+	return c, err
+}
+
+// Guards against a request that gets no response because its connection is accepted just
+// before the listener is closed, and passed on after the shutdown began.
+func TestConnectionAcceptedBeforeAShutdownIsServed(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	proceed := make(chan struct{})
+	l := &lateListener{Listener: inner, accepted: make(chan struct{}), proceed: proceed}
+	s := &Server{Handler: echoHandler, Limits: func() routes.Limits { return DefaultLimits }}
+	go func() { _ = s.Serve(l) }()
+	c, reader := dial(t, inner.Addr().String())
+	_, err = io.WriteString(c, formatGet("/"))
+	require.NoError(t, err)
+	<-l.accepted
+	finished := make(chan error, 1)
+	go func() {
+		if err := s.StopAccepting(l); err != nil {
+			finished <- err
+			return
+		}
+		finished <- s.Shutdown(context.Background())
+	}()
+	time.Sleep(20 * time.Millisecond) // the listener is closed
+	close(proceed)
+	require.True(t, readResponse(t, reader).Close)
+	require.NoError(t, c.Close())
+	require.NoError(t, <-finished)
+}
+
 // Guards against a shutdown that waits for the idle timeout of a connection whose last
 // response is just written when the shutdown begins.
 func TestConnectionThatBecomesIdleDuringAShutdownIsClosed(t *testing.T) {
