--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -30,6 +30,9 @@
 	// idleTimeoutSlack is added to the idle timeout, so that a request sent just
 	// before the timeout is still read.
 	idleTimeoutSlack = 500 * time.Millisecond
+	// lastReadTime is how long an idle connection that is to be closed is read once more,
+	// since a request may have arrived that is not read yet.
+	lastReadTime = 50 * time.Millisecond
 )
 
 // DefaultLimits apply until a configuration is loaded.
@@ -75,6 +78,7 @@
 	shuttingDown bool // no connection is added to connLoops any more
 	draining     atomic.Bool
 	connLoops    sync.WaitGroup
+	acceptLoops  sync.WaitGroup
 }
 
 // pipelinedRequest is a request in the order of its connection. response is set
@@ -97,6 +101,7 @@
 	unanswered     int   // requests read and not answered
 	closing        bool  // the last response is decided; no further request is accepted
 	closeWhenIdle  bool  // close the connection once all requests are answered
+	lastRead       bool  // the connection is idle and to be closed; it is read once more
 	readingRequest bool  // the first byte of a request has arrived, the rest is being read
 	readStopped    bool  // the read loop ends; read deadlines are not changed any more
 	dropped        int64 // bytes that arrived behind the last request, as of the end of the read loop
@@ -107,6 +112,8 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
+	s.acceptLoops.Add(1)
+	defer s.acceptLoops.Done()
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -124,6 +131,14 @@
 	}
 }
 
+// StopAccepting closes the listener of Serve and returns when the connections that it has
+// accepted are being served, so that Shutdown closes none of them unread.
+func (s *Server) StopAccepting(l net.Listener) error {
+	err := l.Close()
+	s.acceptLoops.Wait()
+	return err
+}
+
 // acceptRetryDelay avoids a busy loop while Accept fails, such as for lack of file
 // descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
@@ -251,10 +266,9 @@
 		case c.closing:
 			c.mu.Unlock()
 			return false // the writer closes the connection after the last response
-		case c.unanswered == 0 && c.closeWhenIdle && c.reader.Buffered() == 0:
-			c.closing = true
-			c.mu.Unlock()
-			return false
+		case c.unanswered == 0 && c.closeWhenIdle:
+			c.lastRead = true
+			_ = c.SetReadDeadline(time.Now().Add(lastReadTime))
 		case c.unanswered == 0:
 			_ = c.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout + idleTimeoutSlack))
 		default:
@@ -272,12 +286,12 @@
 			return false
 		}
 		c.mu.Lock()
-		idle := c.unanswered == 0
-		if idle {
+		ends := c.unanswered == 0 && (c.lastRead || !c.closeWhenIdle)
+		if ends {
 			c.closing = true
 		}
 		c.mu.Unlock()
-		if idle {
+		if ends {
 			return false
 		}
 	}
@@ -418,8 +432,8 @@
 	return c.closing && c.unanswered == 1
 }
 
-// responseWritten counts a request as answered and starts the idle timeout if it was
-// the last one pending.
+// responseWritten counts a request as answered. If it was the last one pending, it starts
+// the idle timeout, or closes the connection if that was requested meanwhile.
 func (c *conn) responseWritten() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
