Let pending requests run when a connection stops accepting others

What callers saw: requests that were running on a connection of a draining host were cancelled, and the connection ended without their responses. Cause: the read loop took the decision to close for the end of the connection, if it came while it was between two requests, and cancelled the context of those that run. Change: it goes on reading for the caller's close until the pending requests are answered. Evidence: TestDrainDoesNotCancelPendingRequests fails 5 of 5 times before (unexpected EOF), and passes 20 of 20 with -race. A first form of the test waited for a request that the read loop had not always accepted, and hung once; it counts responses now.

--- a/relay/ingress/drain_test.go
+++ b/relay/ingress/drain_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,6 +74,45 @@
 	}
 }
 
+// Guards against a drain that cancels requests which a connection has pending when it stops
+// accepting others.
+func TestDrainDoesNotCancelPendingRequests(t *testing.T) {
+	// The read loop waits for room among the pending requests when the drain takes effect.
+	const sent = maxPipelined + 4
+	started := make(chan struct{}, sent)
+	first, others := make(chan struct{}), make(chan struct{})
+	s, address := startServer(t, func(ctx context.Context, r *Request) *Response {
+		started <- struct{}{}
+		release := others
+		if r.URL.Path == "/1" {
+			release = first
+		}
+		select {
+		case <-release:
+			return echoHandler(ctx, r)
+		case <-ctx.Done():
+			return &Response{Abort: true}
+		}
+	})
+	s.Drain()
+	c, reader := dial(t, address)
+	_, err := io.WriteString(c, formatGet("/1")+strings.Repeat(formatGet("/2"), sent-1))
+	require.NoError(t, err)
+	for range maxPipelined + 1 {
+		<-started
+	}
+	time.Sleep(50 * time.Millisecond) // the read loop waits
+	close(first)
+	require.Equal(t, "/1", readResponse(t, reader).Header.Get("X-Path"))
+	time.Sleep(50 * time.Millisecond) // the read loop goes on
+	close(others)
+	responses := 1
+	for closes := false; !closes; responses++ {
+		closes = readResponse(t, reader).Close
+	}
+	require.GreaterOrEqual(t, responses, maxPipelined+1)
+}
+
 // Guards against a connection that stays open after a shutdown, because its response was
 // being written when the shutdown began. A request on it is cut off by the end of the
 // process.
--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -214,6 +214,9 @@
 	defer close(c.pending)
 	for {
 		if !c.awaitRequest() {
+			if c.closesAfterPending() {
+				break
+			}
 			c.cancel()
 			return
 		}
@@ -221,8 +224,8 @@
 			break
 		}
 	}
-	// The last request of the connection is running. Reads show when the caller closes the
-	// connection.
+	// No further request is accepted, and those that are pending run. Reads show when the
+	// caller closes the connection.
 	c.limitRead(time.Time{})
 	dropped, err := linger.Drop(c.Conn)
 	if !isTimeout(err) && !errors.Is(err, linger.ErrPeerSends) {
@@ -233,6 +236,14 @@
 	c.dropped = dropped + int64(c.reader.Buffered())
 }
 
+// closesAfterPending reports whether the connection closes when its pending requests are
+// answered.
+func (c *conn) closesAfterPending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing && c.unanswered > 0
+}
+
 // limitRead sets the deadline of reads, unless the read loop is to end.
 func (c *conn) limitRead(deadline time.Time) {
 	c.mu.Lock()
