Give a host no slack of the retry budget in its first window

Cause: each process starts with its whole part of the slack, although the process before it may just have used the same part.

Change: HostBudget counts from the start of the process and has no slack in the first window; retries by the ratio of the host's own requests stay allowed. The tests of relay/edge use hosts that are a window old.

Conclusion: the slack is not multiplied by starts. The part by the ratio may still be used twice within a window, by a burst just before the end of a process and by the next process; the quarter of the budget that hosts leave unused covers that only in part.

--- a/core/retry/hostbudget.go
+++ b/core/retry/hostbudget.go
@@ -6,6 +6,10 @@
 // deployment enforces its part alone, without communication between hosts. It
 // counts the attempts that arrive at the service's servers in a sliding window; an
 // extra arrival is any attempt after a request's first.
+//
+// Points in time count from the start of the host's process. During its first window a
+// host has no part of the slack, because the process before it may just have used that;
+// it retries by Ratio for the requests that it has got itself.
 type HostBudget struct {
 	Ratio  float64       // allowed extra arrivals per request
 	Slack  float64       // extra arrivals per window in addition to Ratio, so that retries are possible with little traffic
@@ -51,7 +55,11 @@
 			extra += b.extra
 		}
 	}
-	if extra+1 > s.Ratio*requests+s.Slack {
+	allowed := s.Ratio * requests
+	if now >= s.Window {
+		allowed += s.Slack
+	}
+	if extra+1 > allowed {
 		return false
 	}
 	current.extra++
--- a/relay/edge/edge_test.go
+++ b/relay/edge/edge_test.go
@@ -102,11 +102,17 @@
 	return newEdgeWithClient(t, out, upstream.NewClient(), servers...)
 }
 
+// newEdgeWithClient returns an Edge that was started a window of the retry budget ago.
 func newEdgeWithClient(t *testing.T, out io.Writer, client *upstream.Client, servers ...*scriptedServer) *Edge {
+	return newEdgeOfAge(t, 10*time.Second, out, client, servers...)
+}
+
+func newEdgeOfAge(t *testing.T, age time.Duration, out io.Writer, client *upstream.Client, servers ...*scriptedServer) *Edge {
 	journal := telemetry.NewJournal(out, "h", "a")
 	t.Cleanup(journal.Close)
 	e := New(Options{Host: "h", Zone: "a", Headers: testHeaders, Journal: journal, Client: client,
 		Budget: RetryBudget{Ratio: 0.2, Slack: 5, Window: 10 * time.Second}})
+	e.startedAt -= age
 	e.Configure(routes.Config{Version: 1, Services: map[string]routes.Service{"s": {Name: "s"}}, Routes: []routes.Route{
 		{Name: "safe", Host: "h", Prefix: "/safe/", Idempotent: true, Attempts: 2, Timeout: time.Second, TargetLatency: time.Second, Targets: []routes.Target{{Service: "s", Weight: 1}}},
 		{Name: "once", Host: "h", Prefix: "/once/", Attempts: 2, Timeout: time.Second, TargetLatency: time.Second, Targets: []routes.Target{{Service: "s", Weight: 1}}},
@@ -347,6 +353,25 @@
 	require.Greater(t, a.requestCount()+b.requestCount(), 10)
 }
 
+// Guards against a host that has the slack of the retry budget again with each start. The
+// process before it may just have used the slack.
+func TestStartedHostHasNoRetrySlack(t *testing.T) {
+	failing := func(r *http.Request) string { return formatResponse(r, 500, "X-Signature: s\r\n") }
+	a, b := startScriptedServer(t, "s1", failing), startScriptedServer(t, "s2", failing)
+	e := newEdgeOfAge(t, 0, io.Discard, upstream.NewClient(), a, b)
+	require.Equal(t, 500, sendRequest(e, context.Background(), "/safe/x").Status)
+	require.Equal(t, 1, a.requestCount()+b.requestCount())
+	for range 3 {
+		sendRequest(e, context.Background(), "/safe/x")
+	}
+	require.Equal(t, 4, a.requestCount()+b.requestCount())
+	sendRequest(e, context.Background(), "/safe/x")
+	require.Equal(t, 6, a.requestCount()+b.requestCount(), "five requests allow one retry")
+	e.startedAt -= e.options.Budget.Window
+	sendRequest(e, context.Background(), "/safe/x")
+	require.Equal(t, 8, a.requestCount()+b.requestCount())
+}
+
 // Guards against a retry that is counted although the budget did not allow it.
 func TestRetryWithoutBudgetIsNotCounted(t *testing.T) {
 	failing := func(r *http.Request) string { return formatResponse(r, 500, "X-Signature: s\r\n") }
