Bound the bodies that a host holds

Cause: bodies were read whole into a buffer that grows by copies, copied again for each attempt, and nothing bounded their sum. Responses that waited for slow callers were copied to be written, and not bounded either. A body of announced length has its room reserved before it is read; without room the request gets 503 with Retry-After at once, is logged with reason refused_memory and counted. Chunked bodies take room as they arrive. Bodies up to 4 KiB are always granted. Long bodies are kept in pieces of 256 KiB that are used again, and are written behind the head without a copy, the same ones by all attempts; long responses are written without a copy, too, and count until they are written. Responses that are being read keep their quarter, as a part of the account. Request.Payload becomes a list of pieces.

--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -33,6 +33,9 @@
 	// mapPollInterval is the interval at which a newer assignment map is looked for
 	// after a server answered that it does not hold the key.
 	mapPollInterval = 15 * time.Millisecond
+	// maxJoinedBody is the length, in bytes, up to which a body is copied behind its head
+	// and written with it.
+	maxJoinedBody = 16 << 10
 	// defaultRetryAfter is sent as Retry-After if no better estimate is known.
 	defaultRetryAfter = 500 * time.Millisecond
 	// maxAttempts limits the servers tried in turn without a complete response, and
@@ -211,8 +214,9 @@
 	defer cancel()
 	stopTimer := c.startSlowTimer(decision, cancel)
 	start := time.Now()
+	rawRequest, furtherBody := c.encodeRequest(s)
 	response, err := c.edge.options.Client.Do(ctx, upstream.Exchange{
-		Address: s.Address, Method: c.request.Method, RawRequest: c.encodeRequest(s), Matches: c.matchesResponse,
+		Address: s.Address, Method: c.request.Method, RawRequest: rawRequest, FurtherBody: furtherBody, Matches: c.matchesResponse,
 		// All attempts have the ID of the request, so on a connection of an earlier one its
 		// second response would be taken for the response to this one.
 		NewConn:    slices.Contains(c.sentServerIDs, s.ID),
@@ -293,10 +297,16 @@
 }
 
 // encodeRequest returns the request as it is written to a server, without the
-// headers of the caller's connection and with the remaining deadline.
-func (c *callerRequest) encodeRequest(s dispatch.Server) []byte {
+// headers of the caller's connection and with the remaining deadline. A body that is not
+// short follows in the pieces that it was read in, which all attempts share.
+func (c *callerRequest) encodeRequest(s dispatch.Server) (rawRequest []byte, furtherBody [][]byte) {
 	headers, r := c.edge.options.Headers, c.request
-	b := make([]byte, 0, 512+len(r.Payload))
+	size, short := r.PayloadSize(), r.PayloadSize() <= maxJoinedBody
+	joined := 0
+	if short {
+		joined = size
+	}
+	b := make([]byte, 0, 512+joined)
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.RequestURI...)
@@ -315,13 +325,19 @@
 	b = append(b, ": "...)
 	b = append(b, s.ID...)
 	b = append(b, "\r\n"...)
-	if len(r.Payload) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+	if size > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(r.Payload)), 10)
+		b = strconv.AppendInt(b, int64(size), 10)
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	return append(b, r.Payload...)
+	if !short {
+		return b, r.Payload
+	}
+	for _, piece := range r.Payload {
+		b = append(b, piece...)
+	}
+	return b, nil
 }
 
 // connectionOptions returns the names of the headers that the Connection header
--- a/relay/ingress/cutoff.go
+++ b/relay/ingress/cutoff.go
@@ -74,8 +74,14 @@
 
 // writeResponse writes a response. It returns false if the caller did not take all of it.
 func (c *conn) writeResponse(p *pipelinedRequest, closing bool) bool {
-	start, b := time.Now(), encodeResponse(p, closing)
+	start := time.Now()
+	b, furtherBody := encodeResponse(p, closing)
 	written, err := c.writeAll(b)
+	if err == nil && len(furtherBody) > 0 {
+		var n int
+		n, err = c.writeAll(furtherBody)
+		written += n
+	}
 	if err != nil {
 		reason := WriteFailed
 		if isTimeout(err) {
@@ -85,7 +91,7 @@
 		c.reportCutOff(CutOff{Reason: reason, Request: p.request, Status: p.response.Status, Written: written, Elapsed: time.Since(start), Err: err})
 		return false
 	}
-	c.lastWritten = writtenResponse{request: p.request, status: p.response.Status, size: len(b), at: time.Now()}
+	c.lastWritten = writtenResponse{request: p.request, status: p.response.Status, size: written, at: time.Now()}
 	return true
 }
 
--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -19,6 +19,7 @@
 
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/linger"
+	"parsleyrelay.example/relay/memory"
 	"parsleyrelay.example/relay/readlimit"
 )
 
@@ -34,14 +35,22 @@
 // DefaultLimits apply until a configuration is loaded.
 var DefaultLimits = routes.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
-// Request is a completely read request. Payload is its body, ReceivedAt the time
-// when it was complete.
+// Request is a completely read request. Payload is its body, in pieces that must not be
+// used after the Handler has returned; ReceivedAt is the time when it was complete.
 type Request struct {
 	*http.Request
-	Payload    []byte
+	Payload    [][]byte
 	ReceivedAt time.Time
 }
 
+// PayloadSize returns the length of the body in bytes.
+func (r *Request) PayloadSize() (size int) {
+	for _, piece := range r.Payload {
+		size += len(piece)
+	}
+	return size
+}
+
 // Response is a Handler's response.
 type Response struct {
 	Status int
@@ -58,9 +67,13 @@
 type Server struct {
 	Handler Handler
 	Limits  func() routes.Limits
+	// Memory holds the bodies of requests until their handler has returned, and those of
+	// responses until they are written. nil for no limit.
+	Memory *memory.Account
 	// OnReadError, if not nil, is called for each request that is answered with an
-	// error status because it could not be read.
-	OnReadError func(caller string, status int, cause error)
+	// error status because it could not be read, or had no room in Memory (ErrNoMemory). r
+	// is nil if its head was not read.
+	OnReadError func(caller string, r *http.Request, status int, cause error)
 	// OnCutOff, if not nil, is called for each response that its caller may not have
 	// received in whole.
 	OnCutOff func(CutOff)
@@ -77,9 +90,10 @@
 // pipelinedRequest is a request in the order of its connection. response is set
 // when done is closed.
 type pipelinedRequest struct {
-	request  *http.Request
-	done     chan struct{}
-	response *Response
+	request      *http.Request
+	done         chan struct{}
+	response     *Response
+	responseHold memory.Hold
 }
 
 type conn struct {
@@ -288,31 +302,34 @@
 		return false
 	}
 	c.heads.Remaining = readlimit.None
+	body, err := c.server.admitBody(request, limits.BodyBytes)
+	if err != nil {
+		c.refuseBody(request, err)
+		return false
+	}
 	c.limitRead(time.Now().Add(bodyReadTimeout))
 	// 100 Continue is sent only if no response is outstanding, because it would
 	// arrive out of order. Callers send the body without it after a wait.
 	if request.Header.Get("Expect") != "" && c.isIdle() {
 		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			c.cancel()
+			body.release(true)
 			return false
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, limits.BodyBytes+1))
-	if err != nil {
-		c.handleReadError(err)
-		return false
-	}
-	if int64(len(body)) > limits.BodyBytes {
-		c.refuseUnread(http.StatusRequestEntityTooLarge, errBodyTooLarge)
+	if err := body.read(request.Body, limits.BodyBytes); err != nil {
+		body.release(true)
+		c.refuseBody(request, err)
 		return false
 	}
 	p := &pipelinedRequest{request: request, done: make(chan struct{})}
 	if !c.enqueue(p) {
+		body.release(true)
 		return false
 	}
 	go func() {
 		defer close(p.done)
-		p.response = c.server.Handler(ctx, &Request{Request: request, Payload: body, ReceivedAt: time.Now()})
+		c.handle(ctx, p, body)
 	}()
 	return !request.Close
 }
@@ -352,23 +369,26 @@
 	switch {
 	case stopped: // the response before it closes the connection
 	case errors.Is(err, readlimit.ErrExceeded):
-		c.refuseUnread(http.StatusRequestHeaderFieldsTooLarge, err)
+		c.refuseUnread(nil, http.StatusRequestHeaderFieldsTooLarge, err)
 	case isTimeout(err):
-		c.refuseUnread(http.StatusRequestTimeout, err)
+		c.refuseUnread(nil, http.StatusRequestTimeout, err)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
 		c.cancel()
 	default:
-		c.refuseUnread(http.StatusBadRequest, err)
+		c.refuseUnread(nil, http.StatusBadRequest, err)
 	}
 }
 
 // refuseUnread answers a request that could not be read with an error status, and
-// the connection closes after it.
-func (c *conn) refuseUnread(status int, cause error) {
+// the connection closes after it. r is nil if its head was not read.
+func (c *conn) refuseUnread(r *http.Request, status int, cause error) {
 	if c.server.OnReadError != nil {
-		c.server.OnReadError(c.RemoteAddr().String(), status, cause)
+		c.server.OnReadError(c.RemoteAddr().String(), r, status, cause)
 	}
 	p := &pipelinedRequest{request: &http.Request{Close: true}, done: make(chan struct{}), response: &Response{Status: status}}
+	if status == http.StatusServiceUnavailable {
+		p.response.Header = http.Header{"Retry-After": {memoryRetryAfter}}
+	}
 	close(p.done)
 	c.enqueue(p)
 }
@@ -382,7 +402,9 @@
 		if p.response == nil || p.response.Abort {
 			break
 		}
-		if !c.writeResponse(p, last) || last {
+		written := c.writeResponse(p, last)
+		p.responseHold.Release()
+		if !written || last {
 			break
 		}
 		c.responseWritten()
@@ -396,6 +418,7 @@
 	c.closeLingering()
 	for _, p := range unanswered {
 		<-p.done
+		p.responseHold.Release()
 	}
 }
 
@@ -420,6 +443,3 @@
 		_ = c.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout + idleTimeoutSlack))
 	}
 }
-
-// errBodyTooLarge is the error of a request whose body exceeds the limit.
-var errBodyTooLarge = errors.New("request body exceeds the size limit")
--- a/relay/ingress/ingress_test.go
+++ b/relay/ingress/ingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -31,7 +32,7 @@
 }
 
 func echoHandler(_ context.Context, r *Request) *Response {
-	return &Response{Status: http.StatusOK, Header: http.Header{"X-Path": {r.URL.Path}}, Body: r.Payload}
+	return &Response{Status: http.StatusOK, Header: http.Header{"X-Path": {r.URL.Path}}, Body: bytes.Join(r.Payload, nil)}
 }
 
 func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
--- a/relay/ingress/write.go
+++ b/relay/ingress/write.go
@@ -33,10 +33,19 @@
 	return b
 }
 
+// maxJoinedBody is the length, in bytes, up to which a body is copied behind its head and
+// written with it.
+const maxJoinedBody = 16 << 10
+
 // encodeResponse returns a response with Content-Length; closing adds "Connection: close".
-func encodeResponse(p *pipelinedRequest, closing bool) []byte {
+// A body that is not short is returned apart, without a copy.
+func encodeResponse(p *pipelinedRequest, closing bool) (b, furtherBody []byte) {
 	response := p.response
-	b := make([]byte, 0, 512+len(response.Body))
+	joined := 0
+	if len(response.Body) <= maxJoinedBody {
+		joined = len(response.Body)
+	}
+	b = make([]byte, 0, 512+joined)
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(response.Status), 10)
 	b = append(b, ' ')
@@ -52,8 +61,8 @@
 		b = append(b, "Connection: close\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	if p.request.Method != http.MethodHead {
-		b = append(b, response.Body...)
+	if p.request.Method == http.MethodHead {
+		return b, nil
 	}
-	return b
+	return append(b, response.Body[:joined]...), response.Body[joined:]
 }
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -88,8 +88,11 @@
 	Address    string
 	Method     string
 	RawRequest []byte // header and body as written to the connection
-	Matches    func(http.Header) bool
-	NewConn    bool // opens a connection, even if one is idle
+	// FurtherBody is written after RawRequest, in these pieces, without a copy. It is not used
+	// any more when the exchange has ended. A short body belongs in RawRequest.
+	FurtherBody [][]byte
+	Matches     func(http.Header) bool
+	NewConn     bool // opens a connection, even if one is idle
 	// OpenedBefore limits the exchange to connections that were opened before a time, so
 	// that it reaches a process that ran then. None is opened without ConfirmNewConn. Zero
 	// for no limit.
@@ -379,7 +382,7 @@
 // exchange writes the request and reads the response. sent reports that bytes were
 // written, reusable that the connection can serve another request.
 func (cn *conn) exchange(x Exchange) (response *Response, sent, reusable bool, err error) {
-	if len(x.RawRequest) > longRequestBytes {
+	if len(x.RawRequest) > longRequestBytes || len(x.FurtherBody) > 0 {
 		return cn.exchangeLong(x)
 	}
 	if n, err := cn.Write(x.RawRequest); err != nil {
@@ -392,12 +395,13 @@
 // exchangeLong is exchange for a request that the server may answer before it has read it
 // all. The server may then read no further, or close the connection.
 func (cn *conn) exchangeLong(x Exchange) (response *Response, sent, reusable bool, err error) {
-	var n int
+	var n int64
 	var writeErr error
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		n, writeErr = cn.Write(x.RawRequest)
+		parts := append(net.Buffers{x.RawRequest}, x.FurtherBody...)
+		n, writeErr = parts.WriteTo(cn.Conn)
 	}()
 	response, reusable, err = cn.readMatching(x)
 	select {
