Refuse bodies over the limit by their announced length

What callers saw: a request whose Content-Length is over maxBodyBytes was asked for its body with 100 Continue, and got 413 only when the host had read it up to the limit. Cause: the limit was checked behind the read. Change: 413 by the announced length, before the body is read and without 100 Continue. Bodies of unknown length are read up to the limit, as before. Conclusion: an announced length costs no upload that is refused in any case.

--- a/relay/ingress/body.go
+++ b/relay/ingress/body.go
@@ -52,7 +52,10 @@
 // request is to be refused before its body is read.
 func (s *Server) admitBody(r *http.Request, limit int64) (*requestBody, error) {
 	b := &requestBody{announced: r.ContentLength, hold: memory.Hold{Account: s.Memory, Weight: bodyWeight}}
-	if b.announced > 0 && !b.hold.Grow(bufferBytes(min(b.announced, limit+1))) {
+	switch {
+	case b.announced > limit:
+		return nil, errBodyTooLarge
+	case b.announced > 0 && !b.hold.Grow(bufferBytes(b.announced)):
 		return nil, ErrNoMemory
 	}
 	return b, nil
