--- a/relay/ingress/panic.go
+++ b/relay/ingress/panic.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"runtime"
 	"strings"
-	"time"
 )
 
 // maxStackFrames limits the calls that a Panic lists.
@@ -23,8 +22,8 @@
 	Stack string
 }
 
-// handle runs the handler for a request and sets its response.
-func (c *conn) handle(ctx context.Context, p *pipelinedRequest, payload []byte) {
+// handle runs the handler for a request and sets its response, also if it panics.
+func (c *conn) handle(ctx context.Context, p *pipelinedRequest, b *requestBody) {
 	defer close(p.done)
 	defer func() {
 		if value := recover(); value != nil {
@@ -33,7 +32,7 @@
 			c.reportPanic(Panic{Request: p.request, Value: value, Stack: formatStack()})
 		}
 	}()
-	p.response = c.server.Handler(ctx, &Request{Request: p.request, Payload: payload, ReceivedAt: time.Now()})
+	c.runHandler(ctx, p, b)
 }
 
 func (c *conn) reportPanic(p Panic) {
--- a/relay/ingress/target_test.go
+++ b/relay/ingress/target_test.go
@@ -16,7 +16,7 @@
 	for _, target := range []string{"/a%zz", "/a%", "http://h/a%zz", "http://h%zz/a"} {
 		refused := make(chan int, 1)
 		_, address := startServerWith(t, &Server{
-			OnReadError: func(_ string, status int, _ error) { refused <- status },
+			OnReadError: func(_ string, _ *http.Request, status int, _ error) { refused <- status },
 			Handler: func(ctx context.Context, r *Request) *Response {
 				select {
 				case <-ctx.Done():
