Give 100 Continue a write deadline of its own

Cause: the deadline of the last write stayed in force, so the write of 100 Continue failed; the read loop then waited for the caller's close, with no response pending. Change: 100 Continue is written like a response, and the connection ends if that fails.

--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -343,9 +343,9 @@
 	// 100 Continue is sent only if no response is outstanding, because it would
 	// arrive out of order. Callers send the body without it after a wait.
 	if request.Header.Get("Expect") != "" && c.isIdle() {
-		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			c.cancel()
+		if _, err := c.writeAll([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			body.release(true)
+			c.stopReading()
 			return false
 		}
 	}
