Count the responses before the last one in the wait for their delivery

Cause: the wait of the lingering close was set by the size of the last response alone. Change: the time in which the written bytes arrive adds up over the responses of a connection, as that of linger.Listener does; both use linger.DeliveredAt. A response that failed to be written no longer ends the wait for those before it.

--- a/relay/ingress/cutoff.go
+++ b/relay/ingress/cutoff.go
@@ -46,16 +46,17 @@
 }
 
 // writtenResponse is a response that the system has taken. The caller may still have to
-// receive it.
+// receive it, and those before it on the connection.
 type writtenResponse struct {
-	request *http.Request
-	status  int
-	size    int // bytes, with the head
-	at      time.Time
+	request     *http.Request
+	status      int
+	size        int // bytes, with the head
+	at          time.Time
+	deliveredAt time.Time // when all that was written has arrived at linger.MinRate
 }
 
-// deliveryDeadline returns the time until which the response may take to arrive.
-func (w writtenResponse) deliveryDeadline() time.Time { return linger.Deadline(w.at, w.size) }
+// deliveryDeadline returns the time until which what was written may take to arrive.
+func (w writtenResponse) deliveryDeadline() time.Time { return w.deliveredAt.Add(linger.Timeout) }
 
 // writeResponse writes a response. It returns false if the caller did not take all of it.
 func (c *conn) writeResponse(p *pipelinedRequest, closing bool) bool {
@@ -72,11 +73,12 @@
 		if isTimeout(err) {
 			reason = WriteTimedOut
 		}
-		c.lastWritten = writtenResponse{} // what follows a part of a response needs no delivery
 		c.reportCutOff(CutOff{Reason: reason, Request: p.request, Status: p.response.Status, Written: written, Elapsed: time.Since(start), Err: err})
 		return false
 	}
-	c.lastWritten = writtenResponse{request: p.request, status: p.response.Status, size: written, at: time.Now()}
+	now := time.Now()
+	c.lastWritten = writtenResponse{request: p.request, status: p.response.Status, size: written, at: now,
+		deliveredAt: linger.DeliveredAt(c.lastWritten.deliveredAt, now, written)}
 	return true
 }
 
--- a/relay/ingress/cutoff_test.go
+++ b/relay/ingress/cutoff_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/relay/linger"
 )
 
 // bufferedBodySize fits into the buffers of the server's end of a connection, but not into
@@ -143,3 +145,21 @@
 		})
 	}
 }
+
+// Guards against a long response that is cut off because a short one, whose delivery takes
+// less time, is the last on its connection.
+func TestLongResponseBeforeAShortLastOneIsWaitedFor(t *testing.T) {
+	const size = 1 << 20
+	c := &conn{server: &Server{}}
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = near.Close() })
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	c.Conn = near
+	write := func(bodySize int) {
+		p := &pipelinedRequest{request: &http.Request{}, response: &Response{Status: http.StatusOK, Body: make([]byte, bodySize)}}
+		require.True(t, c.writeResponse(p, false))
+	}
+	write(size)
+	write(0)
+	require.GreaterOrEqual(t, time.Until(c.lastWritten.deliveryDeadline()), linger.Timeout+linger.DeliveryTime(size)-time.Second)
+}
--- a/relay/linger/listener.go
+++ b/relay/linger/listener.go
@@ -25,10 +25,17 @@
 	return time.Duration(bytes) * time.Second / MinRate
 }
 
-// Deadline returns the time until which a response that was written at a time may take to
-// arrive. size counts bytes.
-func Deadline(writtenAt time.Time, size int) time.Time {
-	return writtenAt.Add(Timeout + DeliveryTime(min(size, maxBuffered)))
+// DeliveredAt returns when a number of bytes that are written now have arrived at MinRate,
+// behind those that arrive until before.
+func DeliveredAt(before, now time.Time, bytes int) time.Time {
+	if before.Before(now) {
+		before = now
+	}
+	at := before.Add(DeliveryTime(bytes))
+	if latest := now.Add(DeliveryTime(maxBuffered)); at.After(latest) {
+		return latest
+	}
+	return at
 }
 
 // Listener makes the connections of another listener close as Close does, for servers such
@@ -122,14 +129,7 @@
 	c.noteError(err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	if c.deliveredAt.Before(now) {
-		c.deliveredAt = now
-	}
-	c.deliveredAt = c.deliveredAt.Add(DeliveryTime(n))
-	if latest := now.Add(DeliveryTime(maxBuffered)); c.deliveredAt.After(latest) {
-		c.deliveredAt = latest
-	}
+	c.deliveredAt = DeliveredAt(c.deliveredAt, time.Now(), n)
 	return n, err
 }
 
