--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -103,12 +103,16 @@
 	responseHold memory.Hold
 }
 
+// conn is a connection of a caller. readLoop reads requests and starts their handlers;
+// writeLoop writes the responses in order and closes the connection. Once closing is set, no
+// request is accepted, and the requests that are pending still get their responses.
+// readLoop closes pending when it ends; writeLoop makes it end by stopReading.
 type conn struct {
 	net.Conn
 	server  *Server
 	reader  *bufio.Reader
-	heads   *readlimit.Reader // below reader; limits the head of each request
-	pending chan *pipelinedRequest
+	heads   *readlimit.Reader      // below reader; limits the head of each request
+	pending chan *pipelinedRequest // in the order of their responses
 	cancel  context.CancelFunc
 
 	mu             sync.Mutex
