Drain the server of a test before its shutdown, as hosts do

Cause: the test, not the server. It shut down without a drain, so the response closes its connection only if the shutdown reaches the connection before the response is decided. Hosts drain first. Change: the test drains; what it asserts is the same.

--- a/relay/ingress/shutdown_test.go
+++ b/relay/ingress/shutdown_test.go
@@ -109,6 +109,7 @@
 	_, err = io.WriteString(c, formatGet("/"))
 	require.NoError(t, err)
 	<-l.accepted
+	s.Drain() // as a host does before it stops; responses close their connections from here on
 	finished := make(chan error, 1)
 	go func() {
 		if err := s.StopAccepting(l); err != nil {
