Add the interfaces of the work on hard load

These parts are built side by side and meet at the messages between hosts, the configuration and the settings.

--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -21,6 +21,7 @@
 	Host          string        // lower case, without port
 	Prefix        string        // begins and ends with a slash
 	Idempotent    bool          // requests may run more than once
+	Download      bool          // responses are large
 	Timeout       time.Duration // time until the final response is due; 0 for no limit
 	TargetLatency time.Duration // 0 if not configured
 	Rank          int           // 0 is the most urgent
@@ -34,6 +35,10 @@
 	HealthPath string
 	MaxConns   int  // connections that one server accepts from all callers together
 	Keyed      bool // a server runs a request only while it holds the request's key
+	// WarmupTime is the time for which a server stays cold after its start, and WarmupRate
+	// the requests per second that it tolerates meanwhile; 0 for no limit.
+	WarmupTime time.Duration
+	WarmupRate float64
 }
 
 // Limits restricts the size and the duration of what a caller sends.
--- a/relay/follow/damagedstate_test.go
+++ b/relay/follow/damagedstate_test.go
@@ -18,6 +18,10 @@
 	return p.response, nil
 }
 
+func (p fixedParent) LendWarmupPermits(context.Context, *followv1.WarmupPermitRequest) (*followv1.WarmupPermitResponse, error) {
+	return &followv1.WarmupPermitResponse{}, nil
+}
+
 // pollOnce lets a follower poll a leader that answers with a response.
 func pollOnce(t *testing.T, response *followv1.FollowResponse) (state *followerState, f *Follower, err error) {
 	response.Host, response.Leading = "leader", true
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -279,6 +279,11 @@
 	}
 }
 
+// LendWarmupPermits implements followv1.Leader. This host does not lend yet.
+func (s *Source) LendWarmupPermits(context.Context, *followv1.WarmupPermitRequest) (*followv1.WarmupPermitResponse, error) {
+	return &followv1.WarmupPermitResponse{}, nil
+}
+
 // recordReport passes a load report to the leader: to the assigner of this host if it
 // leads, or with this host's next report.
 func (s *Source) recordReport(r edge.LoadReport) {
