Accept load reports with a fourth number

Cause: some servers append the slowdown of their machine to the load header. parseLoad accepted three numbers only and dropped the whole report, so that their service had no load reports: no windows, no queue lengths, no service times for the leader.

Change: parseLoad reads the first three numbers, takes the fourth as dispatch.Load.Slowdown (in percent, 0 if it is not reported or cannot be read) and ignores further ones. It moves to relay/edge/load.go. Nothing uses the slowdown yet.

Result: TestLoadHeaderWithFurtherNumbers failed with the former parser (nil for "2,1,6,100,7,x") and passes now; tests of relay/edge and core/dispatch pass with -race.

Conclusion: services with three numbers behave as before.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -94,6 +94,9 @@
 // and the requests that it can run at a time.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is the time that work takes on the server's machine now, in percent of the
+	// usual; 0 if it was not reported.
+	Slowdown int
 }
 
 // Outcome says how an attempt to send a request to a server ended.
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -380,23 +380,6 @@
 	return &ingress.Response{Abort: true}
 }
 
-// parseLoad parses "running,waiting,slots"; it returns nil for malformed text.
-func parseLoad(s string) *dispatch.Load {
-	fields := strings.Split(s, ",")
-	if len(fields) != 3 {
-		return nil
-	}
-	var numbers [3]int
-	for i, p := range fields {
-		v, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || v < 0 {
-			return nil
-		}
-		numbers[i] = v
-	}
-	return &dispatch.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
-}
-
 // formatSeconds formats a duration in seconds with three decimals.
 func formatSeconds(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
