Refuse requests for servers that stopped answering, and ignore momentary queues

Cause: with 60 hosts each sends a request to a server every few seconds. A host noticed a silent server only by a timeout of its own, and a window that had fallen below one request for a queue of a moment refused requests seconds later.

Change: hosts report how many keyed requests they sent to each server and how many it answered. The leader of 50 hosts or more finds servers that answer nobody for 0.9 s and three mean service times, and lets a tenth of their requests through until they answer (core/assignment/silence.go, event load_limited with silent=true). A window falls below one request only if a server refuses or its queue is longer than its slots. core/model learns slowdowns.

--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -97,6 +97,7 @@
 	fillingServers        map[endpoint]bool // servers that had no ranges and are getting their share
 	hostCount             int
 	queueReports          map[string]queueReports             // by server ID
+	contacts              map[string]*serverContact           // by server ID
 	admittedLoads         map[string]map[string]float64       // of limited servers, by service and server ID
 	admittedShares        map[string]float64                  // see AdmittedShares
 	completedReleases     []CompletedRelease                  // since the last TakeCompletedReleases
@@ -114,7 +115,7 @@
 func NewLeader(now time.Duration, acknowledged *Map, options Options) *Leader {
 	l := &Leader{
 		options: options, acknowledged: acknowledged, openCalls: map[uint64]*trackedRange{}, servers: map[string]map[string]directory.Server{}, firstServerAt: map[string]time.Duration{},
-		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[endpoint]addressReuse{}, refusedUntil: map[ServerIncarnation]time.Duration{}, fillingServers: map[endpoint]bool{},
+		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, contacts: map[string]*serverContact{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[endpoint]addressReuse{}, refusedUntil: map[ServerIncarnation]time.Duration{}, fillingServers: map[endpoint]bool{},
 		rangeCounts: map[string]int{}, assignable: map[string][]directory.Server{},
 	}
 	l.draft = acknowledged.clone()
--- a/core/assignment/overload.go
+++ b/core/assignment/overload.go
@@ -65,6 +65,7 @@
 // queues that they reported since the last call.
 func (l *Leader) limitOverload(service string, loads []*serverLoad) {
 	if l.hostCount < minLimitingHosts {
+		clear(l.contacts)
 		l.admittedLoads, l.admittedShares = map[string]map[string]float64{}, nil
 		return
 	}
@@ -77,6 +78,14 @@
 		id := s.server.ID
 		reports := l.queueReports[id]
 		delete(l.queueReports, id)
+		delete(shares, id)
+		if l.updateSilence(service, id); l.IsSilent(id) {
+			if shares == nil {
+				shares = map[string]float64{}
+			}
+			shares[id] = silentShare
+			continue
+		}
 		capacity := l.requestRate(s.server)
 		if capacity == 0 {
 			continue
--- /dev/null
+++ b/core/assignment/silence.go
@@ -0,0 +1,80 @@
+package assignment
+
+import (
+	"math"
+	"time"
+)
+
+// This file finds servers that have stopped answering. A host sends so few requests to each
+// server that it notices a silent one only when a request times out, so that with many hosts
+// each of them loses requests. The leader sees the requests and responses of all hosts.
+
+const (
+	// minSilence is the shortest time without a response after which a server is silent. A
+	// server whose machine is slowed by others for a moment still answers meanwhile.
+	minSilence = 900 * time.Millisecond
+	// silentServiceTimes is the least number of mean service times that the silence lasts.
+	silentServiceTimes = 3
+	// minSilentSends is the least number of requests that were sent without a response. The
+	// slots of a server that works are not all occupied by that many requests for so long.
+	minSilentSends = 5
+	// silentShare is the share of the requests for a silent server that hosts may queue, so
+	// that they notice when it answers again. The others are refused at once, because their
+	// callers would wait for a timeout.
+	silentShare = 0.1
+)
+
+// serverContact counts the requests that all hosts sent to a server and its responses.
+type serverContact struct {
+	sent, answered int // in the present interval
+	unanswered     int // requests sent since the last response
+	quietIntervals int // balancing intervals since the first of these
+	silent         bool
+}
+
+// RecordContact records that hosts sent a number of requests to a server, and that it
+// answered a number of requests, since their last reports.
+func (l *Leader) RecordContact(server string, sent, answered int) {
+	if sent <= 0 && answered <= 0 || !l.isListed(server) {
+		return
+	}
+	c := l.contacts[server]
+	if c == nil {
+		c = &serverContact{}
+		l.contacts[server] = c
+	}
+	c.sent += max(0, sent)
+	c.answered += max(0, answered)
+}
+
+// IsSilent reports whether a server has stopped answering.
+func (l *Leader) IsSilent(server string) bool {
+	c := l.contacts[server]
+	return c != nil && c.silent
+}
+
+// updateSilence ends an interval of a server's contact.
+func (l *Leader) updateSilence(service, server string) {
+	c := l.contacts[server]
+	if c == nil {
+		return
+	}
+	silence := max(minSilence.Seconds(), silentServiceTimes*l.meanSecondsOf(service))
+	c.endInterval(int(math.Ceil(silence / shortTermPolicy.interval.Seconds())))
+}
+
+// endInterval begins the next interval. The server is silent if it has not answered for a
+// number of intervals, and until its next response.
+func (c *serverContact) endInterval(silentIntervals int) {
+	sent, answered := c.sent, c.answered
+	c.sent, c.answered = 0, 0
+	if answered > 0 {
+		c.unanswered, c.quietIntervals, c.silent = 0, 0, false
+		return
+	}
+	if c.unanswered > 0 {
+		c.quietIntervals++
+	}
+	c.unanswered += sent
+	c.silent = c.silent || c.quietIntervals >= silentIntervals && c.unanswered >= minSilentSends
+}
--- a/core/dispatch/manyhosts_test.go
+++ b/core/dispatch/manyhosts_test.go
@@ -100,3 +100,20 @@
 		require.LessOrEqual(t, float64(calm.refused), 0.02*float64(calm.asked), "%d hosts", hosts)
 	}
 }
+
+// Pattern: servers whose machines are slowed to a third by others for 400 ms now and then,
+// at nine tenths of their capacity, and so many hosts that each sends a request to a server
+// every few seconds. Guards against windows that fall below one request for a queue of a
+// moment and refuse requests when it is gone.
+func TestMomentaryQueuesRefuseFewRequests(t *testing.T) {
+	for _, hosts := range []int{60, 295} {
+		servers := model.Servers{ID: "s", Count: 20, Slots: 6, MaxQueue: 24, ResetsWhenFull: true}
+		phase := model.Phase{Name: "slowdowns", Duration: 20 * time.Second, Load: 0.65, Slowdown: 3, SlowdownLength: 400 * time.Millisecond, SlowdownPeriod: 2 * time.Second}
+		simulation, err := model.New(model.Scenario{IdleTimeout: time.Second, Servers: servers, Phases: []model.Phase{phase}, Classes: []model.Class{
+			{Name: "lookup", Rank: 0, Share: 1, ServiceTime: 210 * time.Millisecond, MaxQueueWait: 480 * time.Millisecond, Target: 800 * time.Millisecond, Deadline: 2 * time.Second}}}, hosts, 1)
+		require.NoError(t, err)
+		result := simulation.RunPhase(phase)
+		t.Logf("%d hosts: %d of %d requests refused, %d rejected, %d in time", hosts, result.RefusedAtHost, result.Submitted, result.Rejected, result.InTime)
+		require.LessOrEqual(t, float64(result.RefusedAtHost+result.Rejected), 0.01*float64(result.Submitted), "%d hosts", hosts)
+	}
+}
--- a/core/dispatch/windows.go
+++ b/core/dispatch/windows.go
@@ -137,8 +137,13 @@
 		return
 	}
 	least, slots := minKeyedWindow, float64(max(1, s.Slots))
-	if hosts := float64(p.hostCount); hosts <= fewHosts*slots {
+	switch hosts := float64(p.hostCount); {
+	case hosts <= fewHosts*slots:
 		least = min(1, leastOccupancy*slots/hosts)
+	case factor > maxWindowReduction && float64(s.load.Waiting) <= slots:
+		// The queue is empty within a service time, but a host that sends a request every few
+		// seconds would hold back the next one for longer.
+		least = 1
 	}
 	s.window = max(least, s.window*max(maxWindowReduction, min(1, factor)))
 	s.windowReducedAt, s.windowAdjustedAt = now, now
--- a/core/model/scenario.go
+++ b/core/model/scenario.go
@@ -77,6 +77,21 @@
 	Burst       float64       `json:"burst"`
 	BurstLength time.Duration `json:"burstLength"`
 	BurstPeriod time.Duration `json:"burstPeriod"`
+	// Slowdown multiplies the service times of the requests that start at a server in the
+	// first SlowdownLength of each SlowdownPeriod, which begins at another time at each
+	// server; 0 for no slowdowns.
+	Slowdown       float64       `json:"slowdown"`
+	SlowdownLength time.Duration `json:"slowdownLength"`
+	SlowdownPeriod time.Duration `json:"slowdownPeriod"`
+}
+
+// slowdownAt returns the factor of the service times at a server.
+func (p Phase) slowdownAt(now time.Duration, server, servers int) float64 {
+	offset := p.SlowdownPeriod * time.Duration(server) / time.Duration(servers)
+	if p.Slowdown > 0 && (now+offset)%p.SlowdownPeriod < p.SlowdownLength {
+		return p.Slowdown
+	}
+	return 1
 }
 
 // loadAt returns the load of all servers at a time since the start of the phase.
@@ -159,6 +174,8 @@
 		check(p.Wave == 0 || p.WavePeriod > 0, place+"wavePeriod", "is required with wave")
 		atLeast(p.Burst, 0, place+"burst")
 		check(p.Burst == 0 || p.BurstLength > 0 && p.BurstPeriod >= p.BurstLength, place+"burstPeriod", "burst needs burstLength, and burstPeriod of at least burstLength")
+		check(p.Slowdown == 0 || p.Slowdown >= 1 && p.Slowdown <= 1000, place+"slowdown", "has to be from 1 to 1000")
+		check(p.Slowdown == 0 || p.SlowdownLength > 0 && p.SlowdownPeriod >= p.SlowdownLength, place+"slowdownPeriod", "slowdown needs slowdownLength, and slowdownPeriod of at least slowdownLength")
 	}
 	if len(findings) > 0 {
 		return findings
--- a/core/model/simulation.go
+++ b/core/model/simulation.go
@@ -59,6 +59,7 @@
 	idle       map[route][]time.Duration // connections, by the time of their last use
 	random     *rand.Rand
 	shareTotal float64 // sum of the classes' shares
+	playing    Phase
 	phase      PhaseResult
 }
 
@@ -115,7 +116,7 @@
 // RunPhase plays a phase after those played before and returns its result. The phase has
 // to be valid, see Scenario.Validate.
 func (m *Simulation) RunPhase(p Phase) PhaseResult {
-	m.phase = PhaseResult{Phase: p.Name}
+	m.playing, m.phase = p, PhaseResult{Phase: p.Name}
 	for _, c := range m.scenario.Classes {
 		m.phase.Classes = append(m.phase.Classes, ClassResult{Class: c.Name, Rank: c.Rank})
 	}
@@ -254,9 +255,10 @@
 
 func (m *Simulation) start(r request) {
 	s, c, counts := &m.servers[r.server], m.scenario.Classes[r.class], &m.phase.Classes[r.class]
+	slowFactor := s.slowFactor * m.playing.slowdownAt(m.now, r.server, len(m.servers))
 	s.running++
 	counts.waits = append(counts.waits, m.now-r.submittedAt)
-	m.endAfter(time.Duration(s.slowFactor*float64(c.ServiceTime)), attemptEnd{request: r, result: dispatch.AttemptResult{Outcome: dispatch.OK, Rank: c.Rank}})
+	m.endAfter(time.Duration(slowFactor*float64(c.ServiceTime)), attemptEnd{request: r, result: dispatch.AttemptResult{Outcome: dispatch.OK, Rank: c.Rank}})
 }
 
 // endAfter ends an attempt after d, rounded up to a step.
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -184,7 +184,7 @@
 	}
 	for id, share := range current {
 		if _, ok := former[id]; !ok {
-			a.options.Journal.LogEvent(event.LoadLimited, "server", id, "share", share)
+			a.options.Journal.LogEvent(event.LoadLimited, "server", id, "share", share, "silent", a.leader.IsSilent(id))
 		}
 	}
 	for id := range former {
@@ -232,6 +232,7 @@
 	for server, t := range r.ServiceTimes {
 		a.leader.RecordServiceTimes(server, t.Count, t.Sum)
 		a.leader.RecordQueue(server, t.Reports, t.Waiting)
+		a.leader.RecordContact(server, t.Sent, t.Answered)
 	}
 }
 
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -216,6 +216,9 @@
 	defer cancel()
 	stopTimer := c.startSlowTimer(decision, cancel)
 	defer stopTimer()
+	if c.keyed {
+		c.edge.recordContact(s.ID, 1, 0)
+	}
 	start := time.Now()
 	rawRequest, furtherBody := c.encodeRequest(s)
 	response, err := c.edge.options.Client.Do(ctx, upstream.Exchange{
--- a/relay/edge/loadreport.go
+++ b/relay/edge/loadreport.go
@@ -15,12 +15,15 @@
 
 // ServiceTime sums the latencies of the keyed requests whose response reported a
 // free slot and an empty queue, so that they include no time in the server's queue. It
-// also sums the queue lengths that all responses to keyed requests reported.
+// also sums the queue lengths that all responses to keyed requests reported, and counts
+// the keyed requests that were sent and answered.
 type ServiceTime struct {
-	Count   int // responses with a free slot and an empty queue
-	Sum     time.Duration
-	Reports int // responses that reported a queue length
-	Waiting int // sum of the waiting requests in these reports
+	Sent     int
+	Answered int // complete responses, refusals included
+	Count    int // responses with a free slot and an empty queue
+	Sum      time.Duration
+	Reports  int // responses that reported a queue length
+	Waiting  int // sum of the waiting requests in these reports
 }
 
 // maxReportedKeys limits the keys recorded per service in one report.
@@ -76,6 +79,20 @@
 	e.loadReport.ServiceTimes[server] = t
 }
 
+// recordContact counts keyed requests that are sent to a server, and its responses.
+func (e *Edge) recordContact(server string, sent, answered int) {
+	e.loadReportMu.Lock()
+	defer e.loadReportMu.Unlock()
+	e.dropOldReportLocked()
+	if e.loadReport.ServiceTimes == nil {
+		e.loadReport.ServiceTimes = map[string]ServiceTime{}
+	}
+	t := e.loadReport.ServiceTimes[server]
+	t.Sent += sent
+	t.Answered += answered
+	e.loadReport.ServiceTimes[server] = t
+}
+
 // AddLoadReport adds the report of another host, which follows this one, to this host's
 // next report.
 func (e *Edge) AddLoadReport(r LoadReport) {
@@ -95,7 +112,7 @@
 	}
 	for server, t := range r.ServiceTimes {
 		own := e.loadReport.ServiceTimes[server]
-		e.loadReport.ServiceTimes[server] = ServiceTime{Count: own.Count + t.Count, Sum: own.Sum + t.Sum, Reports: own.Reports + t.Reports, Waiting: own.Waiting + t.Waiting}
+		e.loadReport.ServiceTimes[server] = ServiceTime{Sent: own.Sent + t.Sent, Answered: own.Answered + t.Answered, Count: own.Count + t.Count, Sum: own.Sum + t.Sum, Reports: own.Reports + t.Reports, Waiting: own.Waiting + t.Waiting}
 	}
 }
 
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -147,6 +147,9 @@
 		result.Outcome = c.classifyMisdirected(s, r)
 	}
 	c.reportResult(s.ID, result)
+	if c.keyed {
+		c.edge.recordContact(s.ID, 0, 1)
+	}
 	if c.keyed && result.Load != nil {
 		c.edge.recordServerLoad(s.ID, *result.Load, result.Outcome == dispatch.OK, latency)
 	}
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -304,7 +304,7 @@
 			report.RequestedKeys[a.Service] = append(report.RequestedKeys[a.Service], uint16(k))
 		}
 		for _, t := range a.Times {
-			report.ServiceTimes[t.Server] = edge.ServiceTime{Count: int(t.Count), Sum: time.Duration(t.SumMs) * time.Millisecond, Reports: int(t.Reports), Waiting: int(t.Waiting)}
+			report.ServiceTimes[t.Server] = edge.ServiceTime{Sent: int(t.Sent), Answered: int(t.Answered), Count: int(t.Count), Sum: time.Duration(t.SumMs) * time.Millisecond, Reports: int(t.Reports), Waiting: int(t.Waiting)}
 		}
 	}
 	return report
