Choose servers by expected completion with cost routing

Cause: bestServer multiplies a moving average of a server's latency, which includes queues and slow spells, and takes a server without a recent report for empty. With 60 hosts that get a response of a server every few seconds, all send to the servers that look fast.

Change: Pool.SetCostRouting (off, reported or always). When it is active, the cost of a server without keys is the expected wait for a slot, counted twice, plus the time of the request there, by core/cost. The wait counts this host's requests by estimated work and those of others by the last report, which falls back to the server's usual number within 200 ms, and by the variance of that number. The expected wait of queued requests sums their work; for keys it includes the rest of the requests in flight when the window is full, and the reported queue. Decision.Placement returns with AttemptResult, so that work in flight is counted by estimate. expectedWait moves to waits.go. No caller activates it yet.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -16,6 +16,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"parsleyrelay.example/core/cost"
 )
 
 // Parameters of the dispatch policy.
@@ -158,6 +160,8 @@
 	Rank    int
 	Latency time.Duration // from dispatch to the end of the attempt
 	Load    *Load         // reported with the response; nil when there is none
+	// Placement is that of the decision which assigned the request to the server.
+	Placement Placement
 }
 
 // RefusalReason says why a request was refused. A refused request was not sent.
@@ -181,7 +185,8 @@
 	Keyed        bool          // only the server that holds Key can serve it
 	Key          uint16
 	ExcludeIDs   []string // servers that have been tried
-	sequence     uint64   // order of submission
+	Class        cost.Class
+	sequence     uint64 // order of submission
 	submitted    time.Duration
 }
 
@@ -194,6 +199,7 @@
 	// their response. It is 0 for services with keys, and until enough responses
 	// have been seen.
 	LatencyBound time.Duration
+	Placement    Placement
 }
 
 // HolderLookup returns the server that holds a key. If no server holds the key, id
@@ -204,6 +210,7 @@
 type queuedRequest struct {
 	Request
 	onDecision func(Decision)
+	work       float64 // estimated, in seconds; 0 without cost routing
 }
 
 // Pool queues the requests of one service at one host and distributes them over
@@ -227,6 +234,10 @@
 
 	urgentWork, otherWork float64 // seconds that servers spent on rank 0 and on other ranks, decaying
 	workUpdatedAt         time.Duration
+
+	costRouting CostRouting
+	costs       *cost.Estimator // nil while requests are not placed by cost
+	others      usualLoad       // of all servers
 }
 
 // initialCommonWindow is the common window before any load report, in requests in
@@ -275,7 +286,7 @@
 func (p *Pool) Submit(now time.Duration, r Request, onDecision func(Decision)) (cancel func()) {
 	p.lastSequence++
 	r.sequence, r.submitted = p.lastSequence, now
-	request := &queuedRequest{Request: r, onDecision: onDecision}
+	request := &queuedRequest{Request: r, onDecision: onDecision, work: p.EstimateWork(now, r.Class)}
 	if reason, wait := p.predictRefusal(now, request); reason != "" {
 		onDecision(Decision{Reason: reason, RetryAfter: wait})
 		return func() {}
@@ -297,7 +308,7 @@
 // ReportResult is called.
 func (p *Pool) TryAssign(now time.Duration, r Request) (Decision, bool) {
 	r.submitted = now
-	decision, ok := p.decide(now, &queuedRequest{Request: r})
+	decision, ok := p.decide(now, &queuedRequest{Request: r, work: p.EstimateWork(now, r.Class)})
 	return decision, ok && decision.Reason == ""
 }
 
@@ -346,45 +357,6 @@
 
 func clampRetryAfter(d time.Duration) time.Duration { return min(max(d, minRetryAfter), maxRetryAfter) }
 
-// expectedWait estimates the time that a new request would spend in the queue.
-func (p *Pool) expectedWait(now time.Duration, request *queuedRequest) time.Duration {
-	if p.holderOf == nil || !request.Keyed {
-		ahead := 0
-		for _, queued := range p.queue {
-			if queued.Rank <= request.Rank {
-				ahead++
-			}
-		}
-		pause := p.requestedPause(now, request)
-		if ahead == 0 {
-			return pause
-		}
-		return pause + secondsToDuration(float64(ahead)*p.meanLatency()/max(1, p.commonWindow))
-	}
-	id, _ := p.holderOf(request.Key)
-	s := p.servers[id]
-	if s == nil {
-		return 0
-	}
-	ahead := 0
-	for _, queued := range p.queue {
-		if queued.Rank <= request.Rank && queued.Keyed {
-			if holder, _ := p.holderOf(queued.Key); holder == id {
-				ahead++
-			}
-		}
-	}
-	return max(s.windowWait(now, ahead, request.Rank), s.resumeWait(ahead)) + max(0, s.pausedUntil-now, s.requestedPause(now))
-}
-
-func (p *Pool) meanLatency() float64 {
-	sum := 0.0
-	for _, s := range p.candidates {
-		sum += s.latency
-	}
-	return sum / float64(max(1, len(p.candidates)))
-}
-
 // Dispatch assigns or refuses every queued request for which that is possible now.
 func (p *Pool) Dispatch(now time.Duration) {
 	undecided := p.queue[:0]
@@ -436,7 +408,7 @@
 		if !p.hasCapacity(now, s, request) {
 			return Decision{}, false
 		}
-		return p.assign(now, s), true
+		return p.assign(now, s, request), true
 	}
 	if len(p.candidates) == 0 {
 		return Decision{Reason: NoServer, RetryAfter: clampRetryAfter(time.Second)}, true
@@ -450,17 +422,18 @@
 		p.requestWaited = true
 		return Decision{}, false
 	}
-	decision := p.assign(now, s)
+	decision := p.assign(now, s, request)
 	decision.LatencyBound = p.latencyEstimates[request.Rank].latencyBound()
 	return decision, true
 }
 
 // assign counts a request as in flight at a server and returns the decision.
-func (p *Pool) assign(now time.Duration, s *serverState) Decision {
+func (p *Pool) assign(now time.Duration, s *serverState, request *queuedRequest) Decision {
+	placement := p.newPlacement(now, s, request)
 	s.inflight++
 	s.lastAssignedAt = now
 	p.inflight++
-	return Decision{Server: s.Server}
+	return Decision{Server: s.Server, Placement: placement}
 }
 
 // ReportResult records how an attempt at a server ended and dispatches queued
@@ -476,6 +449,7 @@
 	if s.removed && s.inflight == 0 {
 		delete(p.servers, id)
 	}
+	p.recordCost(now, s, r)
 	p.updateServer(now, s, r)
 	if p.holderOf == nil {
 		p.recordLatency(r)
--- a/core/dispatch/scenarios_test.go
+++ b/core/dispatch/scenarios_test.go
@@ -117,7 +117,7 @@
 	firstComeFirstServed := urgentShareInTime(func(s *simulation, hosts []*Pool, kind string, serviceTime time.Duration) {
 		f := s.servers[fmt.Sprint("s", random.IntN(len(s.servers)))]
 		p := hosts[0]
-		p.assign(s.now, p.servers[f.ID])
+		p.assign(s.now, p.servers[f.ID], &queuedRequest{})
 		s.deliver(f, simulatedRequest{kind: kind, serviceTime: serviceTime, pool: p, arrivedAt: s.now, sentAt: s.now})
 	})
 	t.Logf("urgent requests in time: %.2f by rank, %.2f in order of arrival", byRank, firstComeFirstServed)
--- a/core/dispatch/servers.go
+++ b/core/dispatch/servers.go
@@ -29,6 +29,7 @@
 	resumeWindow     float64       // limit of inflight after a pause for which the server asked; 0 for none
 	removed          bool          // no longer listed; kept until its requests have ended
 	reservationOrder float64       // in [0, 1]; servers below the reserved share are reserved
+	costs            costState
 }
 
 // subset returns the servers that this host uses. These are all servers of a
@@ -143,7 +144,11 @@
 		}
 		// The first load term is the wait for a slot if all are taken; the second, small
 		// one prefers the less loaded of the servers that have free slots.
-		cost := s.latency * (1 + errorPenalty*s.errorRate*s.errorRate) * (1 + max(0, outstanding+1-slots)/slots + 0.1*outstanding/slots)
+		errorFactor := 1 + errorPenalty*s.errorRate*s.errorRate
+		cost := s.latency * errorFactor * (1 + max(0, outstanding+1-slots)/slots + 0.1*outstanding/slots)
+		if p.costs != nil {
+			cost = p.completionCost(now, s, request) * errorFactor
+		}
 		if s.Cold {
 			cost *= 2
 		}
