--- a/core/event/event.go
+++ b/core/event/event.go
@@ -35,7 +35,7 @@
 }
 
 // Event codes by subject: 1xx process, 2xx log and state, 3xx witnesses and lease,
-// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators.
+// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators, 83x costs of requests.
 //
 // EntryIgnored is about a record that could not be decoded or used, RecordIgnored
 // about a valid record whose precondition did not hold when it was applied. The
@@ -124,6 +124,8 @@
 	ChangeAccepted     Code = 701
 	ChangeRefused      Code = 702
 	ZoneDeclaredLost   Code = 703
+	CostRoutingStarted Code = 831
+	CostsSummed        Code = 832
 )
 
 // Definitions lists all events in the order of their codes.
@@ -210,4 +212,6 @@
 	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
 	{ChangeRefused, "change_refused", "A change of a resource was refused."},
 	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
+	{CostRoutingStarted, "cost_routing_started", "The requests of a service are placed by their estimated cost from now on."},
+	{CostsSummed, "costs_summed", "Estimated and actual work of the requests of a service since the last such line."},
 }
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -60,6 +60,8 @@
 	// OnSignal is called with news that a response has of its server, before the response
 	// is passed on; nil if nobody listens.
 	OnSignal func(Signal)
+	// CostRouting says whether requests are placed by their estimated cost.
+	CostRouting dispatch.CostRouting
 }
 
 // Edge handles requests. It is safe for concurrent use.
@@ -315,16 +317,18 @@
 	retryBudget       retry.HostBudget
 	dispatchScheduled bool
 	clock             func() time.Duration // Edge.now
+	costs             costReporter
 }
 
 func newServicePool(e *Edge, service string, keyed bool) *servicePool {
-	p := &servicePool{keyed: keyed, clock: e.now}
+	p := &servicePool{keyed: keyed, clock: e.now, costs: costReporter{edge: e, service: service}}
 	var holder dispatch.HolderLookup
 	if keyed {
 		holder = func(key uint16) (string, time.Duration) { return e.keyHolder(service, key) }
 	}
 	p.dispatchPool = dispatch.NewPool(e.options.Host, e.options.Zone, holder)
 	p.dispatchPool.SetHostCount(e.options.Budget.HostCount)
+	p.dispatchPool.SetCostRouting(e.now(), e.options.CostRouting)
 	p.retryBudget = retry.HostBudget{Ratio: e.options.Budget.Ratio, Slack: e.slackPerHost(), Window: e.options.Budget.Window}
 	return p
 }
@@ -370,7 +374,7 @@
 		select {
 		case v := <-decision:
 			if v.Reason == "" {
-				p.dispatchPool.ReportResult(p.clock(), v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+				p.dispatchPool.ReportResult(p.clock(), v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled, Placement: v.Placement})
 			}
 		default:
 		}
@@ -398,7 +402,9 @@
 func (p *servicePool) reportResult(id string, r dispatch.AttemptResult) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.dispatchPool.ReportResult(p.clock(), id, r)
+	now := p.clock()
+	p.dispatchPool.ReportResult(now, id, r)
+	p.costs.report(now, p.dispatchPool)
 }
 
 // tryReserveServerAndRetry reserves a server with free capacity and one retry of the budget.
@@ -409,7 +415,7 @@
 	now := p.clock()
 	v, ok := p.dispatchPool.TryAssign(now, r)
 	if ok && !p.retryBudget.TryReserve(now) {
-		p.dispatchPool.ReportResult(now, v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		p.dispatchPool.ReportResult(now, v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled, Placement: v.Placement})
 		return dispatch.Decision{}, false
 	}
 	return v, ok
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"parsleyrelay.example/core/cost"
 	"parsleyrelay.example/core/dispatch"
 	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/core/routes"
@@ -53,7 +54,9 @@
 	deadline  time.Time
 	key       uint16
 	keyed     bool
+	costs     cost.Class
 
+	placement      dispatch.Placement // of the present attempt
 	attemptsSent   int                // attempts that may have reached a server
 	possibleRuns   int                // attempts that a server may have run
 	mapVersion     uint64             // version of the assignment map by which the last server was selected
@@ -100,6 +103,7 @@
 	}
 	c := &callerRequest{edge: e, request: r, route: route, requestID: id, service: e.splitter.Pick(route)}
 	c.setPool()
+	c.costs = c.costFeatures()
 	c.deadline = r.ReceivedAt.Add(e.requestTimeout(r, route))
 	if c.keyed {
 		e.recordKeyRequest(c.service, c.key)
@@ -182,7 +186,7 @@
 	c.mapVersion = c.edge.mapVersion()
 	now := c.edge.now()
 	decision, cancel := c.pool.submit(dispatch.Request{
-		Rank: c.route.Rank, Deadline: now + left - minAttemptTime, MaxQueueWait: maxQueueWait, Keyed: c.keyed, Key: c.key, ExcludeIDs: c.triedServerIDs,
+		Rank: c.route.Rank, Deadline: now + left - minAttemptTime, MaxQueueWait: maxQueueWait, Keyed: c.keyed, Key: c.key, ExcludeIDs: c.triedServerIDs, Class: c.costs,
 	})
 	select {
 	case v := <-decision:
@@ -199,7 +203,7 @@
 	s := decision.Server
 	reserved := c.reservedRetry != nil
 	c.reservedRetry = nil
-	c.unreported = true
+	c.unreported, c.placement = true, decision.Placement
 	defer c.releaseUnreported(s.ID)
 	if c.attemptsSent > 0 && !reserved && !c.pool.tryReserveRetryBudget() {
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
@@ -240,7 +244,7 @@
 
 // reportResult reports the result of the attempt at a server and releases the server.
 func (c *callerRequest) reportResult(id string, r dispatch.AttemptResult) {
-	c.unreported = false
+	c.unreported, r.Placement = false, c.placement
 	c.pool.reportResult(id, r)
 }
 
@@ -276,7 +280,7 @@
 	if decision.LatencyBound == 0 || c.keyed || !c.route.Idempotent || c.possibleRuns+1 >= max(1, c.route.Attempts) || len(c.triedServerIDs)+1 >= maxAttempts || left < decision.LatencyBound+decision.LatencyBound/2 {
 		return func() bool { return false }
 	}
-	request := dispatch.Request{Rank: c.route.Rank, Deadline: c.edge.now() + left - minAttemptTime, MaxQueueWait: left, ExcludeIDs: append(slices.Clone(c.triedServerIDs), decision.Server.ID)}
+	request := dispatch.Request{Rank: c.route.Rank, Deadline: c.edge.now() + left - minAttemptTime, MaxQueueWait: left, ExcludeIDs: append(slices.Clone(c.triedServerIDs), decision.Server.ID), Class: c.costs}
 	var mu sync.Mutex
 	stopped, slow := false, false
 	timer := time.AfterFunc(decision.LatencyBound, func() {
@@ -303,7 +307,7 @@
 // not made. The retry stays charged to the budget.
 func (c *callerRequest) releaseReservedRetry() {
 	if c.reservedRetry != nil {
-		c.pool.reportResult(c.reservedRetry.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		c.pool.reportResult(c.reservedRetry.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled, Placement: c.reservedRetry.Placement})
 		c.reservedRetry = nil
 	}
 }
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -32,6 +32,8 @@
 	MetricLinesOmitted          = "parsleyrelay_log_lines_omitted_total"
 	MetricConfigVersion         = "parsleyrelay_configuration_version"
 	MetricStateAge              = "parsleyrelay_state_age_seconds"
+	MetricCostErrorRatio        = "parsleyrelay_cost_error_ratio"
+	MetricWorkInFlight          = "parsleyrelay_estimated_work_in_flight_seconds"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -67,4 +69,6 @@
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
 	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
+	{MetricCostErrorRatio, Gauge, "1", []string{"service"}, "Factor by which half of the requests differ from the estimate of their work at most; set every 10 s at services whose requests are placed by cost."},
+	{MetricWorkInFlight, Gauge, "s", []string{"service"}, "Estimated work of this host's requests in flight; set every 10 s at services whose requests are placed by cost."},
 }
