Weigh key ranges by cost and servers by their usual speed

Cause: the leader balances the numbers of requests, whatever they cost. A server with costly keys looks slow, and its mean service time over 20 samples follows the slow spells of its machine, which end before keys have moved.

Change: load reports carry the estimated cost of each request (Arrivals.costs_ms) and the sum of the reported slowdowns (ServiceTime.slowdown_percent). A request counts in the load of its key by its cost relative to the mean of the service, within 0.1 and 5; the random variation allowed to a server grows with the mean square of these weights. Hosts convert service times to those of a request of mean cost. The leader scales service times to the server's usual slowdown and averages them over 100 samples where slowdowns are reported. Without costs and slowdowns all weights are 1, as before.

Tests of core/assignment, core/dispatch, core/cost, relay/edge, relay/follow and relay/assigner pass with -race.

--- a/core/assignment/load_balancing.go
+++ b/core/assignment/load_balancing.go
@@ -109,26 +109,19 @@
 type keyLoads struct {
 	shortTerm, longTerm                       keyLoad
 	nextShortTermBalance, nextLongTermBalance time.Duration // earliest time of the next balancing
+	costs                                     requestCosts
 }
 
 // meanServiceTime is the moving average of a server's service time.
 type meanServiceTime struct {
 	samples int
 	seconds float64 // seconds
+	// slowdown is the mean of the reported slowdowns of the server's machine.
+	slowdown, slowdownSamples float64
 }
 
 // RecordArrivals counts one request for each element of keys.
-func (l *Leader) RecordArrivals(service string, keys []uint16) {
-	load := l.keyLoadsByService[service]
-	if load == nil {
-		load = &keyLoads{}
-		l.keyLoadsByService[service] = load
-	}
-	for _, k := range keys {
-		load.shortTerm.counts[k]++
-		load.longTerm.counts[k]++
-	}
-}
+func (l *Leader) RecordArrivals(service string, keys []uint16) { l.RecordCosts(service, keys, nil) }
 
 // RecordServiceTimes adds count responses with a total service time of sum to a
 // server's mean. The server must have had no queue.
@@ -142,10 +135,14 @@
 		l.meanServiceTimes[server] = s
 	}
 	mean := sum.Seconds() / float64(count)
+	leastWeight := minSampleWeight
+	if s.slowdownSamples > 0 {
+		leastWeight = steadySampleWeight
+	}
 	// A report counts as at most minServiceTimeSamples samples.
 	for range min(count, minServiceTimeSamples) {
 		s.samples++
-		s.seconds += max(minSampleWeight, 1/float64(s.samples)) * (mean - s.seconds)
+		s.seconds += max(leastWeight, 1/float64(s.samples)) * (mean - s.seconds)
 	}
 }
 
@@ -193,13 +190,14 @@
 // limit is reached.
 func (l *Leader) moveExcessLoad(now time.Duration, service string, load *keyLoad, assignable []directory.Server, policy balancePolicy) {
 	loads, openMoves := l.serverLoads(service, load, assignable)
+	variance := l.keyLoadsByService[service].costs.variance()
 	for range max(policy.minMoveLimit, int(policy.moveLimitPerServer*float64(len(assignable)))) {
 		if openMoves >= max(minOpenMoveLimit, len(assignable)) {
 			return
 		}
 		mostLoaded := slices.MaxFunc(loads, func(a, b *serverLoad) int { return cmp.Compare(a.actual/a.target, b.actual/b.target) })
 		leastLoaded := slices.MinFunc(loads, func(a, b *serverLoad) int { return cmp.Compare(a.actual/a.target, b.actual/b.target) })
-		if mostLoaded.excess() < max(policy.tolerance*mostLoaded.target, policy.significance*math.Sqrt(mostLoaded.target)) {
+		if mostLoaded.excess() < max(policy.tolerance*mostLoaded.target, policy.significance*math.Sqrt(variance*mostLoaded.target)) {
 			return
 		}
 		loadToMove := min(mostLoaded.excess(), -leastLoaded.excess())
--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -29,6 +29,16 @@
 	at     time.Duration
 	rate   cost.Rate // of the server, as expected when the request was sent
 	queued bool      // the request was expected to wait at the server
+	mean   float64   // estimated work of a request of which nothing is known
+}
+
+// CostRatio returns the estimated work of the request relative to the mean of the service, or
+// 0 without cost routing.
+func (v Placement) CostRatio() float64 {
+	if v.mean == 0 {
+		return 0
+	}
+	return v.work / v.mean
 }
 
 // costState is what cost routing knows of one server.
@@ -94,7 +104,7 @@
 	if p.costs == nil {
 		return Placement{}
 	}
-	v := Placement{class: request.Class, work: request.work, at: now, rate: p.costs.RateAt(now, &s.costs.server), queued: s.outstanding(now) >= float64(max(1, s.Slots))}
+	v := Placement{class: request.Class, work: request.work, mean: p.costs.MeanWork(), at: now, rate: p.costs.RateAt(now, &s.costs.server), queued: s.outstanding(now) >= float64(max(1, s.Slots))}
 	s.costs.work += v.work
 	s.costs.sentAtSum += now.Seconds()
 	return v
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -227,10 +227,10 @@
 		return
 	}
 	for service, keys := range r.RequestedKeys {
-		a.leader.RecordArrivals(service, keys)
+		a.leader.RecordCosts(service, keys, r.KeyCosts[service])
 	}
 	for server, t := range r.ServiceTimes {
-		a.leader.RecordServiceTimes(server, t.Count, t.Sum)
+		a.leader.RecordServiceTimes(server, t.Count, a.leader.RecordSlowdowns(server, t.Reports, t.SlowdownPercent, t.Sum))
 		a.leader.RecordQueue(server, t.Reports, t.Waiting)
 	}
 }
--- a/relay/edge/costs.go
+++ b/relay/edge/costs.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"time"
 
 	"parsleyrelay.example/core/cost"
@@ -27,6 +28,27 @@
 	return cost.Classify(f)
 }
 
+// toCostMillis converts work in seconds to that of a load report. Work above 0 is at least 1.
+func toCostMillis(work float64) uint16 {
+	if work <= 0 {
+		return 0
+	}
+	return uint16(min(max(work*1000+0.5, 1), math.MaxUint16))
+}
+
+// maxCostRatio bounds the conversion of latencies to those of requests of mean cost.
+const maxCostRatio = 5
+
+// meanCostLatency converts the latency of the present attempt to that of a request of mean
+// cost, as estimated when it was sent.
+func (c *callerRequest) meanCostLatency(latency time.Duration) time.Duration {
+	ratio := c.placement.CostRatio()
+	if ratio == 0 {
+		return latency
+	}
+	return time.Duration(float64(latency) / min(max(ratio, 1.0/maxCostRatio), maxCostRatio))
+}
+
 // costReporter logs and measures the estimates of one service. The mutex of its servicePool
 // has to be held.
 type costReporter struct {
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"parsleyrelay.example/core/assignment"
+	"parsleyrelay.example/core/cost"
 	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/dispatch"
 	"parsleyrelay.example/core/retry"
@@ -427,10 +428,14 @@
 	return p.dispatchPool.ConnectionsKeepFailing(id)
 }
 
-func (p *servicePool) recordRequest() {
+// recordRequest counts a request for the retry budget and returns its estimated work in
+// milliseconds, 0 without cost routing.
+func (p *servicePool) recordRequest(c cost.Class) uint16 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.retryBudget.RecordRequest(p.clock())
+	now := p.clock()
+	p.retryBudget.RecordRequest(now)
+	return toCostMillis(p.dispatchPool.EstimateWork(now, c))
 }
 
 func (p *servicePool) tryReserveRetryBudget() bool {
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -105,10 +105,10 @@
 	c.setPool()
 	c.costs = c.costFeatures()
 	c.deadline = r.ReceivedAt.Add(e.requestTimeout(r, route))
+	costMs := c.pool.recordRequest(c.costs)
 	if c.keyed {
-		e.recordKeyRequest(c.service, c.key)
+		e.recordKeyRequest(c.service, c.key, costMs)
 	}
-	c.pool.recordRequest()
 	return c, nil
 }
 
--- a/relay/edge/loadreport.go
+++ b/relay/edge/loadreport.go
@@ -10,17 +10,22 @@
 // the last report.
 type LoadReport struct {
 	RequestedKeys map[string][]uint16    // key of each request, by service
+	KeyCosts      map[string][]uint16    // estimated work of each request in milliseconds, in the order of the keys; 0 for none
 	ServiceTimes  map[string]ServiceTime // by server id
 }
 
 // ServiceTime sums the latencies of the keyed requests whose response reported a
 // free slot and an empty queue, so that they include no time in the server's queue. It
-// also sums the queue lengths that all responses to keyed requests reported.
+// also sums the queue lengths and slowdowns that all responses to keyed requests reported.
+// With cost routing the latencies are converted to those of requests of mean cost, so that
+// the requests that a server got don't count as its speed.
 type ServiceTime struct {
 	Count   int // responses with a free slot and an empty queue
 	Sum     time.Duration
 	Reports int // responses that reported a queue length
 	Waiting int // sum of the waiting requests in these reports
+	// SlowdownPercent is the sum of the slowdowns in these reports; 0 if the server reports none.
+	SlowdownPercent int
 }
 
 // maxReportedKeys limits the keys recorded per service in one report.
@@ -30,6 +35,9 @@
 // includes those of its followers.
 const maxRelayedKeys = 32 * maxReportedKeys
 
+// maxSlowdownPercent bounds a slowdown in a report to the leader.
+const maxSlowdownPercent = 10000
+
 // maxReportSpan is the time from which a report that nobody took is dropped. Without a
 // leader, reports would grow, and the next one would take them for the load of an instant.
 const maxReportSpan = time.Second
@@ -43,16 +51,18 @@
 	}
 }
 
-// recordKeyRequest adds the key of a request to the load report.
-func (e *Edge) recordKeyRequest(service string, key uint16) {
+// recordKeyRequest adds the key of a request, and its estimated work in milliseconds, to the
+// load report.
+func (e *Edge) recordKeyRequest(service string, key, costMs uint16) {
 	e.loadReportMu.Lock()
 	defer e.loadReportMu.Unlock()
 	e.dropOldReportLocked()
 	if e.loadReport.RequestedKeys == nil {
-		e.loadReport.RequestedKeys = map[string][]uint16{}
+		e.loadReport.RequestedKeys, e.loadReport.KeyCosts = map[string][]uint16{}, map[string][]uint16{}
 	}
 	if len(e.loadReport.RequestedKeys[service]) < maxReportedKeys {
 		e.loadReport.RequestedKeys[service] = append(e.loadReport.RequestedKeys[service], key)
+		e.loadReport.KeyCosts[service] = append(e.loadReport.KeyCosts[service], costMs)
 	}
 }
 
@@ -69,6 +79,9 @@
 	t := e.loadReport.ServiceTimes[server]
 	t.Reports++
 	t.Waiting += load.Waiting
+	if e.options.CostRouting != dispatch.CostRoutingOff {
+		t.SlowdownPercent += min(load.Slowdown, maxSlowdownPercent)
+	}
 	if served && load.HasFreeSlot() {
 		t.Count++
 		t.Sum += latency
@@ -83,7 +96,7 @@
 	defer e.loadReportMu.Unlock()
 	e.dropOldReportLocked()
 	if e.loadReport.RequestedKeys == nil {
-		e.loadReport.RequestedKeys = map[string][]uint16{}
+		e.loadReport.RequestedKeys, e.loadReport.KeyCosts = map[string][]uint16{}, map[string][]uint16{}
 	}
 	if e.loadReport.ServiceTimes == nil {
 		e.loadReport.ServiceTimes = map[string]ServiceTime{}
@@ -91,11 +104,16 @@
 	for service, keys := range r.RequestedKeys {
 		own := e.loadReport.RequestedKeys[service]
 		room := max(0, maxRelayedKeys-len(own))
-		e.loadReport.RequestedKeys[service] = append(own, keys[:min(room, len(keys))]...)
+		keys = keys[:min(room, len(keys))]
+		e.loadReport.RequestedKeys[service] = append(own, keys...)
+		costs := make([]uint16, len(keys))
+		copy(costs, r.KeyCosts[service])
+		e.loadReport.KeyCosts[service] = append(e.loadReport.KeyCosts[service], costs...)
 	}
 	for server, t := range r.ServiceTimes {
 		own := e.loadReport.ServiceTimes[server]
-		e.loadReport.ServiceTimes[server] = ServiceTime{Count: own.Count + t.Count, Sum: own.Sum + t.Sum, Reports: own.Reports + t.Reports, Waiting: own.Waiting + t.Waiting}
+		e.loadReport.ServiceTimes[server] = ServiceTime{Count: own.Count + t.Count, Sum: own.Sum + t.Sum, Reports: own.Reports + t.Reports, Waiting: own.Waiting + t.Waiting,
+			SlowdownPercent: own.SlowdownPercent + t.SlowdownPercent}
 	}
 }
 
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -148,7 +148,7 @@
 	}
 	c.reportResult(s.ID, result)
 	if c.keyed && result.Load != nil {
-		c.edge.recordServerLoad(s.ID, *result.Load, result.Outcome == dispatch.OK, latency)
+		c.edge.recordServerLoad(s.ID, *result.Load, result.Outcome == dispatch.OK, c.meanCostLatency(latency))
 	}
 	if notRun {
 		return c.handleRefusal(ctx, s, r, result.Load)
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -379,7 +379,8 @@
 func encodeLoadReport(r edge.LoadReport) []*followv1.Arrivals {
 	serviceTimes := &followv1.Arrivals{}
 	for server, t := range r.ServiceTimes {
-		serviceTimes.Times = append(serviceTimes.Times, &followv1.ServiceTime{Server: server, Count: uint32(t.Count), SumMs: uint32(t.Sum.Milliseconds()), Reports: uint32(t.Reports), Waiting: uint32(t.Waiting)})
+		serviceTimes.Times = append(serviceTimes.Times, &followv1.ServiceTime{Server: server, Count: uint32(t.Count), SumMs: uint32(t.Sum.Milliseconds()), Reports: uint32(t.Reports), Waiting: uint32(t.Waiting),
+			SlowdownPercent: uint32(t.SlowdownPercent)})
 	}
 	var messages []*followv1.Arrivals
 	if len(serviceTimes.Times) > 0 {
@@ -390,6 +391,7 @@
 		for i, k := range keys {
 			a.Keys[i] = uint32(k)
 		}
+		a.CostsMs = encodeCosts(r.KeyCosts[service], len(keys))
 		messages = append(messages, a)
 	}
 	return messages
