--- a/core/cost/cost.go
+++ b/core/cost/cost.go
@@ -218,7 +218,8 @@
 	Class   Class
 	Latency time.Duration // without time in a queue
 	Start   Rate          // of the server, as expected when the request was sent
-	// Cut says that the attempt was given up: the request would have taken longer.
+	// Cut says that the attempt was given up: the request would have taken longer. It tells of
+	// the server only, as many requests may end like that at one that hangs.
 	Cut bool
 }
 
@@ -240,11 +241,13 @@
 		return // says nothing: the estimate is longer
 	}
 	bounded := typical + min(max(actual-typical, -maxDeviation), maxDeviation)
-	if !sample.Cut {
-		e.errors.record(actual-typical-math.Log(e.meanFactor), work)
-		e.meanSamples = min(e.meanSamples+1, meanFactorMemory)
-		e.meanFactor += (min(math.Exp(actual-typical), maxMeanFactorRatio) - e.meanFactor) / e.meanSamples
+	if sample.Cut {
+		s.speed.add(now, serverSampleLifetime, bounded-logarithm)
+		return
 	}
+	e.errors.record(actual-typical-math.Log(e.meanFactor), work)
+	e.meanSamples = min(e.meanSamples+1, meanFactorMemory)
+	e.meanFactor += (min(math.Exp(actual-typical), maxMeanFactorRatio) - e.meanFactor) / e.meanSamples
 
 	// Each deviation is learned as what its superior levels and the speed leave.
 	rest := bounded - speed
--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -135,13 +135,13 @@
 		c.others.add(others, serverLoadMemory)
 		p.others.add(others, poolLoadMemory)
 	}
-	if placed.work == 0 || placed.queued {
+	if placed.work == 0 || placed.queued || s.Cold { // a cold server is slow for a few seconds only
 		return
 	}
 	sample := cost.Sample{Class: placed.class, Latency: r.Latency, Start: placed.rate}
 	switch r.Outcome {
 	case OK:
-		if r.Load.HasFreeSlot() {
+		if r.Load.HasFreeSlot() || r.Load == nil && s.loadReceivedAt == 0 {
 			p.costs.Record(now, &c.server, sample)
 		}
 	case Slow, DeadlineExceeded:
--- a/core/dispatch/costs_test.go
+++ b/core/dispatch/costs_test.go
@@ -249,6 +249,7 @@
 		{"uneven servers, few of them", settlements(), 0.02},
 		{"uneven servers with long queues", archives(), 0.005},
 		{"uneven servers near their capacity", intakes().with(func(l *unevenLoad) { l.rate *= 1.2 }), 0.05},
+		{"overload", settlements().with(func(l *unevenLoad) { l.rate, l.from, l.to = 2*l.rate, 10*time.Second, 40*time.Second }), 0.005},
 		{"requests that their path predicts", intakes().with(uneven), 0.04},
 		{"paths that predict nothing", intakes().with(func(l *unevenLoad) { l.paths = slices.Repeat([]float64{1}, 500) }), 0.03},
 		{"wrong estimates: fast and slow, light and heavy change places", intakes().with(uneven).with(func(l *unevenLoad) {
