--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"parsleyrelay.example/core/assignment"
+	"parsleyrelay.example/core/cost"
 	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/dispatch"
 	"parsleyrelay.example/core/retry"
@@ -60,6 +61,8 @@
 	// OnSignal is called with news that a response has of its server, before the response
 	// is passed on; nil if nobody listens.
 	OnSignal func(Signal)
+	// CostRouting says whether requests are placed by their estimated cost.
+	CostRouting dispatch.CostRouting
 }
 
 // Edge handles requests. It is safe for concurrent use.
@@ -315,16 +318,18 @@
 	retryBudget       retry.HostBudget
 	dispatchScheduled bool
 	clock             func() time.Duration // Edge.now
+	costs             costReporter
 }
 
 func newServicePool(e *Edge, service string, keyed bool) *servicePool {
-	p := &servicePool{keyed: keyed, clock: e.now}
+	p := &servicePool{keyed: keyed, clock: e.now, costs: costReporter{edge: e, service: service}}
 	var holder dispatch.HolderLookup
 	if keyed {
 		holder = func(key uint16) (string, time.Duration) { return e.keyHolder(service, key) }
 	}
 	p.dispatchPool = dispatch.NewPool(e.options.Host, e.options.Zone, holder)
 	p.dispatchPool.SetHostCount(e.options.Budget.HostCount)
+	p.dispatchPool.SetCostRouting(e.now(), e.options.CostRouting)
 	p.retryBudget = retry.HostBudget{Ratio: e.options.Budget.Ratio, Slack: e.slackPerHost(), Window: e.options.Budget.Window}
 	return p
 }
@@ -370,7 +375,7 @@
 		select {
 		case v := <-decision:
 			if v.Reason == "" {
-				p.dispatchPool.ReportResult(p.clock(), v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+				p.dispatchPool.ReportResult(p.clock(), v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled, Placement: v.Placement})
 			}
 		default:
 		}
@@ -398,7 +403,9 @@
 func (p *servicePool) reportResult(id string, r dispatch.AttemptResult) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.dispatchPool.ReportResult(p.clock(), id, r)
+	now := p.clock()
+	p.dispatchPool.ReportResult(now, id, r)
+	p.costs.report(now, p.dispatchPool)
 }
 
 // tryReserveServerAndRetry reserves a server with free capacity and one retry of the budget.
@@ -409,7 +416,7 @@
 	now := p.clock()
 	v, ok := p.dispatchPool.TryAssign(now, r)
 	if ok && !p.retryBudget.TryReserve(now) {
-		p.dispatchPool.ReportResult(now, v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		p.dispatchPool.ReportResult(now, v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled, Placement: v.Placement})
 		return dispatch.Decision{}, false
 	}
 	return v, ok
@@ -421,10 +428,14 @@
 	return p.dispatchPool.ConnectionsKeepFailing(id)
 }
 
-func (p *servicePool) recordRequest() {
+// recordRequest counts a request for the retry budget and returns its estimated work in
+// milliseconds, 0 without cost routing.
+func (p *servicePool) recordRequest(c cost.Class) uint16 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.retryBudget.RecordRequest(p.clock())
+	now := p.clock()
+	p.retryBudget.RecordRequest(now)
+	return toCostMillis(p.dispatchPool.EstimateWork(now, c))
 }
 
 func (p *servicePool) tryReserveRetryBudget() bool {
