Shorten the tests of routing by cost

Change: the simulation counts and builds its servers in fewer lines. No case, load or bound changes.

--- a/core/assignment/costs_test.go
+++ b/core/assignment/costs_test.go
@@ -1,6 +1,7 @@
 package assignment
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -53,12 +54,7 @@
 	l := sim.leaderAfterPlacement("a")
 	random, before, begin := rand.New(rand.NewPCG(5, 5)), sim.appendedMap.Sequence, sim.now
 	for end := sim.now + 20*time.Second; sim.now < end; sim.step(l) {
-		ids := make([]string, 0, 8)
-		for id := range sim.servers {
-			ids = append(ids, id)
-		}
-		slices.Sort(ids)
-		for i, id := range ids {
+		for i, id := range slices.Sorted(maps.Keys(sim.servers)) {
 			serviceTime, percent := 200*time.Millisecond, 100
 			if (sim.now-begin+time.Duration(i)*250*time.Millisecond)%(2*time.Second) < 400*time.Millisecond {
 				serviceTime, percent = 3*serviceTime, 300
--- a/core/cost/cost_test.go
+++ b/core/cost/cost_test.go
@@ -34,12 +34,7 @@
 	for _, predictive := range []bool{false, true} {
 		e := NewEstimator(0, 200*time.Millisecond)
 		classOf := func(i int) Class { return Classify(Features{Route: "r", Key: fmt.Sprint(i % 40)}) }
-		workOf := func(i int) float64 {
-			if predictive && i%40 < 20 {
-				return 0.05
-			}
-			return 0.15
-		}
+		workOf := func(i int) float64 { return map[bool]float64{false: 0.15, true: 0.05}[predictive && i%40 < 20] }
 		now := learn(e, make([]Server, 14), 400, func(i int) (Class, float64) { return classOf(i), workOf(i) }, func(int) float64 { return 1 })
 		worst := 0.0
 		for i := range 40 {
@@ -56,12 +51,8 @@
 func TestSpeedsAreLearnedApartFromCosts(t *testing.T) {
 	e, servers := NewEstimator(0, 200*time.Millisecond), make([]Server, 8)
 	light, heavy := Classify(Features{Route: "light"}), Classify(Features{Route: "heavy"})
-	now := learn(e, servers, 800, func(i int) (Class, float64) {
-		if i%2 == 0 {
-			return light, 0.05
-		}
-		return heavy, 0.4
-	}, func(server int) float64 { return []float64{1.6, 0.6}[server%2] })
+	classes, works := []Class{light, heavy}, []float64{0.05, 0.4}
+	now := learn(e, servers, 800, func(i int) (Class, float64) { return classes[i%2], works[i%2] }, func(server int) float64 { return []float64{1.6, 0.6}[server%2] })
 	require.InEpsilon(t, 8, e.Work(now, heavy)/e.Work(now, light), 0.25)
 	slow, fast := e.SpeedAt(now, &servers[0]).Seconds(1), e.SpeedAt(now, &servers[1]).Seconds(1)
 	require.InEpsilon(t, 1.6/0.6, slow/fast, 0.25)
--- a/core/dispatch/costs_test.go
+++ b/core/dispatch/costs_test.go
@@ -71,7 +71,6 @@
 
 type unevenRequest struct {
 	host              int
-	path              string
 	work              float64
 	arrivedAt, sentAt time.Duration
 	placement         Placement
@@ -89,15 +88,12 @@
 	random, works := rand.New(rand.NewPCG(l.seed, 1)), rand.New(rand.NewPCG(l.seed, 2))
 	var servers []*runningServer
 	var list []Server
+	byID := map[string]*runningServer{}
 	for i := range l.servers {
 		s := &runningServer{id: fmt.Sprint("s", i), speed: math.Pow(l.speeds, 0.5-(float64(i)+0.5)/float64(l.servers))}
-		servers = append(servers, s)
+		servers, byID[s.id] = append(servers, s), s
 		list = append(list, Server{ID: s.id, Zone: "a", Slots: l.slots})
 	}
-	byID := map[string]*runningServer{}
-	for _, s := range servers {
-		byID[s.id] = s
-	}
 	var holderOf HolderLookup
 	if l.keyed {
 		holderOf = func(key uint16) (string, time.Duration) { return servers[key].id, 0 }
@@ -113,12 +109,13 @@
 	var result unevenResult
 	var latencies []time.Duration
 	submitted, now := 0, time.Duration(0)
-	counts := func() bool { return now >= l.from }
-	load := func(s *runningServer) *Load {
-		slowdown := 100
-		if s.slow {
-			slowdown = 300
+	count := func(n *int) {
+		if now >= l.from {
+			*n++
 		}
+	}
+	load := func(s *runningServer) *Load {
+		slowdown := map[bool]int{false: 100, true: 300}[s.slow]
 		if l.hidden {
 			slowdown = 0
 		}
@@ -158,7 +155,7 @@
 				s.running, s.queue = append(s.running, s.queue[0]), s.queue[1:]
 			}
 			for _, r := range ended {
-				if counts() {
+				if now >= l.from {
 					latencies = append(latencies, now-r.arrivedAt)
 				}
 				pools[r.host].ReportResult(now, s.id, AttemptResult{Outcome: OK, Rank: 1, Latency: now - r.sentAt, Load: load(s), Placement: r.placement})
@@ -170,29 +167,25 @@
 			if works.Float64() < 0.02 {
 				r.work *= 5
 			}
-			if path := works.IntN(max(1, len(l.paths))); len(l.paths) > 0 {
-				r.work *= l.paths[path]
-				r.path = fmt.Sprint("/", path)
+			path := ""
+			if n := works.IntN(max(1, len(l.paths))); len(l.paths) > 0 {
+				r.work *= l.paths[n]
+				path = fmt.Sprint("/", n)
 			}
-			if counts() {
-				submitted++
+			if l.unseen {
+				path = ""
 			}
+			count(&submitted)
 			key := uint16(0)
 			for l.keyed {
 				if key = uint16(works.IntN(l.servers)); works.Float64() < servers[key].speed/servers[0].speed {
 					break
 				}
 			}
-			features := cost.Features{Route: "r", Method: "POST", Key: r.path}
-			if l.unseen {
-				features.Key = ""
-			}
-			class := cost.Classify(features)
+			class := cost.Classify(cost.Features{Route: "r", Method: "POST", Key: path})
 			pools[r.host].Submit(now, Request{Rank: 1, Deadline: now + 1200*time.Millisecond, MaxQueueWait: l.wait, Keyed: l.keyed, Key: key, Class: class}, func(d Decision) {
 				if d.Reason != "" {
-					if counts() {
-						result.refused++
-					}
+					count(&result.refused)
 					return
 				}
 				s := byID[d.Server.ID]
@@ -203,9 +196,7 @@
 				case len(s.queue) < l.queue:
 					s.queue = append(s.queue, r)
 				default:
-					if counts() {
-						result.lost++
-					}
+					count(&result.lost)
 					pools[r.host].ReportResult(now, s.id, AttemptResult{Outcome: ConnectionLost, Rank: 1, Latency: step, Placement: r.placement})
 				}
 			})
@@ -220,9 +211,8 @@
 	slices.Sort(latencies)
 	result.p50, result.p99 = latencies[len(latencies)/2], latencies[len(latencies)*99/100]
 	result.inTime = shareWithin(latencies, l.target) * float64(len(latencies)) / float64(submitted)
-	if s, _, ok := pools[0].TakeCostSummary(); ok {
-		result.errorRatio = s.ErrorRatio
-	}
+	s, _, _ := pools[0].TakeCostSummary()
+	result.errorRatio = s.ErrorRatio
 	return result
 }
 
