Send no requests to servers of evacuated zones

Cause: an operator's evacuation of an availability zone has to keep new requests away from its servers for as long as it lasts, also those that were placed before.

Change: directory.Evacuations keeps the evacuated zones and the offset of the operator's log that they reflect; the newest offset wins. Directory.All marks the servers, whose lives do not count as leaving. The request path places nothing at marked servers and checks the mark before a request is written (server_evacuated). A service whose servers are all evacuated refuses at once with 503 and the reason "evacuated". Events 811 to 814 and two metrics are defined for the parts that follow.

Conclusion: nothing reads the records yet, so the behavior is unchanged so far.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -24,6 +24,12 @@
 	// PausedUntil is the time until which the server wants no requests from this host; 0 if
 	// it never asked for a pause. It is meaningless to other hosts.
 	PausedUntil time.Duration
+	// Evacuated reports that the server's zone is evacuated. Its life goes on, and it gets
+	// requests again when the evacuation ends. Other hosts get the zones apart.
+	Evacuated bool
+	// EvacuationEndedAt is when this host learned that the last evacuation of the server's
+	// zone had ended; 0 if that is not known.
+	EvacuationEndedAt time.Duration
 }
 
 // Directory is the set of known servers. It reflects the records of the store's log of
@@ -37,6 +43,7 @@
 	offset         uint64
 	missing        map[string]bool // ids of servers that are kept although their entries are gone
 	outages        outageDetector
+	evacuations    Evacuations
 }
 
 // New returns an empty directory. maxGap is the longest time without contact to the
@@ -153,9 +160,13 @@
 	return removed
 }
 
-// All returns a copy of the known servers by ID, with this host's pauses.
+// All returns a copy of the known servers by ID, with this host's pauses and the
+// evacuations of their zones.
 func (d *Directory) All() map[string]Server {
 	all := maps.Clone(d.servers)
+	for id, s := range all {
+		all[id] = d.evacuations.mark(s)
+	}
 	for id, states := range d.lives.byID {
 		s, listed := all[id]
 		for _, l := range states {
--- /dev/null
+++ b/core/directory/evacuations_test.go
@@ -0,0 +1,71 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an evacuation that is lost, or that goes on after its end, because the
+// store and the leader deliver late, again, out of order or not at all.
+func TestNewestEvacuationsWin(t *testing.T) {
+	type step struct {
+		list    []string           // of a snapshot or another host; nil for records
+		records []EvacuationRecord // of the store
+		offset  uint64
+		want    []string
+	}
+	record := func(zone string, offset uint64) EvacuationRecord {
+		return EvacuationRecord{Zone: zone, Offset: offset}
+	}
+	end := func(zone string, offset uint64) EvacuationRecord {
+		return EvacuationRecord{Zone: zone, Offset: offset, Ended: true}
+	}
+	none := []string{}
+	for name, steps := range map[string][]step{
+		"late list of the leader": {{records: []EvacuationRecord{record("a", 4)}, offset: 5, want: []string{"a"}}, {list: none, offset: 4, want: []string{"a"}}},
+		"repeated list":           {{list: []string{"a"}, offset: 5, want: []string{"a"}}, {list: []string{"a"}, offset: 5, want: []string{"a"}}},
+		"end, then a late list":   {{list: []string{"a"}, offset: 5, want: []string{"a"}}, {list: none, offset: 6}, {list: []string{"a"}, offset: 5}},
+		"records that the leader read before": {{list: []string{"b"}, offset: 9, want: []string{"b"}},
+			{records: []EvacuationRecord{record("a", 6), end("b", 7)}, offset: 8, want: []string{"b"}}},
+		"records of which the leader read the first": {{list: []string{"a"}, offset: 7, want: []string{"a"}},
+			{records: []EvacuationRecord{record("a", 6), end("a", 7), record("b", 8)}, offset: 9, want: []string{"b"}}},
+		"end missed, snapshot without it":       {{records: []EvacuationRecord{record("a", 4), record("b", 5)}, offset: 6, want: []string{"a", "b"}}, {list: []string{"b"}, offset: 20, want: []string{"b"}}},
+		"ended and started again between reads": {{records: []EvacuationRecord{record("a", 4), end("a", 5), record("a", 6)}, offset: 7, want: []string{"a"}}},
+		"several zones, ended out of order":     {{list: []string{"b", "a"}, offset: 5, want: []string{"a", "b"}}, {records: []EvacuationRecord{end("c", 5), end("a", 6)}, offset: 7, want: []string{"b"}}},
+	} {
+		d := New(time.Minute)
+		d.Put(0, Server{ID: "1", Born: 1, Zone: "a"})
+		for i, s := range steps {
+			before := d.Evacuations().Zones()
+			var change EvacuationChange
+			if s.list != nil {
+				change, _ = d.Evacuations().Replace(time.Second, s.list, s.offset)
+			} else {
+				change = d.Evacuations().Apply(time.Second, s.records, s.offset)
+			}
+			zones := d.Evacuations().Zones()
+			require.ElementsMatch(t, s.want, zones, "%s, step %d", name, i)
+			require.Equal(t, len(zones)-len(before), len(change.Started)-len(change.Ended), "%s, step %d: %v", name, i, change)
+			server := d.All()["1"]
+			require.Equal(t, len(zones) > 0 && zones[0] == "a", server.Evacuated, "%s, step %d", name, i)
+			require.False(t, server.Draining || d.Leaving(server.Life()), "the life goes on")
+		}
+	}
+}
+
+// Guards against a server that counts as new when the evacuation of its zone ends: the
+// leader would move all its keys back at once.
+func TestEndOfAnEvacuationIsKept(t *testing.T) {
+	d := New(time.Minute)
+	d.Put(0, Server{ID: "1", Born: 1, Zone: "a"})
+	d.Evacuations().Replace(time.Second, []string{"a"}, 1)
+	d.Evacuations().Replace(2*time.Second, nil, 2)
+	d.ResetFromLeader(3*time.Second, map[string]Server{"1": {ID: "1", Born: 2, Zone: "a"}}, 1)
+	server := d.All()["1"]
+	require.Equal(t, 2*time.Second, server.EvacuationEndedAt)
+	require.Zero(t, server.WithoutLocalState().EvacuationEndedAt)
+	d.Evacuations().Replace(4*time.Second, []string{"a"}, 3)
+	require.Zero(t, d.All()["1"].EvacuationEndedAt)
+}
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -218,6 +218,7 @@
 	lastSequence  uint64
 	shrunkAt      time.Duration
 	lastPauseEnd  time.Duration // of the pauses for which the servers asked
+	evacuated     bool          // see SetEvacuated
 	requestWaited bool          // whether a request has had to wait after the last growth of commonWindow
 
 	latencyEstimates map[int]*latencyEstimate // by rank, for services without keys
@@ -306,7 +307,7 @@
 		return QueueFull, clampRetryAfter(time.Second)
 	}
 	if len(p.candidates) == 0 {
-		return NoServer, clampRetryAfter(time.Second)
+		return p.noServerReason(), clampRetryAfter(time.Second)
 	}
 	if wait, refuse := p.refuseForPause(now, request); refuse {
 		return ServerPaused, wait
@@ -419,6 +420,9 @@
 	if now >= request.Deadline || now-request.submitted > request.MaxQueueWait {
 		return Decision{Reason: WaitTooLong, RetryAfter: minRetryAfter}, true
 	}
+	if len(p.candidates) == 0 && p.evacuated {
+		return Decision{Reason: Evacuated, RetryAfter: clampRetryAfter(time.Second)}, true
+	}
 	if wait, refuse := p.refuseForPause(now, request); refuse {
 		return Decision{Reason: ServerPaused, RetryAfter: wait}, true
 	}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -35,7 +35,8 @@
 }
 
 // Event codes by subject: 1xx process, 2xx log and state, 3xx witnesses and lease,
-// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators.
+// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators,
+// 81x evacuations.
 //
 // EntryIgnored is about a record that could not be decoded or used, RecordIgnored
 // about a valid record whose precondition did not hold when it was applied. The
@@ -124,6 +125,10 @@
 	ChangeAccepted     Code = 701
 	ChangeRefused      Code = 702
 	ZoneDeclaredLost   Code = 703
+	EvacuationSeen     Code = 811
+	EvacuationEnded    Code = 812
+	EvacuationsIgnored Code = 813
+	EvacuationProgress Code = 814
 )
 
 // Definitions lists all events in the order of their codes.
@@ -210,4 +215,8 @@
 	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
 	{ChangeRefused, "change_refused", "A change of a resource was refused."},
 	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
+	{EvacuationSeen, "evacuation_seen", "This host learned that an availability zone is evacuated; its servers get no new requests."},
+	{EvacuationEnded, "evacuation_ended", "This host learned that the evacuation of an availability zone has ended."},
+	{EvacuationsIgnored, "evacuations_ignored", "A list of evacuated zones is older than what this host knows, and was not used."},
+	{EvacuationProgress, "evacuation_progress", "The number of key ranges that the leader has still to move from evacuated servers of a service has changed; 0 when all are served elsewhere."},
 }
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -211,21 +211,25 @@
 	e.distributeServersLocked()
 }
 
-// distributeServersLocked passes the servers that are not draining to the pools of
-// their services. A pool lets the requests in flight at a draining server end, but sends
-// it no others: requests for its keys wait for a move of the keys, for
+// distributeServersLocked passes the servers that are neither draining nor evacuated to
+// the pools of their services. A pool lets the requests in flight at the others end, but
+// sends them no further ones: requests for their keys wait for a move of the keys, for
 // dispatch.MaxHolderWait at most. e.mu must be held.
 func (e *Edge) distributeServersLocked() {
-	lists := map[string][]dispatch.Server{}
+	lists, evacuated := map[string][]dispatch.Server{}, map[string]bool{}
 	for _, s := range e.knownServers() {
 		if s.Draining {
 			continue
 		}
+		if s.Evacuated {
+			evacuated[s.Service] = true
+			continue
+		}
 		lists[s.Service] = append(lists[s.Service], dispatch.Server{ID: s.ID, Born: s.Born, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Cold: s.Cold,
 			PausedUntil: max(0, s.PausedUntil-e.startedAt)})
 	}
 	for name, p := range e.pools {
-		p.setServers(lists[name])
+		p.setServers(lists[name], evacuated[name])
 	}
 }
 
@@ -329,9 +333,12 @@
 	return p
 }
 
-func (p *servicePool) setServers(list []dispatch.Server) {
+// setServers replaces the servers that requests may be sent to. evacuated reports that
+// further servers of the service are evacuated.
+func (p *servicePool) setServers(list []dispatch.Server, evacuated bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dispatchPool.SetEvacuated(evacuated)
 	p.dispatchPool.SetServers(p.clock(), list)
 }
 
--- a/relay/edge/signals.go
+++ b/relay/edge/signals.go
@@ -153,6 +153,7 @@
 	errServerRestarted placementError = "server_restarted" // the server has started again since
 	errServerLeaves    placementError = "server_leaves"
 	errServerPaused    placementError = "server_paused" // the server wants no requests from this host now
+	errServerEvacuated placementError = "server_evacuated"
 )
 
 // checkPlacement returns an error if a request must not be sent to a server any more, by
@@ -166,6 +167,8 @@
 		return errServerRestarted
 	case s.Draining:
 		return errServerLeaves
+	case s.Evacuated:
+		return errServerEvacuated
 	case s.PausedUntil > e.options.Now():
 		return errServerPaused
 	}
--- a/relay/edge/signals_test.go
+++ b/relay/edge/signals_test.go
@@ -253,6 +253,7 @@
 		errServerRestarted: func(s *directory.Server) { s.Born = 2 },
 		errServerLeaves:    func(s *directory.Server) { s.Draining = true },
 		errServerPaused:    func(s *directory.Server) { s.PausedUntil = 2 * time.Hour },
+		errServerEvacuated: func(s *directory.Server) { s.Evacuated = true },
 	} {
 		first, second := startScriptedServer(t, "s1", signedResponse), startScriptedServer(t, "s2", signedResponse)
 		e, rec := newSignalEdge(t, false, first)
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -32,6 +32,8 @@
 	MetricLinesOmitted          = "parsleyrelay_log_lines_omitted_total"
 	MetricConfigVersion         = "parsleyrelay_configuration_version"
 	MetricStateAge              = "parsleyrelay_state_age_seconds"
+	MetricEvacuatedZones        = "parsleyrelay_evacuated_zones"
+	MetricEvacuatedRanges       = "parsleyrelay_evacuated_ranges"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -67,4 +69,6 @@
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
 	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
+	{MetricEvacuatedZones, Gauge, "1", nil, "Availability zones that this host knows to be evacuated; not set before the first evacuation."},
+	{MetricEvacuatedRanges, Gauge, "1", []string{"service"}, "Key ranges that the leading host has still to move from evacuated servers; not set before the first evacuation."},
 }
