Move keys away from evacuated servers, and back gradually

Cause: hosts send evacuated servers nothing, so their keys are unserved until they have moved. Draining servers are emptied already, but in the order of the keys and by count, and servers without ranges are filled at once, which servers that return cold from an evacuation cannot take.

Change: the leader moves the ranges of evacuated servers, the busiest first and at most 64 per tick and service, to warm servers with the least load relative to their capacity. Ranges that were not released when the evacuation ends stay. Servers whose evacuation ended less than 60 s ago get their share back within 6 s at least, by filling and by load balancing together, and at most half of it while they are cold. The assigner logs how many ranges are left.

Conclusion: an unreachable holder still keeps its ranges until its grants have ended.

--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -104,6 +104,8 @@
 	refusedUntil          map[ServerIncarnation]time.Duration // time of the next call to a server that refused one
 	pauses                map[string]directory.Pause          // by server ID
 	emptiedServers        map[ServerIncarnation]bool          // see EmptiedServers
+	evacuatedRanges       map[string]int                      // see EvacuatedRanges
+	lastReceived          map[endpoint]time.Duration          // when a range last began to move to a server, after an evacuation of its zone
 	// Memory that each tick uses again.
 	rangeCounts map[string]int                // of planMoves
 	assignable  map[string][]directory.Server // of assignableServers
@@ -114,7 +116,7 @@
 func NewLeader(now time.Duration, acknowledged *Map, options Options) *Leader {
 	l := &Leader{
 		options: options, acknowledged: acknowledged, openCalls: map[uint64]*trackedRange{}, servers: map[string]map[string]directory.Server{}, firstServerAt: map[string]time.Duration{},
-		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[endpoint]addressReuse{}, refusedUntil: map[ServerIncarnation]time.Duration{}, fillingServers: map[endpoint]bool{},
+		keyLoadsByService: map[string]*keyLoads{}, meanServiceTimes: map[string]*meanServiceTime{}, queueReports: map[string]queueReports{}, admittedLoads: map[string]map[string]float64{}, addressReused: map[endpoint]addressReuse{}, refusedUntil: map[ServerIncarnation]time.Duration{}, fillingServers: map[endpoint]bool{}, lastReceived: map[endpoint]time.Duration{},
 		rangeCounts: map[string]int{}, assignable: map[string][]directory.Server{},
 	}
 	l.draft = acknowledged.clone()
@@ -280,6 +282,7 @@
 		l.planMoves(now)
 		l.balanceLoad(now)
 	}
+	l.updateEvacuatedRanges()
 	var calls []Call
 	for _, t := range l.trackedRanges {
 		if l.resigning && t.stage == stageSettled && t.fenceConfirmed {
--- a/core/assignment/load_balancing.go
+++ b/core/assignment/load_balancing.go
@@ -198,7 +198,11 @@
 			return
 		}
 		mostLoaded := slices.MaxFunc(loads, func(a, b *serverLoad) int { return cmp.Compare(a.actual/a.target, b.actual/b.target) })
-		leastLoaded := slices.MinFunc(loads, func(a, b *serverLoad) int { return cmp.Compare(a.actual/a.target, b.actual/b.target) })
+		receivers := l.receivers(now, loads)
+		if len(receivers) == 0 {
+			return
+		}
+		leastLoaded := slices.MinFunc(receivers, func(a, b *serverLoad) int { return cmp.Compare(a.actual/a.target, b.actual/b.target) })
 		if mostLoaded.excess() < max(policy.tolerance*mostLoaded.target, policy.significance*math.Sqrt(mostLoaded.target)) {
 			return
 		}
--- a/core/assignment/pauses.go
+++ b/core/assignment/pauses.go
@@ -39,7 +39,7 @@
 		room := max(1, int(maxEmptiedShare*float64(len(servers))))
 		for _, s := range servers {
 			switch {
-			case s.Draining || l.pauses[s.ID].Hosts == 0:
+			case s.Draining || s.Evacuated || l.pauses[s.ID].Hosts == 0:
 			case l.emptiedServers[IncarnationOf(s)]:
 				emptied[IncarnationOf(s)] = true
 				room--
--- a/core/assignment/plan.go
+++ b/core/assignment/plan.go
@@ -62,7 +62,7 @@
 // placement rounds.
 const placementRotation = 2
 
-// planMoves moves ranges away from servers that are draining or gone, and to new
+// planMoves moves ranges away from servers that are draining, evacuated or gone, and to new
 // servers that have less than their share. It reverts moves whose previous holder
 // is assignable again.
 func (l *Leader) planMoves(now time.Duration) {
@@ -81,6 +81,7 @@
 		for i := range ranges {
 			rangeCounts[ranges[i].Owner.ID]++
 		}
+		var evacuated []*trackedRange
 		for _, t := range l.trackedRanges {
 			if t.service != service || t.callOpen {
 				continue
@@ -90,11 +91,14 @@
 				if l.mayOwn(service, t.previousHolder) && (t.revertIfHolderReturns || !l.mayOwn(service, t.owner)) {
 					l.revertMove(now, t, rangeCounts)
 				}
+			case l.isEvacuated(service, t.owner):
+				evacuated = append(evacuated, t)
 			case !l.mayOwn(service, t.owner):
 				l.startMove(now, t, serverWithFewestRanges(assignable, rangeCounts), rangeCounts)
 				t.revertIfHolderReturns = true
 			}
 		}
+		l.moveEvacuatedRanges(now, service, evacuated, assignable, rangeCounts)
 		l.fillNewServers(now, service, assignable, rangeCounts, totalSlots)
 	}
 }
@@ -115,7 +119,7 @@
 		if rangeCounts[recipient.ID] >= share(recipient) {
 			delete(l.fillingServers, IncarnationOf(recipient).endpoint())
 		}
-		for rangeCounts[recipient.ID] < share(recipient) {
+		for rangeCounts[recipient.ID] < share(recipient) && l.mayReceive(now, recipient) {
 			t := l.surplusRange(service, assignable, rangeCounts, share)
 			if t == nil {
 				break
@@ -160,6 +164,7 @@
 	r.PreviousHolder, r.Owner, r.GrantPending, r.Move = r.Owner, IncarnationOf(newOwner), false, l.Term()<<fenceCounterBits|l.lastMove
 	t.owner, t.previousHolder, t.grantPending = r.Owner, r.PreviousHolder, false
 	t.stage, t.revertIfHolderReturns, t.handover, t.nextCallAt = stageReleasing, false, "", now
+	l.recordReceived(now, newOwner)
 }
 
 // revertMove makes the previous holder the owner again, if it became assignable
@@ -189,7 +194,7 @@
 
 func (l *Leader) isAssignable(s directory.Server) bool {
 	reuse, reused := l.addressReused[IncarnationOf(s).endpoint()]
-	return !s.Draining && (!reused || s.Born > reuse.born) && !l.emptiedServers[IncarnationOf(s)]
+	return !s.Draining && !s.Evacuated && (!reused || s.Born > reuse.born) && !l.emptiedServers[IncarnationOf(s)]
 }
 
 // mayOwn reports whether any incarnation of a server at its address may own ranges.
--- a/core/assignment/randomfaults_test.go
+++ b/core/assignment/randomfaults_test.go
@@ -12,7 +12,7 @@
 
 const randomFaultSeeds = uint64(40)
 
-// Guards against two holders of a key under random faults: servers that drain,
+// Guards against two holders of a key under random faults: servers that drain, are evacuated,
 // restart, fail to respond, answer twice or are not listed, a late server list, calls that are applied
 // late, slow writes and acknowledgements, busy keys, and leaders that resign or are
 // replaced without notice.
@@ -115,6 +115,8 @@
 			sim.ackDelay = 0
 		case 14, 15: // copies of responses start or stop answering grants to the server
 			s.copies = []CallStatus{0, CallSucceeded, CallNotExecuted, CallRefused}[random.IntN(4)]
+		case 16: // the evacuation of its zone starts or ends
+			s.Evacuated, s.EvacuationEndedAt = !s.Evacuated, sim.now
 		}
 		var excluded []string
 		for id, h := range unlisted {
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -119,6 +119,7 @@
 	resignDone         chan struct{} // closed when a resigning host leads no term any more
 	resignDoneOnce     sync.Once
 	servers            atomic.Pointer[map[string]map[string]directory.Server]
+	evacuatedRanges    atomic.Pointer[map[string]int]
 	callSlotsByAddress sync.Map // server address: chan struct{} with a slot for each open call
 	formerLeaders      formerLeaders
 	confirmation       confirmation
@@ -131,6 +132,7 @@
 	observations      *assignment.Observations
 	nextTermAttempt   time.Duration                         // earliest start of another term
 	emptiedServers    map[assignment.ServerIncarnation]bool // as they were logged last
+	evacuations       map[string]evacuationProgress         // by service
 }
 
 // messageQueueSize leaves room for the call results of all ranges when a new leader
@@ -139,7 +141,7 @@
 
 // New returns an Assigner that does not run yet.
 func New(o Options) *Assigner {
-	return &Assigner{options: o, messages: make(chan message, messageQueueSize), observations: assignment.NewObservations(), resignDone: make(chan struct{})}
+	return &Assigner{options: o, messages: make(chan message, messageQueueSize), observations: assignment.NewObservations(), resignDone: make(chan struct{}), evacuations: map[string]evacuationProgress{}}
 }
 
 // SetElected sets whether the platform's store elects this host as the leader.
@@ -408,6 +410,7 @@
 	a.logReleases()
 	a.logRestarts()
 	a.logEmptiedServers()
+	a.publishEvacuatedRanges(now)
 	a.dropStoppedLeader("no read or write of the map succeeded in time")
 	a.publishAdmittedShares()
 }
