Read evacuations of zones and pass them to other hosts

Cause: hosts ignored the operator's records evacuate/ZONE.

FollowResponse.evacuations carries the zones and the offset in each response; a request does not say what its sender knows, so the source remembers to whom it sent the present zones, and answers the others at once.

--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -36,6 +36,7 @@
 	hostCount     int
 	admitted      map[string]float64
 	report        edge.LoadReport
+	evacuated     []string
 }
 
 func (state *followerState) locked(f func()) { state.mu.Lock(); defer state.mu.Unlock(); f() }
@@ -71,6 +72,9 @@
 	state.locked(func() { r, state.report = state.report, edge.LoadReport{} })
 	return r
 }
+func (state *followerState) ReplaceEvacuations(zones []string, _ uint64, _ Origin) {
+	state.locked(func() { state.evacuated = zones })
+}
 func (state *followerState) ReplaceServers(s map[string]directory.Server, _ uint64, _ Origin) bool {
 	state.locked(func() {
 		state.servers = map[string]directory.Server{}
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -62,6 +62,9 @@
 	AddressOf(incarnation string) string
 	// ApplyConfig applies a configuration if it is newer than the one in force.
 	ApplyConfig(routes.Config, Origin)
+	// ReplaceEvacuations replaces the evacuated availability zones, unless they reflect no
+	// more of the store's log of the operator's records, before an offset, than the known ones.
+	ReplaceEvacuations(zones []string, offset uint64, o Origin)
 	// ReplaceServers replaces all known servers, by ID. They reflect the store's log of
 	// registrations before an offset, 0 if it is unknown. It returns false and changes
 	// nothing if they are older than the known ones.
@@ -398,6 +401,10 @@
 // applyResponse applies the state that the store had at a time, by Options.Now.
 func (f *Follower) applyResponse(r *followv1.FollowResponse, stateAt time.Duration) error {
 	origin := Origin{Source: r.Host, Age: f.options.Now() - stateAt}
+	// A configuration makes the host ready, so the evacuations come first.
+	if e := r.Evacuations; e != nil {
+		f.hostState.ReplaceEvacuations(e.Zones, e.Offset, origin)
+	}
 	if len(r.Config) > 0 {
 		var c routes.Config
 		if err := json.Unmarshal(r.Config, &c); err != nil {
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -95,6 +95,7 @@
 	serversRevision uint64
 	serverChanges   []serverChange // oldest first
 	maps            assignment.Changes
+	evacuations     evacuations
 	configReadAt    time.Duration // last response of the store about the configuration, by Options.Now
 	serversReadAt   time.Duration // likewise about the servers
 	registry        *followtree.Registry
@@ -263,15 +264,15 @@
 	timer := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxLongPollWait))
 	defer timer.Stop()
 	for {
-		response, changed := s.respond(r, arrived)
-		if changed == nil || response.Config != nil || response.Servers != nil || response.AllServers || response.Map != nil {
+		response, changed, evacuationsChanged := s.respond(r, arrived)
+		if changed == nil || response.Config != nil || response.Servers != nil || response.AllServers || response.Map != nil || evacuationsChanged {
 			return response, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			// The age and the limits are those of the end of the wait.
-			response, _ = s.respond(r, arrived)
+			response, _, _ = s.respond(r, arrived)
 			return response, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -312,8 +313,8 @@
 
 // respond records the follower's call, which arrived at a time, and returns the response at
 // this moment. It also returns a channel that is closed at the next change, or nil if this host does not serve
-// its state.
-func (s *Source) respond(r *followv1.FollowRequest, arrived time.Duration) (*followv1.FollowResponse, <-chan struct{}) {
+// its state, and whether the follower may lack the evacuations.
+func (s *Source) respond(r *followv1.FollowRequest, arrived time.Duration) (*followv1.FollowResponse, <-chan struct{}, bool) {
 	leading, received := s.assigner.Leading(), s.upstream.Received()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -338,7 +339,7 @@
 		response.Leader = s.upstream.CurrentLeader()
 		if !response.Relaying || !r.FromRelay {
 			// A caller that looks for the leader would not use the state.
-			return response, nil
+			return response, nil, false
 		}
 	}
 	response.Hosts, response.Relays = uint32(received.HostCount), received.Relays
@@ -355,7 +356,9 @@
 	if m := s.maps.Newest(); m != nil && m.NextOffset > r.MapEnd {
 		response.Map = s.mapChangeSinceLocked(r.MapEnd)
 	}
-	return response, s.changed
+	var evacuationsChanged bool
+	response.Evacuations, evacuationsChanged = s.evacuations.next(r.Host)
+	return response, s.changed, evacuationsChanged
 }
 
 // roundUpMs returns a duration in milliseconds; a state must not look younger than it is.
