--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -49,7 +49,7 @@
 // New returns an empty directory. maxGap is the longest time without contact to the
 // store that is not taken for an outage, in which entries of live servers expire.
 func New(maxGap time.Duration) *Directory {
-	return &Directory{servers: map[string]Server{}, lives: lives{byID: map[string][]lifeState{}}, followerPauses: map[string][]hostPause{}, missing: map[string]bool{}, outages: outageDetector{maxGap: maxGap}}
+	return &Directory{servers: map[string]Server{}, lives: lives{byID: map[string][]lifeState{}}, followerPauses: map[string][]hostPause{}, missing: map[string]bool{}, outages: outageDetector{maxGap: maxGap}, evacuations: newEvacuations()}
 }
 
 // RecordContact records that the store answered a host, this one or another, during a
--- a/core/directory/evacuations_test.go
+++ b/core/directory/evacuations_test.go
@@ -69,3 +69,41 @@
 	d.Evacuations().Replace(4*time.Second, []string{"a"}, 3)
 	require.Zero(t, d.All()["1"].EvacuationEndedAt)
 }
+
+// Guards against requests to an evacuated zone after the store was restored from a copy
+// without the record: the operator has not ended the evacuation, and writes the record
+// again. Guards against an evacuation that never ends because it does not.
+func TestEvacuationOutlastsARestore(t *testing.T) {
+	const era = 1 << eraShift
+	start := func() *Evacuations {
+		d := New(time.Minute)
+		d.Evacuations().Replace(0, []string{"a", "b"}, 90)
+		change, applied := d.Evacuations().Replace(time.Second, []string{"b"}, era|10)
+		require.True(t, applied)
+		require.Empty(t, change)
+		require.Equal(t, []string{"a", "b"}, d.Evacuations().Zones())
+		require.Equal(t, []string{"b"}, d.Evacuations().Listed())
+		require.True(t, d.evacuations.mark(Server{Zone: "a"}).Evacuated)
+		return d.Evacuations()
+	}
+	e := start()
+	require.Empty(t, e.Expire(time.Second+carryTime-1))
+	require.Equal(t, EvacuationChange{Ended: []string{"a"}}, e.Expire(time.Second+carryTime))
+	require.Equal(t, time.Second+carryTime, e.mark(Server{Zone: "a"}).EvacuationEndedAt)
+
+	e = start()
+	require.Empty(t, e.Apply(2*time.Second, []EvacuationRecord{{Zone: "a", Offset: era | 10}}, era|11), "the operator writes it again")
+	require.Empty(t, e.Expire(time.Hour))
+	require.Equal(t, []string{"a", "b"}, e.Listed())
+
+	e = start()
+	change := e.Apply(2*time.Second, []EvacuationRecord{{Zone: "a", Offset: era | 10, Ended: true}}, era|11)
+	require.Equal(t, EvacuationChange{Ended: []string{"a"}}, change, "the operator ends it")
+
+	e = start()
+	change, _ = e.Replace(3*time.Second, nil, 2*era|5)
+	require.Empty(t, change, "a second restore")
+	require.Equal(t, EvacuationChange{Ended: []string{"a"}}, e.Expire(time.Second+carryTime))
+	change, _ = e.Replace(4*time.Second, []string{"b"}, era|20)
+	require.Empty(t, change, "the former era")
+}
