--- a/core/event/event.go
+++ b/core/event/event.go
@@ -35,7 +35,9 @@
 }
 
 // Event codes by subject: 1xx process, 2xx log and state, 3xx witnesses and lease,
-// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators, 83x costs of requests.
+// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators,
+// 80x cold servers, 81x evacuations, 82x eras of the store, 83x costs of requests, 84x
+// capacity for responses.
 //
 // EntryIgnored is about a record that could not be decoded or used, RecordIgnored
 // about a valid record whose precondition did not hold when it was applied. The
@@ -124,6 +126,10 @@
 	ChangeAccepted     Code = 701
 	ChangeRefused      Code = 702
 	ZoneDeclaredLost   Code = 703
+	EvacuationSeen     Code = 811
+	EvacuationEnded    Code = 812
+	EvacuationsIgnored Code = 813
+	EvacuationProgress Code = 814
 	CostRoutingStarted Code = 831
 	CostsSummed        Code = 832
 )
@@ -212,6 +218,10 @@
 	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
 	{ChangeRefused, "change_refused", "A change of a resource was refused."},
 	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
+	{EvacuationSeen, "evacuation_seen", "This host learned that an availability zone is evacuated; its servers get no new requests."},
+	{EvacuationEnded, "evacuation_ended", "This host learned that the evacuation of an availability zone has ended."},
+	{EvacuationsIgnored, "evacuations_ignored", "A list of evacuated zones is older than what this host knows, and was not used."},
+	{EvacuationProgress, "evacuation_progress", "The number of key ranges that the leader has still to move from evacuated servers of a service has changed; 0 when all are served elsewhere."},
 	{CostRoutingStarted, "cost_routing_started", "The requests of a service are placed by their estimated cost from now on."},
 	{CostsSummed, "costs_summed", "Estimated and actual work of the requests of a service since the last such line."},
 }
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -34,6 +34,8 @@
 	MetricStateAge              = "parsleyrelay_state_age_seconds"
 	MetricCostErrorRatio        = "parsleyrelay_cost_error_ratio"
 	MetricWorkInFlight          = "parsleyrelay_estimated_work_in_flight_seconds"
+	MetricEvacuatedZones        = "parsleyrelay_evacuated_zones"
+	MetricEvacuatedRanges       = "parsleyrelay_evacuated_ranges"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -71,4 +73,6 @@
 	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
 	{MetricCostErrorRatio, Gauge, "1", []string{"service"}, "Factor by which half of the requests differ from the estimate of their work at most; set every 10 s at services whose requests are placed by cost."},
 	{MetricWorkInFlight, Gauge, "s", []string{"service"}, "Estimated work of this host's requests in flight; set every 10 s at services whose requests are placed by cost."},
+	{MetricEvacuatedZones, Gauge, "1", nil, "Availability zones that this host knows to be evacuated; not set before the first evacuation."},
+	{MetricEvacuatedRanges, Gauge, "1", []string{"service"}, "Key ranges that the leading host has still to move from evacuated servers; not set before the first evacuation."},
 }
