Take responses with an invalid status as failed exchanges

Cause: relay/upstream took 000 to 099 and 101 for interim responses and returned a response that followed on the connection, and passed 600 to 999 on. relay/backend returned 0, 12 and 999, with which WriteHeader panics. net/http hands over the connection as the body of a 101 response that names an upgrade; reading it does not end with the context of the call, so control calls, calls to the log and calls between hosts could hang.

Change: relay/statuscheck rejects statuses outside 100 to 599, and 101. upstream and backend use it for requests: the exchange counts as sent and unanswered and the connection is closed. The frontend answers 502 in place of a response (of a server, another host or a transferred window) whose status is not a final one.

Conclusion: a status that callers cannot use no longer leaves a host, and a call cannot hang on one.

--- a/cmd/internal/ctl/session/session.go
+++ b/cmd/internal/ctl/session/session.go
@@ -22,6 +22,7 @@
 	"parsleyrelay.example/cmd/internal/ctl/exit"
 	"parsleyrelay.example/core/finding"
 	"parsleyrelay.example/core/resource"
+	"parsleyrelay.example/relay/statuscheck"
 )
 
 // Names of the shared flags.
@@ -87,7 +88,7 @@
 	transport.TLSClientConfig = tlsConfig
 	s.Client = client.New(client.Config{
 		Hosts: hosts, Token: cmd.String(flagToken), AttemptTimeout: cmd.Duration(flagTimeout),
-		SettleTimeout: cmd.Duration(flagSettleTimeout), HTTPClient: &http.Client{Transport: transport},
+		SettleTimeout: cmd.Duration(flagSettleTimeout), HTTPClient: &http.Client{Transport: statuscheck.Transport{RoundTripper: transport}},
 	})
 	return s, nil
 }
--- a/relay/backend/client.go
+++ b/relay/backend/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"parsleyrelay.example/api/serverapi"
+	"parsleyrelay.example/relay/statuscheck"
 )
 
 // Bounds of the client.
@@ -46,7 +47,7 @@
 type Client struct {
 	baseURL          *url.URL
 	requestTransport *http.Transport
-	controlTransport *http.Transport
+	controlTransport statuscheck.Transport
 	controlTraffic   ControlTraffic
 }
 
@@ -75,7 +76,7 @@
 	return &Client{
 		baseURL:          base,
 		requestTransport: newTransport(o, max(1, o.MaxConnections)),
-		controlTransport: newTransport(o, MaxControlConnections),
+		controlTransport: statuscheck.Transport{RoundTripper: newTransport(o, MaxControlConnections)},
 	}, nil
 }
 
--- a/relay/backend/conn.go
+++ b/relay/backend/conn.go
@@ -20,6 +20,7 @@
 	bytesRead        uint64
 	writtenAtStart   uint64 // bytesWritten when the current request got the connection
 	readAtFirstWrite uint64 // bytesRead when the first byte of the current request was written
+	requests         uint64 // that got the connection
 	writesSealed     bool
 }
 
@@ -47,11 +48,28 @@
 	return n, err
 }
 
-// startRequest marks the start of a request on the connection.
-func (c *countingConn) startRequest() {
+// startRequest marks the start of a request on the connection and returns its number.
+func (c *countingConn) startRequest() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writtenAtStart = c.bytesWritten
+	c.requests++
+	return c.requests
+}
+
+// closeAfter closes the connection after its n-th request. The transport may have given it
+// to another one meanwhile: if that is not written yet, it fails as not sent; else the
+// connection stays open.
+func (c *countingConn) closeAfter(n uint64) {
+	c.mu.Lock()
+	mayClose := c.requests == n || c.bytesWritten == c.writtenAtStart
+	if mayClose {
+		c.writesSealed = true
+	}
+	c.mu.Unlock()
+	if mayClose {
+		_ = c.Close()
+	}
 }
 
 // sealIfUnwritten reports whether no byte of the current request was written. If
@@ -78,6 +96,7 @@
 type roundTrip struct {
 	mu            sync.Mutex
 	conn          *countingConn // nil until the transport has got one
+	number        uint64        // of the request on conn
 	reused        bool
 	failed        bool // a connection that is obtained after this is not used
 	staleResponse bool
@@ -97,11 +116,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	conn.startRequest()
+	number := conn.startRequest()
 	if t.failed {
 		conn.sealIfUnwritten()
 	}
-	t.conn, t.reused = conn, info.Reused
+	t.conn, t.reused, t.number = conn, info.Reused, number
 }
 
 func (t *roundTrip) gotFirstResponseByte() {
@@ -134,6 +153,15 @@
 	return t.staleResponse
 }
 
+// closeConn closes the connection of the request, also if the transport keeps it for others.
+func (t *roundTrip) closeConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		t.conn.closeAfter(t.number)
+	}
+}
+
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 func dialTCP(dialer *net.Dialer) dialFunc {
--- a/relay/backend/execute.go
+++ b/relay/backend/execute.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"parsleyrelay.example/api/serverapi"
+	"parsleyrelay.example/relay/statuscheck"
 )
 
 // maxConnectionAttempts bounds how many connections Do tries, since the server may
@@ -156,8 +157,9 @@
 	if trip.closeIfStale() {
 		return "response of an earlier request on the connection"
 	}
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		return "protocol switch"
+	if err := statuscheck.Check(response.StatusCode); err != nil {
+		trip.closeConn()
+		return err.Error()
 	}
 	sent, echoed := request.Header.Get(serverapi.HeaderRequestID), response.Header.Get(serverapi.HeaderRequestID)
 	if sent != "" && echoed != "" && sent != echoed {
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -18,6 +18,7 @@
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/edge"
 	"parsleyrelay.example/relay/readlimit"
+	"parsleyrelay.example/relay/statuscheck"
 	"parsleyrelay.example/relay/telemetry"
 )
 
@@ -162,7 +163,7 @@
 	f := &Follower{options: o, hostState: hostState, journal: journal, parents: followtree.NewParents(o.Incarnation)}
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return o.Dial(ctx, address) }
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxHeadBytes}
-	f.http = &http.Client{Transport: transport, Timeout: longPollWait + responseTimeout}
+	f.http = &http.Client{Transport: statuscheck.Transport{RoundTripper: transport}, Timeout: longPollWait + responseTimeout}
 	f.client = &readlimit.Client{HTTP: f.http, MaxBytes: maxMessageBytes}
 	f.stateAt.Store(int64(neverRead))
 	f.received.Store(&Received{})
--- a/relay/frontend/response.go
+++ b/relay/frontend/response.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"parsleyrelay.example/api/callerapi"
+	"parsleyrelay.example/relay/statuscheck"
 )
 
 // Response is a response to be sent to the caller.
@@ -26,7 +27,17 @@
 
 // writeResponse streams a response to the caller. If the body ends early, it aborts
 // the connection, so that a truncated response never looks complete.
+//
+// A final status comes from a server, another host or the stored responses that a former home
+// has sent. If HTTP does not define it, WriteHeader would panic.
 func writeResponse(w http.ResponseWriter, resp *Response, requestID string) {
+	if !statuscheck.IsFinal(resp.Status) {
+		if resp.Body != nil {
+			_ = resp.Body.Close()
+		}
+		writeError(w, NewUnknownOutcome(http.StatusBadGateway, callerapi.ReasonNoAnswer, "the response to the request has the invalid status %d", resp.Status), requestID)
+		return
+	}
 	maps.Copy(w.Header(), resp.Header) // package backend has removed hop-by-hop headers
 	w.Header().Set(callerapi.HeaderOutcome, string(resp.Outcome))
 	w.Header().Set(callerapi.HeaderReason, string(resp.Reason))
--- a/relay/platform/client.go
+++ b/relay/platform/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"parsleyrelay.example/api/platformapi"
+	"parsleyrelay.example/relay/statuscheck"
 )
 
 // Limits of the client.
@@ -69,7 +70,7 @@
 		o.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
 	}
 	o.BaseURL = strings.TrimSuffix(o.BaseURL, "/")
-	return &Client{options: o, httpClient: &http.Client{Transport: o.Transport, CheckRedirect: refuseRedirect}}
+	return &Client{options: o, httpClient: &http.Client{Transport: statuscheck.Transport{RoundTripper: o.Transport}, CheckRedirect: refuseRedirect}}
 }
 
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/relay/upstream/response.go
+++ b/relay/upstream/response.go
@@ -10,6 +10,7 @@
 
 	"parsleyrelay.example/relay/memory"
 	"parsleyrelay.example/relay/readlimit"
+	"parsleyrelay.example/relay/statuscheck"
 )
 
 // Response is a complete response. First reports that it is the first one on its
@@ -122,7 +123,11 @@
 			return nil, ErrHeadTooLarge
 		case err != nil:
 			return nil, err
-		case r.StatusCode >= http.StatusOK:
+		}
+		if err := statuscheck.Check(r.StatusCode); err != nil {
+			return nil, err
+		}
+		if r.StatusCode >= http.StatusOK {
 			return r, nil
 		}
 	}
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -18,6 +18,7 @@
 
 	"parsleyrelay.example/relay/memory"
 	"parsleyrelay.example/relay/readlimit"
+	"parsleyrelay.example/relay/statuscheck"
 )
 
 // Limits of connections.
@@ -77,6 +78,9 @@
 	ErrResponseTooLarge   = errors.New("response body exceeds the size limit")
 	ErrNoMemory           = errors.New("no memory for the response body beside those of other requests")
 	ErrHeadTooLarge       = errors.New("response heads exceed the size limit")
+	// ErrInvalidStatus matches the errors of responses with a status that package
+	// statuscheck rejects.
+	ErrInvalidStatus = error(&statuscheck.Error{})
 )
 
 // ErrNoOldConn is the cause if no connection was opened before Exchange.OpenedBefore.
