Refuse requests that were never sent, and before their deadline

Cause: a request whose connection did not open got its 503 up to 120 ms after the caller's deadline, when the caller had left. A host that stopped closed the connections of requests that still waited in its queue. A panic before the request was sent gave 502. A request was written to a new connection that the server had closed meanwhile, and then counted as sent.

A new connection is checked immediately before the write, as idle ones are when they are acquired. The handler sets Request.NotRun also when it panics, and ingress then answers 503.

Conclusion: in these paths 502, 504 and a closed connection no longer stand for a request that was not sent.

--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -76,6 +76,9 @@
 	pools        map[string]*servicePool // by service
 	boundMetrics sync.Map                // metric name and labels to telemetry.BoundMetric
 
+	stopOnce    sync.Once
+	stopSending chan struct{} // closed by StopSending
+
 	loadReportMu sync.Mutex
 	loadReport   LoadReport
 	// loadReportBegun is the time of the last take, or of the first record after a drop.
@@ -95,7 +98,7 @@
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
-	return &Edge{options: o, startedAt: o.Now(), splitter: routes.NewSplitter(), pools: map[string]*servicePool{}}
+	return &Edge{options: o, startedAt: o.Now(), splitter: routes.NewSplitter(), pools: map[string]*servicePool{}, stopSending: make(chan struct{})}
 }
 
 // now returns the time since the Edge was created. All points in time of type
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -59,6 +59,7 @@
 	mapVersion     uint64             // version of the assignment map by which the last server was selected
 	reservedRetry  *dispatch.Decision // server reserved, and retry of the budget spent, for the next attempt
 	unreported     bool               // the present attempt holds its server; its result is not reported
+	sending        bool               // the present attempt may be written, and it is not decided what follows it
 	plannedRetry   *plannedRetry      // set while another attempt is to follow a failed one
 	triedServerIDs []string
 	sentServerIDs  []string          // servers to which the request was sent, also if they may be tried again
@@ -72,6 +73,8 @@
 // Handle forwards a request to a backend server and returns the response for the
 // caller.
 func (e *Edge) Handle(ctx context.Context, r *ingress.Request) *ingress.Response {
+	var c *callerRequest
+	defer func() { r.NotRun = c == nil || c.possibleRuns == 0 && !c.sending }()
 	c, response := e.routeRequest(r)
 	if response == nil {
 		response = c.forward(ctx)
@@ -187,6 +190,9 @@
 	select {
 	case v := <-decision:
 		return v, true
+	case <-c.edge.stopSending:
+		cancel()
+		return hostStops, true
 	case <-ctx.Done():
 		cancel()
 		return dispatch.Decision{}, false
@@ -223,6 +229,7 @@
 		// All attempts have the ID of the request, so on a connection of an earlier one its
 		// second response would be taken for the response to this one.
 		NewConn:    slices.Contains(c.sentServerIDs, s.ID),
+		DialUntil:  c.deadline.Add(-minAttemptTime),
 		BeforeSend: func() error { return c.checkBeforeSend(callerCtx, s) },
 	})
 	c.sentServerIDs = append(c.sentServerIDs, s.ID)
@@ -230,12 +237,16 @@
 	c.lastServerID = s.ID
 	latency := time.Since(start)
 	if err != nil {
-		return c.handleExchangeError(ctx, s, latency, slow, err)
+		callerResponse, retry = c.handleExchangeError(ctx, s, latency, slow, err)
+		c.sending = false
+		return callerResponse, retry
 	}
 	// The slow timer may have reserved a retry while the response arrived.
 	c.releaseReservedRetry()
 	c.attemptsSent++
-	return c.handleResponse(callerCtx, s, latency, response)
+	callerResponse, retry = c.handleResponse(callerCtx, s, latency, response)
+	c.sending = false // not deferred: a panic above leaves open whether the request has run
+	return callerResponse, retry
 }
 
 // reportResult reports the result of the attempt at a server and releases the server.
@@ -260,7 +271,14 @@
 	if time.Until(c.deadline) < minAttemptTime {
 		return errDeadlineTooClose
 	}
-	return c.edge.checkPlacement(s)
+	if c.edge.sendingStopped() {
+		return errHostStops
+	}
+	if err := c.edge.checkPlacement(s); err != nil {
+		return err
+	}
+	c.sending = true
+	return nil
 }
 
 // startSlowTimer starts a timer that cancels an attempt which exceeds the server's
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -35,6 +35,10 @@
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.giveUp("deadline"), false
 	}
+	if errors.Is(err, errHostStops) {
+		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		return c.giveUp(reasonHostStops), false
+	}
 	if errors.Is(err, errCallerLeft) {
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.abandon(), false
@@ -63,7 +67,7 @@
 		outcome = dispatch.Slow
 	case errors.Is(ctx.Err(), context.Canceled):
 		outcome = dispatch.Canceled
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, upstream.ErrDialTooLong):
 		outcome = dispatch.DeadlineExceeded
 	case sent:
 		outcome = dispatch.ConnectionLost
--- a/relay/ingress/body.go
+++ b/relay/ingress/body.go
@@ -132,7 +132,8 @@
 func (c *conn) runHandler(ctx context.Context, p *pipelinedRequest, b *requestBody) {
 	returned := false
 	defer func() { b.release(returned) }() // after a panic, a part of the handler may still read the pieces
-	p.response = c.server.Handler(ctx, &Request{Request: p.request, Payload: b.pieces, ReceivedAt: time.Now()})
+	p.handled = &Request{Request: p.request, Payload: b.pieces, ReceivedAt: time.Now()}
+	p.response = c.server.Handler(ctx, p.handled)
 	returned = true
 	if p.response != nil {
 		p.responseHold = memory.Hold{Account: c.server.Memory}
--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -45,6 +45,8 @@
 	*http.Request
 	Payload    [][]byte
 	ReceivedAt time.Time
+	// NotRun is set by the Handler, also if it panics: the request has not run and never will.
+	NotRun bool
 }
 
 // PayloadSize returns the length of the body in bytes.
@@ -98,6 +100,7 @@
 // when done is closed.
 type pipelinedRequest struct {
 	request      *http.Request
+	handled      *Request // nil until the handler starts
 	done         chan struct{}
 	response     *Response
 	responseHold memory.Hold
--- a/relay/ingress/panic.go
+++ b/relay/ingress/panic.go
@@ -9,11 +9,15 @@
 	"strings"
 )
 
+// panicRetryAfter is the Retry-After, in seconds, of requests that are refused after a panic.
+const panicRetryAfter = "0.500"
+
 // maxStackFrames limits the calls that a Panic lists.
 const maxStackFrames = 12
 
-// Panic describes a panic of the Handler. The request is answered with status 502, since
-// it may have run, and its connection closes when its other requests are answered.
+// Panic describes a panic of the Handler. The request is answered with status 503 if the
+// Handler has set Request.NotRun, else with 502, since it may have run. Its connection closes
+// when its other requests are answered.
 type Panic struct {
 	Caller  string // address
 	Request *http.Request
@@ -28,6 +32,9 @@
 	defer func() {
 		if value := recover(); value != nil {
 			p.response = &Response{Status: http.StatusBadGateway}
+			if p.handled != nil && p.handled.NotRun {
+				p.response = &Response{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {panicRetryAfter}}}
+			}
 			c.requestClose()
 			c.reportPanic(Panic{Request: p.request, Value: value, Stack: formatStack()})
 		}
--- a/relay/ingress/panic_test.go
+++ b/relay/ingress/panic_test.go
@@ -57,3 +57,18 @@
 	require.NoError(t, err)
 	require.Equal(t, "/next", readResponse(t, otherReader).Header.Get("X-Path"))
 }
+
+// Guards against a request that panicked before it was sent and whose caller must not send it
+// again.
+func TestPanicBeforeSendingIsARefusal(t *testing.T) {
+	_, address := startServerWith(t, &Server{Handler: func(_ context.Context, r *Request) *Response {
+		r.NotRun = true
+		panic("broken")
+	}})
+	c, reader := dial(t, address)
+	_, err := io.WriteString(c, formatGet("/1"))
+	require.NoError(t, err)
+	response := readResponse(t, reader)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+}
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -83,6 +83,13 @@
 	ErrInvalidStatus = error(&statuscheck.Error{})
 )
 
+// ErrDialTooLong is the cause if a connection was not open at Exchange.DialUntil.
+var ErrDialTooLong = errors.New("no connection was open in time for the request")
+
+// ErrClosedBeforeSend is the cause if the server closed a new connection, or sent bytes on it,
+// before the request was written.
+var ErrClosedBeforeSend = errors.New("the server closed the connection, or sent bytes, before the request was sent")
+
 // ErrNoOldConn is the cause if no connection was opened before Exchange.OpenedBefore.
 var ErrNoOldConn = errors.New("no idle connection is old enough")
 
@@ -97,6 +104,9 @@
 	FurtherBody [][]byte
 	Matches     func(http.Header) bool
 	NewConn     bool // opens a connection, even if one is idle
+	// DialUntil is the time until which opening a connection may take, in addition to
+	// DialTimeout; zero for no limit.
+	DialUntil time.Time
 	// OpenedBefore limits the exchange to connections that were opened before a time, so
 	// that it reaches a process that ran then. None is opened without ConfirmNewConn. Zero
 	// for no limit.
@@ -186,6 +196,10 @@
 		c.releaseConn(x.Address, cn)
 		return nil, &Error{Address: x.Address, Err: err}
 	}
+	if !cn.used && !cn.isOpenAndEmpty() { // idle ones were checked when they were acquired
+		cn.reset()
+		return nil, &Error{Address: x.Address, Err: ErrClosedBeforeSend}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	response, sent, reusable, err := cn.exchange(x)
 	if !stop() || err != nil {
@@ -231,10 +245,17 @@
 		}
 	}
 	c.DialAttempts.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	nc, err := c.dial(ctx, x.Address)
+	if !x.DialUntil.IsZero() {
+		dialCtx, cancel = context.WithDeadlineCause(dialCtx, x.DialUntil, ErrDialTooLong)
+		defer cancel()
+	}
+	nc, err := c.dial(dialCtx, x.Address)
 	if err != nil {
+		if ctx.Err() == nil && errors.Is(context.Cause(dialCtx), ErrDialTooLong) {
+			err = ErrDialTooLong
+		}
 		return nil, err
 	}
 	heads := &readlimit.Reader{Source: nc, Remaining: readlimit.None}
