Admit downloads by the time of the host's link and by memory

Cause: a response of 90 kB takes 72 ms of a link of 10 Mbit/s. A burst of downloads was sent to servers, filled the memory and the sockets of the host and arrived late, and small responses waited behind it.

Change: core/egress reserves the expected size of a download (decaying mean and 95% quantile of its route) before it waits for a server, holds its true size until its caller has taken it, and refuses, with 503, what the link does not deliver within the target latency or the memory does not hold. Bodies of downloads are written in parts of 16 KiB at the speed of the link; other responses are written at once and count in it.

Real links and the deployments were not measured.

Conclusion: a download that would be late is refused before it costs a server's time.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -124,6 +124,7 @@
 	ChangeAccepted     Code = 701
 	ChangeRefused      Code = 702
 	ZoneDeclaredLost   Code = 703
+	DownloadRefused    Code = 841
 )
 
 // Definitions lists all events in the order of their codes.
@@ -206,8 +207,9 @@
 	{RequestAbandoned, "request_abandoned", "The caller left before the response."},
 	{ServerPaused, "server_paused", "An attempt at a backend server failed; the server gets no requests for a while."},
 	{ResponseCutOff, "response_cut_off", "A caller may not have received a response in whole; the line names the reason."},
-	{RequestPanicked, "request_panicked", "The code that handles a request panicked; the request is answered with status 502 and the process goes on."},
+	{RequestPanicked, "request_panicked", "The code that handles a request panicked; the request is answered with status 503 if it was not sent, else with 502, and the process goes on."},
 	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
 	{ChangeRefused, "change_refused", "A change of a resource was refused."},
 	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
+	{DownloadRefused, "download_refused", "A download was refused because the link or the memory of the host has no room for it; the line has what decided. The request did not run."},
 }
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -13,6 +13,7 @@
 	"parsleyrelay.example/core/assignment"
 	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/dispatch"
+	"parsleyrelay.example/core/egress"
 	"parsleyrelay.example/core/retry"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/ingress"
@@ -60,6 +61,9 @@
 	// OnSignal is called with news that a response has of its server, before the response
 	// is passed on; nil if nobody listens.
 	OnSignal func(Signal)
+	// Link describes the host's network link and the memory for downloads. Without a speed
+	// downloads are treated like all requests.
+	Link egress.Config
 }
 
 // Edge handles requests. It is safe for concurrent use.
@@ -76,6 +80,8 @@
 	pools        map[string]*servicePool // by service
 	boundMetrics sync.Map                // metric name and labels to telemetry.BoundMetric
 
+	link *hostLink // nil if its speed is not known
+
 	stopOnce    sync.Once
 	stopSending chan struct{} // closed by StopSending
 
@@ -98,7 +104,7 @@
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
-	return &Edge{options: o, startedAt: o.Now(), splitter: routes.NewSplitter(), pools: map[string]*servicePool{}, stopSending: make(chan struct{})}
+	return &Edge{options: o, link: newHostLink(o.Link, o.Now), startedAt: o.Now(), splitter: routes.NewSplitter(), pools: map[string]*servicePool{}, stopSending: make(chan struct{})}
 }
 
 // now returns the time since the Edge was created. All points in time of type
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -76,9 +76,14 @@
 	var c *callerRequest
 	defer func() { r.NotRun = c == nil || c.possibleRuns == 0 && !c.sending }()
 	c, response := e.routeRequest(r)
-	if response == nil {
+	switch {
+	case response != nil:
+	case c.route.Download && e.link != nil:
+		response = c.forwardDownload(ctx)
+	default:
 		response = c.forward(ctx)
 	}
+	e.link.recordPassed(response)
 	e.recordRequestMetrics(c, r, response)
 	return response
 }
--- a/relay/ingress/cutoff.go
+++ b/relay/ingress/cutoff.go
@@ -62,10 +62,13 @@
 func (c *conn) writeResponse(p *pipelinedRequest, closing bool) bool {
 	start := time.Now()
 	b, furtherBody := encodeResponse(p, closing)
+	if c.server.Pacer != nil && !p.response.Bulk {
+		c.server.Pacer.WaitToWrite(len(b) + len(furtherBody))
+	}
 	written, err := c.writeAll(b)
 	if err == nil && len(furtherBody) > 0 {
 		var n int
-		n, err = c.writeAll(furtherBody)
+		n, err = c.writeBody(furtherBody, p.response.Bulk)
 		written += n
 	}
 	if err != nil {
@@ -85,9 +88,19 @@
 // writeAll writes b as long as the caller takes a part of it within each stall timeout and
 // keeps to linger.MinRate. It returns the number of bytes written.
 func (c *conn) writeAll(b []byte) (written int, err error) {
-	stallTimeout := cmp.Or(c.server.writeStallTimeout, writeStallTimeout)
+	stallTimeout := c.server.stallTimeout()
+	return c.writeUntil(b, time.Now().Add(stallTimeout+linger.DeliveryTime(len(b))))
+}
+
+func (s *Server) stallTimeout() time.Duration {
+	return cmp.Or(s.writeStallTimeout, writeStallTimeout)
+}
+
+// writeUntil is writeAll with the time until which all of b has to be taken.
+func (c *conn) writeUntil(b []byte, end time.Time) (written int, err error) {
+	stallTimeout := c.server.stallTimeout()
 	now := time.Now()
-	end, progressAt := now.Add(stallTimeout+linger.DeliveryTime(len(b))), now
+	progressAt := now
 	for {
 		_ = c.SetWriteDeadline(now.Add(stallTimeout / writeAttemptsPerStall))
 		n, err := c.Write(b[written:])
--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -64,6 +64,17 @@
 	Body   []byte
 	// Abort closes the connection without a response.
 	Abort bool
+	// Bulk lets other responses be written first; see Server.Pacer.
+	Bulk bool
+	// OnRelease, if not nil, is called once when the response is written or will not be.
+	OnRelease func()
+}
+
+// Pacer bounds the speed at which bulk responses are written. It is safe for concurrent use.
+type Pacer interface {
+	// WaitToWrite records bytes that are to be written and returns how long a bulk response
+	// has to wait before it writes them. Other responses do not wait.
+	WaitToWrite(bytes int) time.Duration
 }
 
 // Handler answers a request. ctx ends when the caller closes its connection.
@@ -86,6 +97,9 @@
 	// OnPanic, if not nil, is called for each request whose Handler panics.
 	OnPanic func(Panic)
 
+	// Pacer, if not nil, is asked before responses are written.
+	Pacer Pacer
+
 	writeStallTimeout time.Duration // 0 for the default
 
 	mu           sync.Mutex
@@ -442,7 +456,7 @@
 			break
 		}
 		written := c.writeResponse(p, last)
-		p.responseHold.Release()
+		p.release()
 		if !written || last {
 			break
 		}
@@ -457,7 +471,15 @@
 	c.closeLingering()
 	for _, p := range unanswered {
 		<-p.done
-		p.responseHold.Release()
+		p.release()
+	}
+}
+
+// release ends the hold of the response, which is written or will not be.
+func (p *pipelinedRequest) release() {
+	p.responseHold.Release()
+	if p.response != nil && p.response.OnRelease != nil {
+		p.response.OnRelease()
 	}
 }
 
--- /dev/null
+++ b/relay/ingress/pace.go
@@ -0,0 +1,32 @@
+package ingress
+
+import (
+	"time"
+
+	"parsleyrelay.example/relay/linger"
+)
+
+// pacedBytes is the size of the parts in which a bulk response is written. It takes 13 ms of a
+// link of 10 Mbit/s, which is what another response waits for at most.
+const pacedBytes = 16 << 10
+
+// writeBody writes the part of a body that is not written with its head. A bulk one is written
+// in parts, each when the pacer lets it. The waits do not count in the time that the caller
+// has to take the body.
+func (c *conn) writeBody(b []byte, bulk bool) (written int, err error) {
+	if !bulk || c.server.Pacer == nil {
+		return c.writeAll(b)
+	}
+	end := time.Now().Add(c.server.stallTimeout() + linger.DeliveryTime(len(b)))
+	for written < len(b) && err == nil {
+		part := b[written:min(len(b), written+pacedBytes)]
+		if wait := c.server.Pacer.WaitToWrite(len(part)); wait > 0 {
+			time.Sleep(wait)
+			end = end.Add(wait)
+		}
+		var n int
+		n, err = c.writeUntil(part, end)
+		written += n
+	}
+	return written, err
+}
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -32,6 +32,9 @@
 	MetricLinesOmitted          = "parsleyrelay_log_lines_omitted_total"
 	MetricConfigVersion         = "parsleyrelay_configuration_version"
 	MetricStateAge              = "parsleyrelay_state_age_seconds"
+	MetricDownloadsRefused      = "parsleyrelay_downloads_refused_total"
+	MetricDownloadBytes         = "parsleyrelay_download_bytes"
+	MetricLinkWait              = "parsleyrelay_link_wait_seconds"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -67,4 +70,7 @@
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
 	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
+	{MetricDownloadsRefused, Counter, "1", []string{"service", "reason"}, "Downloads that were refused before they were sent to a server, because the link or the memory of the host has no room."},
+	{MetricDownloadBytes, Gauge, "By", []string{"state"}, "Bytes of downloads: reserved ones are expected from servers, held ones are not taken by their callers yet; not set without --link-mbps."},
+	{MetricLinkWait, Gauge, "s", nil, "Time until the link has delivered what has arrived for callers and is expected; not set without --link-mbps."},
 }
