Check manifests before they are applied

Cause: an operator learnt only from apply, resource by resource, that a route has the prefix of another one, and not at all that limits contradict each other or that a route can never match.

Change: parsleyctl config check FILE [--against FILE] reports findings with their place and what differs from the version in force (a file, the entry hosts, or none), as a table, JSON or YAML. Exit codes: 0 clean, 1 findings, 2 if the check could not be made. session.NewLocal is for commands that may do without a host.

Conclusion: scripts can refuse a configuration before it is sent.

--- a/cmd/internal/ctl/queries/queries.go
+++ b/cmd/internal/ctl/queries/queries.go
@@ -46,6 +46,7 @@
 			},
 			Action: diffManifests,
 		},
+		configCommand(),
 		{Name: "status", Usage: "show hosts, offsets, leases and witness sets", Action: showStatus},
 		{Name: "timeline", Usage: "show the events of all hosts in order", Flags: timelineFlags(), Action: showTimeline},
 		{
--- a/cmd/internal/ctl/session/session.go
+++ b/cmd/internal/ctl/session/session.go
@@ -71,9 +71,7 @@
 	var findings finding.List
 	root := cmd.Root()
 	s := &Session{OutputFormat: cmd.String(flagOutput), In: root.Reader, Out: root.Writer, ErrOut: root.ErrWriter}
-	if !slices.Contains([]string{FormatTable, FormatJSON, FormatYAML}, s.OutputFormat) {
-		findings.Add("--"+flagOutput, "%q is none of table, json and yaml", s.OutputFormat)
-	}
+	s.checkOutputFormat(&findings)
 	for _, name := range []string{flagTimeout, flagSettleTimeout} {
 		if cmd.Duration(name) <= 0 {
 			findings.Add("--"+name, "%v is not positive", cmd.Duration(name))
@@ -93,6 +91,24 @@
 	return s, nil
 }
 
+// HasHosts reports whether the flag of the entry hosts is set.
+func HasHosts(cmd *cli.Command) bool { return len(cmd.StringSlice(flagEntryHosts)) > 0 }
+
+// NewLocal is New for a command that calls no host; Session.Client is nil.
+func NewLocal(cmd *cli.Command) (*Session, error) {
+	root := cmd.Root()
+	s := &Session{OutputFormat: cmd.String(flagOutput), In: root.Reader, Out: root.Writer, ErrOut: root.ErrWriter}
+	var findings finding.List
+	s.checkOutputFormat(&findings)
+	return s, exit.FindingsError(findings)
+}
+
+func (s *Session) checkOutputFormat(findings *finding.List) {
+	if !slices.Contains([]string{FormatTable, FormatJSON, FormatYAML}, s.OutputFormat) {
+		findings.Add("--"+flagOutput, "%q is none of table, json and yaml", s.OutputFormat)
+	}
+}
+
 // ParseURLs reads the URLs in a flag, which must be http or https and default to
 // http. Problems are added to findings.
 func ParseURLs(cmd *cli.Command, flag string, findings *finding.List) []string {
