--- a/core/event/event.go
+++ b/core/event/event.go
@@ -132,6 +132,7 @@
 	EvacuationProgress Code = 814
 	CostRoutingStarted Code = 831
 	CostsSummed        Code = 832
+	DownloadRefused    Code = 841
 )
 
 // Definitions lists all events in the order of their codes.
@@ -214,7 +215,7 @@
 	{RequestAbandoned, "request_abandoned", "The caller left before the response."},
 	{ServerPaused, "server_paused", "An attempt at a backend server failed; the server gets no requests for a while."},
 	{ResponseCutOff, "response_cut_off", "A caller may not have received a response in whole; the line names the reason."},
-	{RequestPanicked, "request_panicked", "The code that handles a request panicked; the request is answered with status 502 and the process goes on."},
+	{RequestPanicked, "request_panicked", "The code that handles a request panicked; the request is answered with status 503 if it was not sent, else with 502, and the process goes on."},
 	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
 	{ChangeRefused, "change_refused", "A change of a resource was refused."},
 	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
@@ -224,4 +225,5 @@
 	{EvacuationProgress, "evacuation_progress", "The number of key ranges that the leader has still to move from evacuated servers of a service has changed; 0 when all are served elsewhere."},
 	{CostRoutingStarted, "cost_routing_started", "The requests of a service are placed by their estimated cost from now on."},
 	{CostsSummed, "costs_summed", "Estimated and actual work of the requests of a service since the last such line."},
+	{DownloadRefused, "download_refused", "A download was refused because the link or the memory of the host has no room for it; the line has what decided. The request did not run."},
 }
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -14,6 +14,7 @@
 	"parsleyrelay.example/core/cost"
 	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/dispatch"
+	"parsleyrelay.example/core/egress"
 	"parsleyrelay.example/core/retry"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/relay/ingress"
@@ -63,6 +64,9 @@
 	OnSignal func(Signal)
 	// CostRouting says whether requests are placed by their estimated cost.
 	CostRouting dispatch.CostRouting
+	// Link describes the host's network link and the memory for downloads. Without a speed
+	// downloads are treated like all requests.
+	Link egress.Config
 }
 
 // Edge handles requests. It is safe for concurrent use.
@@ -79,6 +83,11 @@
 	pools        map[string]*servicePool // by service
 	boundMetrics sync.Map                // metric name and labels to telemetry.BoundMetric
 
+	link *hostLink // nil if its speed is not known
+
+	stopOnce    sync.Once
+	stopSending chan struct{} // closed by StopSending
+
 	loadReportMu sync.Mutex
 	loadReport   LoadReport
 	// loadReportBegun is the time of the last take, or of the first record after a drop.
@@ -98,7 +107,7 @@
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
-	return &Edge{options: o, startedAt: o.Now(), splitter: routes.NewSplitter(), pools: map[string]*servicePool{}}
+	return &Edge{options: o, link: newHostLink(o.Link, o.Now), startedAt: o.Now(), splitter: routes.NewSplitter(), pools: map[string]*servicePool{}, stopSending: make(chan struct{})}
 }
 
 // now returns the time since the Edge was created. All points in time of type
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -36,6 +36,9 @@
 	MetricWorkInFlight          = "parsleyrelay_estimated_work_in_flight_seconds"
 	MetricEvacuatedZones        = "parsleyrelay_evacuated_zones"
 	MetricEvacuatedRanges       = "parsleyrelay_evacuated_ranges"
+	MetricDownloadsRefused      = "parsleyrelay_downloads_refused_total"
+	MetricDownloadBytes         = "parsleyrelay_download_bytes"
+	MetricLinkWait              = "parsleyrelay_link_wait_seconds"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -75,4 +78,7 @@
 	{MetricWorkInFlight, Gauge, "s", []string{"service"}, "Estimated work of this host's requests in flight; set every 10 s at services whose requests are placed by cost."},
 	{MetricEvacuatedZones, Gauge, "1", nil, "Availability zones that this host knows to be evacuated; not set before the first evacuation."},
 	{MetricEvacuatedRanges, Gauge, "1", []string{"service"}, "Key ranges that the leading host has still to move from evacuated servers; not set before the first evacuation."},
+	{MetricDownloadsRefused, Counter, "1", []string{"service", "reason"}, "Downloads that were refused before they were sent to a server, because the link or the memory of the host has no room."},
+	{MetricDownloadBytes, Gauge, "By", []string{"state"}, "Bytes of downloads: reserved ones are expected from servers, held ones are not taken by their callers yet; not set without --link-mbps."},
+	{MetricLinkWait, Gauge, "s", nil, "Time until the link has delivered what has arrived for callers and is expected; not set without --link-mbps."},
 }
