Limit the requests to cold servers by permits of the leader

The warm-up fields were decoded and discarded, so that all hosts together sent a server that had just started as many requests as a warm one.

Change: core/warmup has the Lender of the leading host, the Borrower of each host and the Suspicions of servers that may have become cold. core/dispatch keeps requests for cold servers in the queue until there is a permit, and refuses those that cannot get one in time with reason no_permit; services without keys prefer warm servers. relay/edge asks for permits, in one call at a time for all servers, and checks them when the request is written. Requests that a host sent in the second before it knew that the server is cold are charged to the limit. relay/follow carries the calls, which go to the leader directly, and the cold signals.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -153,6 +153,12 @@
 	return removed
 }
 
+// Get returns the entry of a server, and false if it is not known.
+func (d *Directory) Get(id string) (Server, bool) {
+	s, ok := d.servers[id]
+	return s, ok
+}
+
 // All returns a copy of the known servers by ID, with this host's pauses.
 func (d *Directory) All() map[string]Server {
 	all := maps.Clone(d.servers)
--- a/core/directory/signals.go
+++ b/core/directory/signals.go
@@ -12,6 +12,7 @@
 	Life
 	Leaving bool
 	Pause
+	Cold bool // it has become cold, or may have; not kept by the Directory
 }
 
 // Pause says from how many hosts a server wants no requests, and for how long.
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -87,6 +87,7 @@
 	Zone        string
 	Slots       int           // requests that the server runs at a time
 	Cold        bool          // has just started and is still slow
+	NeedsPermit bool          // gets requests only with a permit, because it is cold
 	PausedUntil time.Duration // the server asked for no requests before
 }
 
@@ -121,34 +122,6 @@
 // Such a server does not refuse for lack of capacity. It is false for a nil Load.
 func (l *Load) HasShortQueue() bool { return l != nil && l.Waiting < max(1, l.Slots) }
 
-// RetryAfterRefusal returns how long a caller should wait before it returns after a server
-// with the given load refused its request. target is the latency at which the route
-// aims; 0 for none.
-//
-// A server that refuses although its queue is short refuses part of its requests
-// whatever the load, so the caller has the same chance at once, and a wait only uses
-// up its time. The queue of a full server needs time to shrink.
-func RetryAfterRefusal(load *Load, target time.Duration) time.Duration {
-	switch {
-	case load.HasShortQueue():
-		return promptRetryAfter
-	case target > 0:
-		return min(fullServerRetryAfter, time.Duration(float64(target)*retryAfterShare))
-	}
-	return fullServerRetryAfter
-}
-
-const (
-	// promptRetryAfter is the pause after a refusal that is not caused by load. It is
-	// not 0, so that callers do not return in a busy loop.
-	promptRetryAfter = 50 * time.Millisecond
-	// fullServerRetryAfter bounds the pause after a full server refused.
-	fullServerRetryAfter = 500 * time.Millisecond
-	// retryAfterShare is the share of the target latency that callers wait after a full
-	// server refused; most of the rest is needed to run the request.
-	retryAfterShare = 0.3
-)
-
 // AttemptResult describes how an attempt at a server ended.
 type AttemptResult struct {
 	Outcome Outcome
@@ -191,6 +164,9 @@
 	// their response. It is 0 for services with keys, and until enough responses
 	// have been seen.
 	LatencyBound time.Duration
+	// PermitUntil is the time before which the request must be written, because of its permit
+	// for a cold server; 0 if it needs none.
+	PermitUntil time.Duration
 }
 
 // HolderLookup returns the server that holds a key. If no server holds the key, id
@@ -200,7 +176,8 @@
 // queuedRequest is a Request in the queue.
 type queuedRequest struct {
 	Request
-	onDecision func(Decision)
+	onDecision   func(Decision) // nil for a request that is not queued
+	permitServer *serverState   // cold server for which it waits for a permit
 }
 
 // Pool queues the requests of one service at one host and distributes them over
@@ -220,6 +197,9 @@
 	lastPauseEnd  time.Duration // of the pauses for which the servers asked
 	requestWaited bool          // whether a request has had to wait after the last growth of commonWindow
 
+	permits     Permits        // for cold servers
+	coldServers []*serverState // servers that need permits
+
 	latencyEstimates map[int]*latencyEstimate // by rank, for services without keys
 
 	urgentWork, otherWork float64 // seconds that servers spent on rank 0 and on other ranks, decaying
@@ -263,6 +243,7 @@
 	}
 	slices.SortFunc(p.candidates, func(a, b *serverState) int { return cmp.Compare(p.rendezvousScore(b.ID), p.rendezvousScore(a.ID)) })
 	p.commonWindow = min(p.commonWindow, p.maxWindow())
+	p.updateColdServers()
 	p.Dispatch(now)
 }
 
@@ -285,6 +266,7 @@
 	return func() {
 		if i := slices.Index(p.queue, request); i >= 0 {
 			p.queue = slices.Delete(p.queue, i, i+1)
+			p.withdrawPermitDemand(request)
 		}
 	}
 }
@@ -311,6 +293,9 @@
 	if wait, refuse := p.refuseForPause(now, request); refuse {
 		return ServerPaused, wait
 	}
+	if wait, refuse := p.refuseForPermit(now, request); refuse {
+		return NoPermit, wait
+	}
 	if p.holderOf != nil && request.Keyed {
 		if id, _ := p.holderOf(request.Key); p.ConnectionsKeepFailing(id) && p.servers[id].paused(now) {
 			return HolderUnreachable, clampRetryAfter(p.servers[id].pausedUntil - now)
@@ -385,6 +370,9 @@
 // Dispatch assigns or refuses every queued request for which that is possible now.
 func (p *Pool) Dispatch(now time.Duration) {
 	undecided := p.queue[:0]
+	for _, s := range p.coldServers {
+		s.permitDemand = 0
+	}
 	var callbacks []func()
 	for _, request := range p.queue {
 		decision, ok := p.decide(now, request)
@@ -396,6 +384,7 @@
 	}
 	clear(p.queue[len(undecided):])
 	p.queue = undecided
+	p.reportPermitDemand()
 	for _, callback := range callbacks {
 		callback()
 	}
@@ -417,11 +406,16 @@
 // decide returns the decision about a request, or false if the request has to wait.
 func (p *Pool) decide(now time.Duration, request *queuedRequest) (Decision, bool) {
 	if now >= request.Deadline || now-request.submitted > request.MaxQueueWait {
-		return Decision{Reason: WaitTooLong, RetryAfter: minRetryAfter}, true
+		reason, wait := p.expiredReason(request)
+		return Decision{Reason: reason, RetryAfter: wait}, true
 	}
+	request.permitServer = nil
 	if wait, refuse := p.refuseForPause(now, request); refuse {
 		return Decision{Reason: ServerPaused, RetryAfter: wait}, true
 	}
+	if wait, refuse := p.refuseForPermit(now, request); refuse {
+		return Decision{Reason: NoPermit, RetryAfter: wait}, true
+	}
 	if p.holderOf != nil && request.Keyed {
 		id, unheldSince := p.holderOf(request.Key)
 		s := p.servers[id]
@@ -433,7 +427,7 @@
 		if !p.hasCapacity(now, s, request) {
 			return Decision{}, false
 		}
-		return p.assign(now, s), true
+		return p.assignWithPermit(now, s, request)
 	}
 	if len(p.candidates) == 0 {
 		return Decision{Reason: NoServer, RetryAfter: clampRetryAfter(time.Second)}, true
@@ -447,9 +441,9 @@
 		p.requestWaited = true
 		return Decision{}, false
 	}
-	decision := p.assign(now, s)
+	decision, ok := p.assignWithPermit(now, s, request)
 	decision.LatencyBound = p.latencyEstimates[request.Rank].latencyBound()
-	return decision, true
+	return decision, ok
 }
 
 // assign counts a request as in flight at a server and returns the decision.
--- a/core/dispatch/servers.go
+++ b/core/dispatch/servers.go
@@ -28,6 +28,8 @@
 	pausedUntil      time.Duration // no requests are sent before; apart from Server.PausedUntil
 	resumeWindow     float64       // limit of inflight after a pause for which the server asked; 0 for none
 	removed          bool          // no longer listed; kept until its requests have ended
+	permitDemand     int           // queued requests that wait for a permit; see permits.go
+	reportedDemand   int           // permitDemand as reported last
 	reservationOrder float64       // in [0, 1]; servers below the reserved share are reserved
 }
 
@@ -127,6 +129,7 @@
 // bestServer returns the server with the lowest cost, or nil if none can take the
 // request. The cost is the expected latency, raised for errors, for outstanding
 // requests, for servers that have just started and for other availability zones.
+// Servers that need a permit come last.
 func (p *Pool) bestServer(now time.Duration, request *queuedRequest) *serverState {
 	var chosen *serverState
 	leastCost, reservedShare := 0.0, p.reservedShare()
@@ -156,6 +159,9 @@
 		case !reserved && request.Rank == 0 && reservedShare > 0:
 			cost *= unreservedFactor
 		}
+		if s.NeedsPermit {
+			cost = p.permitCost(s, cost)
+		}
 		if chosen == nil || cost < leastCost {
 			chosen, leastCost = s, cost
 		}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -35,7 +35,8 @@
 }
 
 // Event codes by subject: 1xx process, 2xx log and state, 3xx witnesses and lease,
-// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators.
+// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators,
+// 801 to 809 cold servers.
 //
 // EntryIgnored is about a record that could not be decoded or used, RecordIgnored
 // about a valid record whose precondition did not hold when it was applied. The
@@ -124,6 +125,12 @@
 	ChangeAccepted     Code = 701
 	ChangeRefused      Code = 702
 	ZoneDeclaredLost   Code = 703
+	PermitsLent        Code = 801
+	PermitsRefused     Code = 802
+	ServerCold         Code = 803
+	ServerWarm         Code = 804
+	LenderMissing      Code = 805
+	LenderReached      Code = 806
 )
 
 // Definitions lists all events in the order of their codes.
@@ -210,4 +217,10 @@
 	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
 	{ChangeRefused, "change_refused", "A change of a resource was refused."},
 	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
+	{PermitsLent, "permits_lent", "The leader lent a host permits for requests to cold servers."},
+	{PermitsRefused, "permits_refused", "The leader lent a host fewer permits for requests to cold servers than it asked for; the line names the first such server."},
+	{ServerCold, "server_cold", "A server of a service with a warm-up rate counts as cold; the line names the evidence."},
+	{ServerWarm, "server_warm", "A server of a service with a warm-up rate no longer counts as cold."},
+	{LenderMissing, "lender_missing", "No host lends this host permits for requests to cold servers, which it refuses."},
+	{LenderReached, "lender_reached", "A host lends this host permits for requests to cold servers again."},
 }
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -261,6 +261,7 @@
 		}
 		leading := a.leader != nil && a.leader.Leading()
 		if leading {
+			a.confirmation.begin(a.options.Now(), a.leader.Term())
 			a.confirmation.set(a.leader.Term(), a.leader.ConfirmedAt())
 		}
 		a.leading.Store(leading)
--- a/relay/assigner/confirmation.go
+++ b/relay/assigner/confirmation.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"parsleyrelay.example/core/warmup"
 )
 
 const (
@@ -21,9 +23,19 @@
 	mu      sync.Mutex
 	term    uint64
 	at      time.Duration
+	begunAt time.Duration // when the term was first seen to have begun
 	changed chan struct{} // closed at the next change; nil if no call waits
 }
 
+// begin records that a term has begun, unless it is known. It is called before set.
+func (c *confirmation) begin(now time.Duration, term uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term != term {
+		c.begunAt = now
+	}
+}
+
 // set records that a term was last confirmed at a time.
 func (c *confirmation) set(term uint64, at time.Duration) {
 	c.mu.Lock()
@@ -49,6 +61,13 @@
 	return c.term, c.at, c.changed
 }
 
+// Leadership returns since when this host leads, and when the store last confirmed that.
+func (a *Assigner) Leadership() warmup.Leadership {
+	a.confirmation.mu.Lock()
+	defer a.confirmation.mu.Unlock()
+	return warmup.Leadership{Leading: a.leading.Load(), BegunAt: a.confirmation.begunAt, ConfirmedAt: a.confirmation.at}
+}
+
 // confirmTerm waits until a read of the map that is sent from now on confirms a term of
 // this host, up to maxConfirmationWait. Calls that wait share a read. A host that has begun
 // a later term since knows of a leader in between.
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -60,6 +60,7 @@
 	// OnSignal is called with news that a response has of its server, before the response
 	// is passed on; nil if nobody listens.
 	OnSignal func(Signal)
+	Warmup   Warmup // limit for cold servers
 }
 
 // Edge handles requests. It is safe for concurrent use.
@@ -75,6 +76,7 @@
 	mu           sync.Mutex
 	pools        map[string]*servicePool // by service
 	boundMetrics sync.Map                // metric name and labels to telemetry.BoundMetric
+	permits      *permits
 
 	loadReportMu sync.Mutex
 	loadReport   LoadReport
@@ -95,7 +97,9 @@
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
-	return &Edge{options: o, startedAt: o.Now(), splitter: routes.NewSplitter(), pools: map[string]*servicePool{}}
+	e := &Edge{options: o, startedAt: o.Now(), splitter: routes.NewSplitter(), pools: map[string]*servicePool{}}
+	e.permits = newPermits(e)
+	return e
 }
 
 // now returns the time since the Edge was created. All points in time of type
@@ -217,12 +221,13 @@
 // dispatch.MaxHolderWait at most. e.mu must be held.
 func (e *Edge) distributeServersLocked() {
 	lists := map[string][]dispatch.Server{}
+	e.permits.setServers()
 	for _, s := range e.knownServers() {
 		if s.Draining {
 			continue
 		}
 		lists[s.Service] = append(lists[s.Service], dispatch.Server{ID: s.ID, Born: s.Born, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Cold: s.Cold,
-			PausedUntil: max(0, s.PausedUntil-e.startedAt)})
+			NeedsPermit: e.needsPermit(s), PausedUntil: max(0, s.PausedUntil-e.startedAt)})
 	}
 	for name, p := range e.pools {
 		p.setServers(lists[name])
@@ -325,6 +330,7 @@
 	}
 	p.dispatchPool = dispatch.NewPool(e.options.Host, e.options.Zone, holder)
 	p.dispatchPool.SetHostCount(e.options.Budget.HostCount)
+	p.dispatchPool.SetPermits(e.permits)
 	p.retryBudget = retry.HostBudget{Ratio: e.options.Budget.Ratio, Slack: e.slackPerHost(), Window: e.options.Budget.Window}
 	return p
 }
@@ -370,6 +376,7 @@
 		select {
 		case v := <-decision:
 			if v.Reason == "" {
+				p.dispatchPool.GiveBackPermit(v)
 				p.dispatchPool.ReportResult(p.clock(), v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 			}
 		default:
@@ -409,6 +416,7 @@
 	now := p.clock()
 	v, ok := p.dispatchPool.TryAssign(now, r)
 	if ok && !p.retryBudget.TryReserve(now) {
+		p.dispatchPool.GiveBackPermit(v)
 		p.dispatchPool.ReportResult(now, v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return dispatch.Decision{}, false
 	}
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -202,6 +202,7 @@
 	c.unreported = true
 	defer c.releaseUnreported(s.ID)
 	if c.attemptsSent > 0 && !reserved && !c.pool.tryReserveRetryBudget() {
+		c.pool.giveBackPermit(decision)
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.giveUp("retry_budget"), false
 	}
@@ -223,13 +224,16 @@
 		// All attempts have the ID of the request, so on a connection of an earlier one its
 		// second response would be taken for the response to this one.
 		NewConn:    slices.Contains(c.sentServerIDs, s.ID),
-		BeforeSend: func() error { return c.checkBeforeSend(callerCtx, s) },
+		BeforeSend: func() error { return c.checkBeforeSend(callerCtx, decision) },
 	})
 	c.sentServerIDs = append(c.sentServerIDs, s.ID)
 	slow := stopTimer()
 	c.lastServerID = s.ID
 	latency := time.Since(start)
 	if err != nil {
+		if !wasSent(err) {
+			c.pool.giveBackPermit(decision)
+		}
 		return c.handleExchangeError(ctx, s, latency, slow, err)
 	}
 	// The slow timer may have reserved a retry while the response arrived.
@@ -253,14 +257,17 @@
 
 // checkBeforeSend returns an error if the request must not be sent any more when the
 // connection to its server is open.
-func (c *callerRequest) checkBeforeSend(callerCtx context.Context, s dispatch.Server) error {
+func (c *callerRequest) checkBeforeSend(callerCtx context.Context, d dispatch.Decision) error {
 	if callerCtx.Err() != nil {
 		return errCallerLeft
 	}
 	if time.Until(c.deadline) < minAttemptTime {
 		return errDeadlineTooClose
 	}
-	return c.edge.checkPlacement(s)
+	if err := c.edge.checkPlacement(d.Server); err != nil {
+		return err
+	}
+	return c.edge.checkPermit(d)
 }
 
 // startSlowTimer starts a timer that cancels an attempt which exceeds the server's
@@ -303,6 +310,7 @@
 // not made. The retry stays charged to the budget.
 func (c *callerRequest) releaseReservedRetry() {
 	if c.reservedRetry != nil {
+		c.pool.giveBackPermit(*c.reservedRetry)
 		c.pool.reportResult(c.reservedRetry.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		c.reservedRetry = nil
 	}
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -27,10 +27,15 @@
 	errCallerLeft       = errors.New("the caller has left")
 )
 
+// wasSent reports whether an exchange that ended with an error may have reached its server.
+func wasSent(err error) bool {
+	var exchangeError *upstream.Error
+	return errors.As(err, &exchangeError) && exchangeError.Sent
+}
+
 // handleExchangeError decides what follows an attempt without a complete response.
 func (c *callerRequest) handleExchangeError(ctx context.Context, s dispatch.Server, latency time.Duration, slow bool, err error) (*ingress.Response, bool) {
-	var exchangeError *upstream.Error
-	sent := errors.As(err, &exchangeError) && exchangeError.Sent
+	sent := wasSent(err)
 	if errors.Is(err, errDeadlineTooClose) {
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.giveUp("deadline"), false
@@ -41,7 +46,7 @@
 	}
 	if cause := placementError(""); errors.As(err, &cause) {
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
-		if cause != errServerPaused { // the pool knows when a pause ends
+		if !cause.temporary() { // otherwise the pool knows when the server may get the request
 			c.triedServerIDs = append(c.triedServerIDs, s.ID)
 		}
 		c.edge.recordMetric(telemetry.MetricReplacedRequests, 1, c.service, string(cause))
@@ -72,6 +77,8 @@
 	if sent {
 		c.attemptsSent++
 		c.possibleRuns++
+	} else if outcome == dispatch.Unreachable || outcome == dispatch.DeadlineExceeded {
+		c.edge.permits.recordUnreachable(c.service, s, latency)
 	}
 	c.triedServerIDs = append(c.triedServerIDs, s.ID)
 	if outcome == dispatch.Unreachable || outcome == dispatch.ConnectionLost || outcome == dispatch.Slow {
@@ -129,6 +136,9 @@
 
 // handleResponse decides what follows a complete response.
 func (c *callerRequest) handleResponse(ctx context.Context, s dispatch.Server, latency time.Duration, r *upstream.Response) (*ingress.Response, bool) {
+	if found := r.Header.Get(c.edge.options.Headers.ServerID); found == "" || found == s.ID {
+		c.edge.permits.recordAnswer(c.service, s)
+	}
 	c.readSignals(s, r)
 	headers := c.edge.options.Headers
 	result := dispatch.AttemptResult{Outcome: dispatch.OK, Rank: c.route.Rank, Latency: latency, Load: parseLoad(r.Header.Get(headers.ServerLoad))}
--- a/relay/edge/signals.go
+++ b/relay/edge/signals.go
@@ -34,6 +34,7 @@
 	Leaving     bool
 	PausedUntil time.Duration // by Options.Now; 0 if the server asked for no pause
 	Limited     bool          // the server asked for a pause beyond maxPause
+	Cold        bool          // the server answered after it could not be reached, and may be cold
 }
 
 // readSignals reports what a response says of its server to Options.OnSignal, unless it is
@@ -153,8 +154,15 @@
 	errServerRestarted placementError = "server_restarted" // the server has started again since
 	errServerLeaves    placementError = "server_leaves"
 	errServerPaused    placementError = "server_paused" // the server wants no requests from this host now
+	errServerCold      placementError = "server_cold"   // the server has become cold, and the request has no permit
+	errPermitExpired   placementError = "permit_expired"
 )
 
+// temporary reports whether the server may get the request later.
+func (e placementError) temporary() bool {
+	return e == errServerPaused || e == errServerCold || e == errPermitExpired
+}
+
 // checkPlacement returns an error if a request must not be sent to a server any more, by
 // what has become known since the server was selected.
 func (e *Edge) checkPlacement(selected dispatch.Server) error {
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -16,6 +16,7 @@
 	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/core/followtree"
 	"parsleyrelay.example/core/routes"
+	"parsleyrelay.example/core/warmup"
 	"parsleyrelay.example/relay/edge"
 	"parsleyrelay.example/relay/readlimit"
 	"parsleyrelay.example/relay/telemetry"
@@ -110,6 +111,7 @@
 	journal    *telemetry.Journal
 	http       *http.Client
 	client     *readlimit.Client        // limits the responses to calls over http
+	permitHTTP *readlimit.Client        // for calls for permits, which run beside the polls
 	stateAt    atomic.Int64             // when the store sent the state that was received last, by Options.Now
 	lastLeader atomic.Pointer[string]   // incarnation of the leader that the state came from; empty if a relay had none
 	received   atomic.Pointer[Received] // by the last successful poll
@@ -164,6 +166,8 @@
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxHeadBytes}
 	f.http = &http.Client{Transport: transport, Timeout: longPollWait + responseTimeout}
 	f.client = &readlimit.Client{HTTP: f.http, MaxBytes: maxMessageBytes}
+	permitTransport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: permitIdleTimeout, MaxResponseHeaderBytes: MaxHeadBytes}
+	f.permitHTTP = &readlimit.Client{HTTP: &http.Client{Transport: permitTransport, Timeout: warmup.Validity}, MaxBytes: maxMessageBytes}
 	f.stateAt.Store(int64(neverRead))
 	f.received.Store(&Received{})
 	return f
@@ -173,6 +177,9 @@
 // this host received last.
 func (f *Follower) StateAge() time.Duration { return f.options.Now() - time.Duration(f.stateAt.Load()) }
 
+// StateAt returns the time at which the store sent the state that this host received last.
+func (f *Follower) StateAt() time.Duration { return time.Duration(f.stateAt.Load()) }
+
 // InContact reports whether the state is younger than Options.MaxStateAge.
 func (f *Follower) InContact() bool { return f.StateAge() < f.options.MaxStateAge }
 
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -21,6 +21,7 @@
 	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/followtree"
 	"parsleyrelay.example/core/routes"
+	"parsleyrelay.example/core/warmup"
 	"parsleyrelay.example/relay/edge"
 	"parsleyrelay.example/relay/upstream"
 )
@@ -121,7 +122,10 @@
 	OnStoreContact func(directory.Contact)
 	// OnServerSignals is called with the signals that a follower reports with each call.
 	OnServerSignals func(follower string, signals []directory.Signal)
-	Dial            upstream.DialFunc // opens connections to other hosts
+	// LendPermits lends permits for cold servers to another host; lending is false if this
+	// host does not lend now. It is nil if the host never lends.
+	LendPermits func(host string, demands []warmup.Demand) (grants []warmup.Grant, lending bool)
+	Dial        upstream.DialFunc // opens connections to other hosts
 }
 
 // NewSource returns the source of a host. follower is the host's own follower.
@@ -279,11 +283,6 @@
 	}
 }
 
-// LendWarmupPermits implements followv1.Leader. This host does not lend yet.
-func (s *Source) LendWarmupPermits(context.Context, *followv1.WarmupPermitRequest) (*followv1.WarmupPermitResponse, error) {
-	return &followv1.WarmupPermitResponse{}, nil
-}
-
 // recordReport passes a load report to the leader: to the assigner of this host if it
 // leads, or with this host's next report.
 func (s *Source) recordReport(r edge.LoadReport) {
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -32,6 +32,8 @@
 	MetricLinesOmitted          = "parsleyrelay_log_lines_omitted_total"
 	MetricConfigVersion         = "parsleyrelay_configuration_version"
 	MetricStateAge              = "parsleyrelay_state_age_seconds"
+	MetricPermits               = "parsleyrelay_warmup_permits_total"
+	MetricColdServers           = "parsleyrelay_cold_servers_seen_total"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -67,4 +69,6 @@
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
 	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
+	{MetricPermits, Counter, "1", []string{"result"}, "Permits for requests to cold servers that hosts asked this leader for: lent or refused."},
+	{MetricColdServers, Counter, "1", []string{"evidence"}, "Servers that began to count as cold at this host, by the evidence."},
 }
