Keep the key ranges of cold servers small

A server that starts got its whole share of the ranges at once, and requests for these keys beyond the limit are refused while it is cold.

Ranges are moved to a cold server up to half of the rate at which permits are lent for it, by the rate of requests for their keys: when it starts, when another server leaves (unless no other server is left) and by load balancing. The leader gets the limits with the servers.

--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -104,6 +104,7 @@
 	refusedUntil          map[ServerIncarnation]time.Duration // time of the next call to a server that refused one
 	pauses                map[string]directory.Pause          // by server ID
 	emptiedServers        map[ServerIncarnation]bool          // see EmptiedServers
+	warmupLimits          map[string]float64                  // see SetWarmupLimits
 	// Memory that each tick uses again.
 	rangeCounts map[string]int                // of planMoves
 	assignable  map[string][]directory.Server // of assignableServers
--- a/core/assignment/load_balancing.go
+++ b/core/assignment/load_balancing.go
@@ -183,6 +183,8 @@
 	server directory.Server
 	actual float64
 	target float64
+	// room is the load that may be moved to it; +Inf if it is not cold. See coldservers.go.
+	room float64
 }
 
 // excess returns the load above the target; it is negative below it.
@@ -193,16 +195,20 @@
 // limit is reached.
 func (l *Leader) moveExcessLoad(now time.Duration, service string, load *keyLoad, assignable []directory.Server, policy balancePolicy) {
 	loads, openMoves := l.serverLoads(service, load, assignable)
+	l.applyColdLimits(service, loads, assignable, policy)
 	for range max(policy.minMoveLimit, int(policy.moveLimitPerServer*float64(len(assignable)))) {
 		if openMoves >= max(minOpenMoveLimit, len(assignable)) {
 			return
 		}
 		mostLoaded := slices.MaxFunc(loads, func(a, b *serverLoad) int { return cmp.Compare(a.actual/a.target, b.actual/b.target) })
-		leastLoaded := slices.MinFunc(loads, func(a, b *serverLoad) int { return cmp.Compare(a.actual/a.target, b.actual/b.target) })
+		leastLoaded := leastLoadedWithRoom(loads)
+		if leastLoaded == nil {
+			return
+		}
 		if mostLoaded.excess() < max(policy.tolerance*mostLoaded.target, policy.significance*math.Sqrt(mostLoaded.target)) {
 			return
 		}
-		loadToMove := min(mostLoaded.excess(), -leastLoaded.excess())
+		loadToMove := min(mostLoaded.excess(), -leastLoaded.excess(), leastLoaded.room/maxMoveRatio)
 		t := l.rangeToMove(service, load, IncarnationOf(mostLoaded.server), loadToMove)
 		if t == nil {
 			return
@@ -212,6 +218,7 @@
 		l.startMove(now, t, leastLoaded.server, map[string]int{})
 		mostLoaded.actual -= moved
 		leastLoaded.actual += moved
+		leastLoaded.room -= moved
 		openMoves++
 	}
 }
@@ -226,7 +233,7 @@
 		totalCapacity += c
 	}
 	for i, s := range assignable {
-		entry := &serverLoad{server: s, target: max(minTargetLoad, float64(load.total)*capacity[i]/totalCapacity)}
+		entry := &serverLoad{server: s, target: max(minTargetLoad, float64(load.total)*capacity[i]/totalCapacity), room: math.Inf(1)}
 		loadByID[s.ID] = entry
 		loads = append(loads, entry)
 	}
--- a/core/assignment/plan.go
+++ b/core/assignment/plan.go
@@ -81,6 +81,7 @@
 		for i := range ranges {
 			rangeCounts[ranges[i].Owner.ID]++
 		}
+		rooms := l.coldRooms(service, assignable)
 		for _, t := range l.trackedRanges {
 			if t.service != service || t.callOpen {
 				continue
@@ -91,18 +92,21 @@
 					l.revertMove(now, t, rangeCounts)
 				}
 			case !l.mayOwn(service, t.owner):
-				l.startMove(now, t, serverWithFewestRanges(assignable, rangeCounts), rangeCounts)
+				rate := l.requestRateOf(service, t.from, t.to)
+				newOwner := serverWithFewestRanges(rooms.withRoom(assignable, rate), rangeCounts)
+				rooms.take(newOwner.ID, rate)
+				l.startMove(now, t, newOwner, rangeCounts)
 				t.revertIfHolderReturns = true
 			}
 		}
-		l.fillNewServers(now, service, assignable, rangeCounts, totalSlots)
+		l.fillNewServers(now, service, assignable, rangeCounts, totalSlots, rooms)
 	}
 }
 
 // fillNewServers moves ranges to servers without any, from those furthest above their
-// share, until the new servers have their share. Load balancing may take ranges away
-// from them later.
-func (l *Leader) fillNewServers(now time.Duration, service string, assignable []directory.Server, rangeCounts map[string]int, totalSlots int) {
+// share, until the new servers have their share. A cold one gets the rest of its share when
+// it is warm. Load balancing may take ranges away from them later.
+func (l *Leader) fillNewServers(now time.Duration, service string, assignable []directory.Server, rangeCounts map[string]int, totalSlots int, rooms coldRooms) {
 	total := len(l.newestMap().Services[service])
 	share := func(s directory.Server) int { return total * max(1, s.Slots) / totalSlots }
 	for _, recipient := range assignable {
@@ -120,6 +124,11 @@
 			if t == nil {
 				break
 			}
+			rate := l.requestRateOf(service, t.from, t.to)
+			if !rooms.fits(recipient.ID, rate) {
+				break
+			}
+			rooms.take(recipient.ID, rate)
 			l.startMove(now, t, recipient, rangeCounts)
 		}
 	}
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -115,6 +115,7 @@
 	hostCount          atomic.Int64
 	admittedShares     atomic.Pointer[map[string]float64]
 	pauses             atomic.Pointer[map[string]directory.Pause] // see SetPauses
+	warmupLimits       atomic.Pointer[map[string]float64]         // see SetWarmupLimits
 	resigning          atomic.Bool
 	resignDone         chan struct{} // closed when a resigning host leads no term any more
 	resignDoneOnce     sync.Once
@@ -169,6 +170,10 @@
 // be changed afterwards.
 func (a *Assigner) SetPauses(pauses map[string]directory.Pause) { a.pauses.Store(&pauses) }
 
+// SetWarmupLimits sets, by service, the requests per second that a cold server gets at most;
+// services without one have no limit. The map must not be changed afterwards.
+func (a *Assigner) SetWarmupLimits(limits map[string]float64) { a.warmupLimits.Store(&limits) }
+
 // publishAdmittedShares makes the leader's shares available and logs which servers are
 // limited since the last call, and which are no longer.
 func (a *Assigner) publishAdmittedShares() {
@@ -398,6 +403,9 @@
 	if pauses := a.pauses.Load(); pauses != nil {
 		a.leader.SetPauses(*pauses)
 	}
+	if limits := a.warmupLimits.Load(); limits != nil {
+		a.leader.SetWarmupLimits(*limits)
+	}
 	for _, c := range a.leader.Tick(now) {
 		go a.sendCall(ctx, now, c)
 	}
