--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/dispatch"
 	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/relay/ingress"
@@ -77,8 +78,9 @@
 	if sent {
 		c.attemptsSent++
 		c.possibleRuns++
-	} else if outcome == dispatch.Unreachable || outcome == dispatch.DeadlineExceeded {
-		c.edge.permits.recordUnreachable(c.service, s, latency)
+	}
+	if outcome != dispatch.Canceled && upstream.IsDialError(err) {
+		c.edge.RecordUnreachable(c.service, directory.Life{ID: s.ID, Born: s.Born}, latency)
 	}
 	c.triedServerIDs = append(c.triedServerIDs, s.ID)
 	if outcome == dispatch.Unreachable || outcome == dispatch.ConnectionLost || outcome == dispatch.Slow {
@@ -137,7 +139,7 @@
 // handleResponse decides what follows a complete response.
 func (c *callerRequest) handleResponse(ctx context.Context, s dispatch.Server, latency time.Duration, r *upstream.Response) (*ingress.Response, bool) {
 	if found := r.Header.Get(c.edge.options.Headers.ServerID); found == "" || found == s.ID {
-		c.edge.permits.recordAnswer(c.service, s)
+		c.edge.RecordAnswer(c.service, directory.Life{ID: s.ID, Born: s.Born})
 	}
 	c.readSignals(s, r)
 	headers := c.edge.options.Headers
--- a/relay/edge/permits.go
+++ b/relay/edge/permits.go
@@ -189,28 +189,28 @@
 	return nil
 }
 
-// recordUnreachable records that no connection to a server could be opened within a time.
-func (p *permits) recordUnreachable(service string, s dispatch.Server, latency time.Duration) {
-	if p.edge.WarmupLimit(service) == 0 {
+// RecordUnreachable records that no connection to a server could be opened, in an attempt that
+// took a time.
+func (e *Edge) RecordUnreachable(service string, life directory.Life, took time.Duration) {
+	if e.WarmupLimit(service) == 0 {
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reachability.RecordFailure(p.edge.now()-latency, directory.Life{ID: s.ID, Born: s.Born})
+	e.permits.mu.Lock()
+	defer e.permits.mu.Unlock()
+	e.permits.reachability.RecordFailure(e.now()-took, life)
 }
 
-// recordAnswer records a response of a server, and reports the server as possibly cold if it
+// RecordAnswer records a response of a server, and reports the server as possibly cold if it
 // could not be reached before.
-func (p *permits) recordAnswer(service string, s dispatch.Server) {
-	if p.edge.WarmupLimit(service) == 0 {
+func (e *Edge) RecordAnswer(service string, life directory.Life) {
+	if e.WarmupLimit(service) == 0 {
 		return
 	}
-	life := directory.Life{ID: s.ID, Born: s.Born}
-	p.mu.Lock()
-	suspected := p.reachability.RecordAnswer(p.edge.now(), life)
-	p.mu.Unlock()
-	if suspected && p.edge.options.OnSignal != nil {
-		p.edge.options.OnSignal(Signal{Life: life, Cold: true})
+	e.permits.mu.Lock()
+	suspected := e.permits.reachability.RecordAnswer(e.now(), life)
+	e.permits.mu.Unlock()
+	if suspected && e.options.OnSignal != nil {
+		e.options.OnSignal(Signal{Life: life, Cold: true})
 	}
 }
 
--- a/relay/edge/permits_test.go
+++ b/relay/edge/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,3 +100,22 @@
 	require.Equal(t, 200, sendRequest(e, context.Background(), "/once/x").Status)
 	require.Equal(t, []Signal{{Life: directory.Life{ID: "s2", Born: 1}, Cold: true}}, rec.signals)
 }
+
+// Guards against a server that is full, and resets connections, being taken for one that
+// cannot be reached.
+func TestServerThatResetsConnectionsIsNotSuspected(t *testing.T) {
+	full := atomic.Bool{}
+	server := startScriptedServer(t, "s1", func(r *http.Request) string {
+		if full.Load() {
+			return ""
+		}
+		return signedResponse(r)
+	})
+	e, rec := newWarmupEdge(t, false, func([]warmup.Demand) ([]warmup.Grant, bool) { return nil, false }, server)
+	full.Store(true)
+	require.Equal(t, 502, sendRequest(e, context.Background(), "/once/x").Status)
+	full.Store(false)
+	rec.skipped.Add(int64(3 * time.Second))
+	require.Equal(t, 200, sendRequest(e, context.Background(), "/once/x").Status)
+	require.Empty(t, rec.signals)
+}
