Describe the limit for cold servers, and allow a limit of 0

Cause: the limit was raised to 1 where rate x factor + slack is less, which exceeds it.

A limit below 1 has no test.

--- a/core/assignment/coldservers.go
+++ b/core/assignment/coldservers.go
@@ -28,7 +28,7 @@
 // coldLimit returns the requests per second that a server gets at most, +Inf if it is not
 // cold or not limited.
 func (l *Leader) coldLimit(s directory.Server) float64 {
-	if limit := l.warmupLimits[s.Service]; s.Cold && limit > 0 {
+	if limit, limited := l.warmupLimits[s.Service]; s.Cold && limited {
 		return limit
 	}
 	return math.Inf(1)
@@ -62,7 +62,7 @@
 		}
 		limit := l.coldLimit(s.server)
 		s.target = min(s.target, max(minTargetLoad, coldTargetShare*limit*policy.countPerRate()))
-		if s.room = 0; room >= minColdRoom*limit {
+		if s.room = 0; room > 0 && room >= minColdRoom*limit {
 			s.room = room * policy.countPerRate()
 		}
 	}
--- a/core/warmup/warmup.go
+++ b/core/warmup/warmup.go
@@ -49,14 +49,13 @@
 	RetryAfter time.Duration // time until further permits are free; 0 if the demand was met
 }
 
-// Limit returns the requests that a cold server may get within any second, rounded down;
-// 0 if there is no limit. A limit below one request would keep the server from ever
-// getting one, so it is at least 1.
-func Limit(rate, factor, slack float64) int {
+// Limit returns the requests that a cold server may get within any second, rounded down.
+// limited is false if there is no limit. A limit of 0 allows none until the server is warm.
+func Limit(rate, factor, slack float64) (limit int, limited bool) {
 	if rate <= 0 || factor <= 0 {
-		return 0
+		return 0, false
 	}
-	return max(1, int(min(math.Floor(rate*factor+slack), maxLimit)))
+	return int(min(math.Floor(rate*factor+slack), maxLimit)), true
 }
 
 // maxLimit bounds the log of grants for a server.
--- a/relay/edge/permits.go
+++ b/relay/edge/permits.go
@@ -23,27 +23,34 @@
 }
 
 // WarmupLimit returns the requests that a cold server of a service may get within any
-// second, 0 if there is no limit.
-func (e *Edge) WarmupLimit(service string) int {
+// second. limited is false if there is no limit.
+func (e *Edge) WarmupLimit(service string) (limit int, limited bool) {
 	t := e.routeTable.Load()
-	if t == nil || e.options.Warmup.Factor <= 0 || e.options.Warmup.Borrow == nil {
-		return 0
+	if t == nil || e.options.Warmup.Borrow == nil {
+		return 0, false
 	}
 	return warmup.Limit(t.Config.Services[service].WarmupRate, e.options.Warmup.Factor, e.options.Warmup.Slack)
 }
 
-// WarmupLimitOf returns the WarmupLimit of a server's service, 0 if the server is not known
-// or has a newer start time.
+// LimitsColdServers reports whether there is a limit for cold servers of a service.
+func (e *Edge) LimitsColdServers(service string) bool {
+	_, limited := e.WarmupLimit(service)
+	return limited
+}
+
+// WarmupLimitOf returns the WarmupLimit of a server's service, 0 if there is none, if the
+// server is not known or if it has a newer start time.
 func (e *Edge) WarmupLimitOf(id string, born int64) int {
 	s, known := e.knownServers()[id]
 	if !known || s.Born > born {
 		return 0
 	}
-	return e.WarmupLimit(s.Service)
+	limit, _ := e.WarmupLimit(s.Service)
+	return limit
 }
 
 // needsPermit reports whether requests to a server need a permit.
-func (e *Edge) needsPermit(s directory.Server) bool { return s.Cold && e.WarmupLimit(s.Service) > 0 }
+func (e *Edge) needsPermit(s directory.Server) bool { return s.Cold && e.LimitsColdServers(s.Service) }
 
 // permits are the permits of this host, for all pools. It implements dispatch.Permits and is
 // safe for concurrent use. Its methods may be called while a pool is locked.
@@ -172,7 +179,7 @@
 // to have become cold.
 func (e *Edge) checkPermit(d dispatch.Decision) error {
 	s := e.knownServers()[d.Server.ID]
-	if e.WarmupLimit(s.Service) == 0 {
+	if !e.LimitsColdServers(s.Service) {
 		return nil
 	}
 	now := e.now()
@@ -192,7 +199,7 @@
 // RecordUnreachable records that no connection to a server could be opened, in an attempt that
 // took a time.
 func (e *Edge) RecordUnreachable(service string, life directory.Life, took time.Duration) {
-	if e.WarmupLimit(service) == 0 {
+	if !e.LimitsColdServers(service) {
 		return
 	}
 	e.permits.mu.Lock()
@@ -203,7 +210,7 @@
 // RecordAnswer records a response of a server, and reports the server as possibly cold if it
 // could not be reached before.
 func (e *Edge) RecordAnswer(service string, life directory.Life) {
-	if e.WarmupLimit(service) == 0 {
+	if !e.LimitsColdServers(service) {
 		return
 	}
 	e.permits.mu.Lock()
