Spread requests without keys over the cold servers

Cause: found by a test with all servers of a service cold. The cost of a cold server was its latency times the requests that wait for its permits, so that one with a known latency of 2 ms was asked for 100 times before one that had not answered yet (200 ms): 40 of 341 requests were served in 6 s, where 90 permits could be lent.

Change: permitCost prefers servers with a permit at hand, then those for which the lender may have one, by the number of waiting requests.

--- a/core/dispatch/permits.go
+++ b/core/dispatch/permits.go
@@ -67,17 +67,25 @@
 	return 0, false
 }
 
-// permitCost raises the cost of a server that needs a permit, so that any other server is
-// preferred, then those for which a permit is held, then those for which few requests wait.
+// permitCost returns the cost of a server that needs a permit, by its cost otherwise. It is
+// higher than that of any server that needs none. Servers for which a permit is held come
+// first, and those without permits at the lender last. Of the others the one with the fewest
+// waiting requests is preferred, whatever their latencies: these differ by more than the
+// requests that a cold server may get.
 func (p *Pool) permitCost(s *serverState, cost float64) float64 {
-	if p.permits != nil && p.permits.Held(s.Server) {
-		return cost * permitFactor
-	}
-	return (cost + float64(s.permitDemand)*s.latency) * permitFactor * permitFactor
+	cost /= 1 + cost // below 1
+	switch {
+	case p.permits == nil:
+	case p.permits.Held(s.Server):
+		return permitCostStep + cost
+	case p.permits.Wait(s.Server) > 0:
+		return 3*permitCostStep + float64(s.permitDemand) + cost
+	}
+	return 2*permitCostStep + float64(s.permitDemand) + cost
 }
 
-// permitFactor is above the ratio of any two costs of servers that need no permit.
-const permitFactor = 1e6
+// permitCostStep is above all costs of servers that need no permit.
+const permitCostStep = 1e9
 
 // permitRoom returns how many requests could be sent to a server now if there were permits.
 // Permits that cannot be used at once would expire.
