--- a/core/assignment/evacuation.go
+++ b/core/assignment/evacuation.go
@@ -26,8 +26,8 @@
 	// after an evacuation. Its connections and caches are then often cold, and the servers
 	// of the zone return together.
 	refillTime = 6 * time.Second
-	// maxColdShare is the part of its share that a server gets back while it is cold.
-	maxColdShare = 0.5
+	// coldRefillShare is the part of its share that a server gets back while it is cold.
+	coldRefillShare = 0.5
 )
 
 // isEvacuated reports whether a server at its address is in an evacuated zone and does not
@@ -133,7 +133,7 @@
 				owned++
 			}
 		}
-		if float64(owned+1) > maxColdShare*float64(share) {
+		if float64(owned+1) > coldRefillShare*float64(share) {
 			return false
 		}
 	}
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -107,6 +107,7 @@
 	emptiedServers        map[ServerIncarnation]bool          // see EmptiedServers
 	evacuatedRanges       map[string]int                      // see EvacuatedRanges
 	lastReceived          map[endpoint]time.Duration          // when a range last began to move to a server, after an evacuation of its zone
+	warmupLimits          map[string]float64                  // see SetWarmupLimits
 	// Memory that each tick uses again.
 	rangeCounts map[string]int                // of planMoves
 	assignable  map[string][]directory.Server // of assignableServers
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -126,6 +126,12 @@
 	ChangeAccepted     Code = 701
 	ChangeRefused      Code = 702
 	ZoneDeclaredLost   Code = 703
+	PermitsLent        Code = 801
+	PermitsRefused     Code = 802
+	ServerCold         Code = 803
+	ServerWarm         Code = 804
+	LenderMissing      Code = 805
+	LenderReached      Code = 806
 	EvacuationSeen     Code = 811
 	EvacuationEnded    Code = 812
 	EvacuationsIgnored Code = 813
@@ -219,6 +225,12 @@
 	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
 	{ChangeRefused, "change_refused", "A change of a resource was refused."},
 	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
+	{PermitsLent, "permits_lent", "The leader lent a host permits for requests to cold servers."},
+	{PermitsRefused, "permits_refused", "The leader lent a host fewer permits for requests to cold servers than it asked for; the line names the first such server."},
+	{ServerCold, "server_cold", "A server of a service with a warm-up rate counts as cold; the line names the evidence."},
+	{ServerWarm, "server_warm", "A server of a service with a warm-up rate no longer counts as cold."},
+	{LenderMissing, "lender_missing", "No host lends this host permits for requests to cold servers, which it refuses."},
+	{LenderReached, "lender_reached", "A host lends this host permits for requests to cold servers again."},
 	{EvacuationSeen, "evacuation_seen", "This host learned that an availability zone is evacuated; its servers get no new requests."},
 	{EvacuationEnded, "evacuation_ended", "This host learned that the evacuation of an availability zone has ended."},
 	{EvacuationsIgnored, "evacuations_ignored", "A list of evacuated zones is older than what this host knows, and was not used."},
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -66,7 +66,8 @@
 	CostRouting dispatch.CostRouting
 	// Link describes the host's network link and the memory for downloads. Without a speed
 	// downloads are treated like all requests.
-	Link egress.Config
+	Link   egress.Config
+	Warmup Warmup // limit for cold servers
 }
 
 // Edge handles requests. It is safe for concurrent use.
@@ -82,6 +83,7 @@
 	mu           sync.Mutex
 	pools        map[string]*servicePool // by service
 	boundMetrics sync.Map                // metric name and labels to telemetry.BoundMetric
+	permits      *permits
 
 	link *hostLink // nil if its speed is not known
 
@@ -107,7 +109,9 @@
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
-	return &Edge{options: o, link: newHostLink(o.Link, o.Now), startedAt: o.Now(), splitter: routes.NewSplitter(), pools: map[string]*servicePool{}, stopSending: make(chan struct{})}
+	e := &Edge{options: o, link: newHostLink(o.Link, o.Now), startedAt: o.Now(), splitter: routes.NewSplitter(), pools: map[string]*servicePool{}, stopSending: make(chan struct{})}
+	e.permits = newPermits(e)
+	return e
 }
 
 // now returns the time since the Edge was created. All points in time of type
@@ -229,6 +233,7 @@
 // dispatch.MaxHolderWait at most. e.mu must be held.
 func (e *Edge) distributeServersLocked() {
 	lists, evacuated := map[string][]dispatch.Server{}, map[string]bool{}
+	e.permits.setServers()
 	for _, s := range e.knownServers() {
 		if s.Draining {
 			continue
@@ -238,7 +243,7 @@
 			continue
 		}
 		lists[s.Service] = append(lists[s.Service], dispatch.Server{ID: s.ID, Born: s.Born, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Cold: s.Cold,
-			PausedUntil: max(0, s.PausedUntil-e.startedAt)})
+			NeedsPermit: e.needsPermit(s), PausedUntil: max(0, s.PausedUntil-e.startedAt)})
 	}
 	for name, p := range e.pools {
 		p.setServers(lists[name], evacuated[name])
@@ -343,6 +348,7 @@
 	p.dispatchPool = dispatch.NewPool(e.options.Host, e.options.Zone, holder)
 	p.dispatchPool.SetHostCount(e.options.Budget.HostCount)
 	p.dispatchPool.SetCostRouting(e.now(), e.options.CostRouting)
+	p.dispatchPool.SetPermits(e.permits)
 	p.retryBudget = retry.HostBudget{Ratio: e.options.Budget.Ratio, Slack: e.slackPerHost(), Window: e.options.Budget.Window}
 	return p
 }
@@ -391,6 +397,7 @@
 		select {
 		case v := <-decision:
 			if v.Reason == "" {
+				p.dispatchPool.GiveBackPermit(v)
 				p.dispatchPool.ReportResult(p.clock(), v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled, Placement: v.Placement})
 			}
 		default:
@@ -432,6 +439,7 @@
 	now := p.clock()
 	v, ok := p.dispatchPool.TryAssign(now, r)
 	if ok && !p.retryBudget.TryReserve(now) {
+		p.dispatchPool.GiveBackPermit(v)
 		p.dispatchPool.ReportResult(now, v.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled, Placement: v.Placement})
 		return dispatch.Decision{}, false
 	}
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -217,6 +217,7 @@
 	c.unreported, c.placement = true, decision.Placement
 	defer c.releaseUnreported(s.ID)
 	if c.attemptsSent > 0 && !reserved && !c.pool.tryReserveRetryBudget() {
+		c.pool.giveBackPermit(decision)
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.giveUp("retry_budget"), false
 	}
@@ -242,13 +243,16 @@
 		// second response would be taken for the response to this one.
 		NewConn:    slices.Contains(c.sentServerIDs, s.ID),
 		DialUntil:  c.deadline.Add(-minAttemptTime),
-		BeforeSend: func() error { return c.checkBeforeSend(callerCtx, s) },
+		BeforeSend: func() error { return c.checkBeforeSend(callerCtx, decision) },
 	})
 	c.sentServerIDs = append(c.sentServerIDs, s.ID)
 	slow := stopTimer()
 	c.lastServerID = s.ID
 	latency := time.Since(start)
 	if err != nil {
+		if !wasSent(err) {
+			c.pool.giveBackPermit(decision)
+		}
 		callerResponse, retry = c.handleExchangeError(ctx, s, latency, slow, err)
 		c.sending = false
 		return callerResponse, retry
@@ -276,7 +280,7 @@
 
 // checkBeforeSend returns an error if the request must not be sent any more when the
 // connection to its server is open.
-func (c *callerRequest) checkBeforeSend(callerCtx context.Context, s dispatch.Server) error {
+func (c *callerRequest) checkBeforeSend(callerCtx context.Context, d dispatch.Decision) error {
 	if callerCtx.Err() != nil {
 		return errCallerLeft
 	}
@@ -286,7 +290,10 @@
 	if c.edge.sendingStopped() {
 		return errHostStops
 	}
-	if err := c.edge.checkPlacement(s); err != nil {
+	if err := c.edge.checkPlacement(d.Server); err != nil {
+		return err
+	}
+	if err := c.edge.checkPermit(d); err != nil {
 		return err
 	}
 	c.sending = true
@@ -333,6 +340,7 @@
 // not made. The retry stays charged to the budget.
 func (c *callerRequest) releaseReservedRetry() {
 	if c.reservedRetry != nil {
+		c.pool.giveBackPermit(*c.reservedRetry)
 		c.pool.reportResult(c.reservedRetry.Server.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled, Placement: c.reservedRetry.Placement})
 		c.reservedRetry = nil
 	}
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"parsleyrelay.example/core/directory"
 	"parsleyrelay.example/core/dispatch"
 	"parsleyrelay.example/core/event"
 	"parsleyrelay.example/relay/ingress"
@@ -27,10 +28,15 @@
 	errCallerLeft       = errors.New("the caller has left")
 )
 
+// wasSent reports whether an exchange that ended with an error may have reached its server.
+func wasSent(err error) bool {
+	var exchangeError *upstream.Error
+	return errors.As(err, &exchangeError) && exchangeError.Sent
+}
+
 // handleExchangeError decides what follows an attempt without a complete response.
 func (c *callerRequest) handleExchangeError(ctx context.Context, s dispatch.Server, latency time.Duration, slow bool, err error) (*ingress.Response, bool) {
-	var exchangeError *upstream.Error
-	sent := errors.As(err, &exchangeError) && exchangeError.Sent
+	sent := wasSent(err)
 	if errors.Is(err, errDeadlineTooClose) {
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.giveUp("deadline"), false
@@ -45,7 +51,7 @@
 	}
 	if cause := placementError(""); errors.As(err, &cause) {
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
-		if cause != errServerPaused { // the pool knows when a pause ends
+		if !cause.temporary() { // otherwise the pool knows when the server may get the request
 			c.triedServerIDs = append(c.triedServerIDs, s.ID)
 		}
 		c.edge.recordMetric(telemetry.MetricReplacedRequests, 1, c.service, string(cause))
@@ -77,6 +83,9 @@
 		c.attemptsSent++
 		c.possibleRuns++
 	}
+	if outcome != dispatch.Canceled && upstream.IsDialError(err) {
+		c.edge.RecordUnreachable(c.service, directory.Life{ID: s.ID, Born: s.Born}, latency)
+	}
 	c.triedServerIDs = append(c.triedServerIDs, s.ID)
 	if outcome == dispatch.Unreachable || outcome == dispatch.ConnectionLost || outcome == dispatch.Slow {
 		c.edge.options.Journal.LogEvent(event.ServerPaused, "request_id", c.requestID, "service", c.service, "server", s.ID, "address", s.Address, "sent", sent, "error", err)
@@ -133,6 +142,9 @@
 
 // handleResponse decides what follows a complete response.
 func (c *callerRequest) handleResponse(ctx context.Context, s dispatch.Server, latency time.Duration, r *upstream.Response) (*ingress.Response, bool) {
+	if found := r.Header.Get(c.edge.options.Headers.ServerID); found == "" || found == s.ID {
+		c.edge.RecordAnswer(c.service, directory.Life{ID: s.ID, Born: s.Born})
+	}
 	c.readSignals(s, r)
 	headers := c.edge.options.Headers
 	result := dispatch.AttemptResult{Outcome: dispatch.OK, Rank: c.route.Rank, Latency: latency, Load: parseLoad(r.Header.Get(headers.ServerLoad))}
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -39,6 +39,8 @@
 	MetricDownloadsRefused      = "parsleyrelay_downloads_refused_total"
 	MetricDownloadBytes         = "parsleyrelay_download_bytes"
 	MetricLinkWait              = "parsleyrelay_link_wait_seconds"
+	MetricPermits               = "parsleyrelay_warmup_permits_total"
+	MetricColdServers           = "parsleyrelay_cold_servers_seen_total"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -81,4 +83,6 @@
 	{MetricDownloadsRefused, Counter, "1", []string{"service", "reason"}, "Downloads that were refused before they were sent to a server, because the link or the memory of the host has no room."},
 	{MetricDownloadBytes, Gauge, "By", []string{"state"}, "Bytes of downloads: reserved ones are expected from servers, held ones are not taken by their callers yet; not set without --link-mbps."},
 	{MetricLinkWait, Gauge, "s", nil, "Time until the link has delivered what has arrived for callers and is expected; not set without --link-mbps."},
+	{MetricPermits, Counter, "1", []string{"result"}, "Permits for requests to cold servers that hosts asked this leader for: lent or refused."},
+	{MetricColdServers, Counter, "1", []string{"evidence"}, "Servers that began to count as cold at this host, by the evidence."},
 }
