Let a new leader wait for clocks that differ

Cause: the wait of a new leader covered clocks that differ by 2% over the lending interval only, not over the time in which the former leader may still lend: 2.54 s by a fast clock are 34 ms less than 1.2 s by a slow one and the lifetime of a permit's window.

--- a/core/warmup/borrower.go
+++ b/core/warmup/borrower.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// SetDemand sets the number of requests that wait for a permit, apart from permits that
-// are held already.
+// SetDemand sets the number of requests that wait for a permit. Permits that are held, since
+// they were lent or given back after the last count, are subtracted.
 func (b *Borrower) SetDemand(id string, born int64, count int) {
 	if s := b.state(id, born); s.born == born && s.cold {
 		s.demand = count
--- a/core/warmup/warmup.go
+++ b/core/warmup/warmup.go
@@ -30,8 +30,9 @@
 	// which a leader lends.
 	MaxConfirmationAge = 1200 * time.Millisecond
 	// InitialWait is the time for which a new leader lends nothing. A former leader may have
-	// lent permits until MaxConfirmationAge after the new leader's first write.
-	InitialWait = MaxConfirmationAge + LendingInterval
+	// lent permits until MaxConfirmationAge after the new leader's first write. The two leaders'
+	// clocks may differ by 2% over this time, too.
+	InitialWait = MaxConfirmationAge + LendingInterval + 2*clockMargin
 )
 
 // Demand asks for permits for one server.
