End the silence of servers that can't be judged any more

Cause: limitOverload ends only the shares in admittedLoads, which has no silent servers, and only of servers that may own ranges. The share of a silent server that was evacuated, draining or no longer listed stayed. With fewer than two assignable servers limitOverload was not called at all, so that a silent server kept its share after it answered again. The contacts of servers that are gone were never dropped, and a server that had started again counted as silent for requests to its former life.

Change: shares and contacts of a service's servers without a load, and of unlisted servers, end with the next limits; these are updated with any number of servers; a newer start time begins a new contact.

--- a/core/assignment/load_balancing.go
+++ b/core/assignment/load_balancing.go
@@ -164,11 +164,13 @@
 	*nextBalance = now + policy.interval
 	load.decay(policy.decayFactor)
 	assignable := l.assignableServers(service)
-	if len(assignable) < 2 || len(l.newestMap().Services[service]) == 0 {
+	if len(l.newestMap().Services[service]) == 0 {
 		return
 	}
 	load.computePrefixSums()
-	l.moveExcessLoad(now, service, load, assignable, policy)
+	if len(assignable) >= 2 {
+		l.moveExcessLoad(now, service, load, assignable, policy)
+	}
 	if policy == shortTermPolicy {
 		loads, _ := l.serverLoads(service, load, assignable)
 		l.limitOverload(service, loads)
--- a/core/assignment/overload.go
+++ b/core/assignment/overload.go
@@ -71,15 +71,15 @@
 	}
 	former, current := l.admittedLoads[service], map[string]float64{}
 	shares := maps.Clone(l.admittedShares)
-	for id := range former {
-		delete(shares, id)
-	}
+	// Servers that may own no ranges, as they are evacuated for instance, have no load. A limit
+	// or a silence from before must not last until their return.
+	maps.DeleteFunc(shares, func(id string, _ float64) bool { return l.endsWith(service, id) })
+	l.dropContacts(service, loads)
 	for _, s := range loads {
 		id := s.server.ID
 		reports := l.queueReports[id]
 		delete(l.queueReports, id)
-		delete(shares, id)
-		if l.updateSilence(service, id); l.IsSilent(id) {
+		if l.updateSilence(service, s.server); l.IsSilent(id) {
 			if shares == nil {
 				shares = map[string]float64{}
 			}
@@ -111,6 +111,12 @@
 	l.admittedLoads[service], l.admittedShares = current, shares
 }
 
+// endsWith reports whether the limit of a server ends with the next limits of a service.
+func (l *Leader) endsWith(service, server string) bool {
+	_, ofService := l.servers[service][server]
+	return ofService || !l.isListed(server)
+}
+
 // isListed reports whether a server of a keyed service has the ID.
 func (l *Leader) isListed(server string) bool {
 	for _, servers := range l.servers {
--- a/core/assignment/silence.go
+++ b/core/assignment/silence.go
@@ -1,8 +1,11 @@
 package assignment
 
 import (
+	"maps"
 	"math"
 	"time"
+
+	"parsleyrelay.example/core/directory"
 )
 
 // This file finds servers that have stopped answering. A host sends so few requests to each
@@ -26,9 +29,10 @@
 
 // serverContact counts the requests that all hosts sent to a server and its responses.
 type serverContact struct {
-	sent, answered int // in the present interval
-	unanswered     int // requests sent since the last response
-	quietIntervals int // balancing intervals since the first of these
+	born           int64 // start time of the server that is counted
+	sent, answered int   // in the present interval
+	unanswered     int   // requests sent since the last response
+	quietIntervals int   // balancing intervals since the first of these
 	silent         bool
 }
 
@@ -53,12 +57,25 @@
 	return c != nil && c.silent
 }
 
-// updateSilence ends an interval of a server's contact.
-func (l *Leader) updateSilence(service, server string) {
-	c := l.contacts[server]
+// dropContacts forgets the servers of a service without a load, and those that are not listed.
+func (l *Leader) dropContacts(service string, loads []*serverLoad) {
+	loaded := make(map[string]bool, len(loads))
+	for _, s := range loads {
+		loaded[s.server.ID] = true
+	}
+	maps.DeleteFunc(l.contacts, func(id string, _ *serverContact) bool { return !loaded[id] && l.endsWith(service, id) })
+}
+
+// updateSilence ends an interval of a server's contact. A server that has started again is
+// not silent for what its former life did not answer.
+func (l *Leader) updateSilence(service string, server directory.Server) {
+	c := l.contacts[server.ID]
 	if c == nil {
 		return
 	}
+	if c.born != server.Born {
+		*c = serverContact{born: server.Born, sent: c.sent, answered: c.answered}
+	}
 	silence := max(minSilence.Seconds(), silentServiceTimes*l.meanSecondsOf(service))
 	c.endInterval(int(math.Ceil(silence / shortTermPolicy.interval.Seconds())))
 }
