Charge requests to a cold server that preceded its registration

Cause: Borrower dropped the requests without a permit of the last second at the first sight of a newer start time. A server that starts again at its address gets requests from all hosts at the usual rate until its registration is known, and these count at its new life.

Change: the requests are kept for the newer life and charged. Some of them may have reached the former life; the server then gets fewer requests in its first second.

Result: TestRequestsBeforeTheRegistrationOfARestartAreCharged fails without the change (no demand). The tests of core/warmup pass.

--- a/core/warmup/borrower.go
+++ b/core/warmup/borrower.go
@@ -53,10 +53,15 @@
 
 func (b *Borrower) state(id string, born int64) *borrowerState {
 	s := b.servers[id]
-	if s == nil || s.born < born {
+	switch {
+	case s == nil:
 		s = &borrowerState{born: born}
-		b.servers[id] = s
+	case s.born < born:
+		// Requests that were sent before the newer start time was known may have reached the
+		// server after its start.
+		s = &borrowerState{born: born, sends: s.sends}
 	}
+	b.servers[id] = s
 	return s
 }
 
