Move no keys to silent servers, nor beyond the room of cold ones

Cause: the leader moved keys of evacuated zones and of lost servers to servers that it knew to be silent, where they are not served until the server answers. If all servers outside of an evacuated zone are cold, moveEvacuatedRanges ignored their room and did not count what it moved, so that one with many slots got most ranges.

Change: silent servers get ranges only if all are silent. moveEvacuatedRanges prefers servers with room and takes from it.

--- a/core/assignment/evacuation.go
+++ b/core/assignment/evacuation.go
@@ -60,29 +60,35 @@
 
 // moveEvacuatedRanges starts moves of ranges of evacuated servers, the busiest first, each
 // to the server with the least load relative to its capacity. The server returns, so it
-// keeps a range that it has not released when the evacuation ends.
-func (l *Leader) moveEvacuatedRanges(now time.Duration, service string, ranges []*trackedRange, assignable []directory.Server, rangeCounts map[string]int) {
+// keeps a range that it has not released when the evacuation ends. If all others are cold,
+// those with room get the ranges.
+func (l *Leader) moveEvacuatedRanges(now time.Duration, service string, ranges []*trackedRange, assignable []directory.Server, rangeCounts map[string]int, rooms coldRooms) {
 	if len(ranges) == 0 {
 		return
 	}
 	weight := l.rangeWeights(service)
 	slices.SortStableFunc(ranges, func(a, b *trackedRange) int { return cmp.Compare(weight(b.from, b.to), weight(a.from, a.to)) })
-	recipients := warmServers(assignable)
-	capacity := l.capacities(recipients)
+	recipients := warmServers(l.withoutSilent(assignable))
+	capacity := map[string]float64{}
+	for i, c := range l.capacities(recipients) {
+		capacity[recipients[i].ID] = c
+	}
 	loads := map[string]float64{}
 	for _, r := range l.newestMap().Services[service] {
 		loads[r.Owner.ID] += weight(r.From, r.To)
 	}
 	for _, t := range ranges[:min(len(ranges), evacuationMovesPerTick)] {
-		added := weight(t.from, t.to)
-		best, leastLoad := 0, 0.0
-		for i, s := range recipients {
-			if load := (loads[s.ID] + added) / capacity[i]; i == 0 || load < leastLoad {
-				best, leastLoad = i, load
+		added, rate := weight(t.from, t.to), l.requestRateOf(service, t.from, t.to)
+		var best directory.Server
+		leastLoad := 0.0
+		for i, s := range rooms.withRoom(recipients, rate) {
+			if load := (loads[s.ID] + added) / capacity[s.ID]; i == 0 || load < leastLoad {
+				best, leastLoad = s, load
 			}
 		}
-		loads[recipients[best].ID] += added
-		l.startMove(now, t, recipients[best], rangeCounts)
+		loads[best.ID] += added
+		rooms.take(best.ID, rate)
+		l.startMove(now, t, best, rangeCounts)
 		t.revertIfHolderReturns = true
 	}
 }
@@ -117,10 +123,13 @@
 	return warm
 }
 
-// mayReceive reports whether a server may get a further range now. Only servers whose
-// evacuation ended lately have to wait between ranges, such that they get their share in
+// mayReceive reports whether a server may get a further range now: not while it is silent.
+// Otherwise only servers whose evacuation ended lately have to wait between ranges, such that they get their share in
 // refillTime at least. While they are cold they get a part of it.
 func (l *Leader) mayReceive(now time.Duration, s directory.Server) bool {
+	if l.IsSilent(s.ID) {
+		return false
+	}
 	if !isReturning(now, s) {
 		return true
 	}
--- a/core/assignment/plan.go
+++ b/core/assignment/plan.go
@@ -96,13 +96,13 @@
 				evacuated = append(evacuated, t)
 			case !l.mayOwn(service, t.owner):
 				rate := l.requestRateOf(service, t.from, t.to)
-				newOwner := serverWithFewestRanges(rooms.withRoom(assignable, rate), rangeCounts)
+				newOwner := serverWithFewestRanges(rooms.withRoom(l.withoutSilent(assignable), rate), rangeCounts)
 				rooms.take(newOwner.ID, rate)
 				l.startMove(now, t, newOwner, rangeCounts)
 				t.revertIfHolderReturns = true
 			}
 		}
-		l.moveEvacuatedRanges(now, service, evacuated, assignable, rangeCounts)
+		l.moveEvacuatedRanges(now, service, evacuated, assignable, rangeCounts, rooms)
 		l.fillNewServers(now, service, assignable, rangeCounts, totalSlots, rooms)
 	}
 }
--- a/core/assignment/silence.go
+++ b/core/assignment/silence.go
@@ -66,6 +66,21 @@
 	maps.DeleteFunc(l.contacts, func(id string, _ *serverContact) bool { return !loaded[id] && l.endsWith(service, id) })
 }
 
+// withoutSilent returns the servers that are not silent, or all if there are none. A range
+// that moves to a silent server is not served until it answers.
+func (l *Leader) withoutSilent(servers []directory.Server) []directory.Server {
+	var list []directory.Server
+	for _, s := range servers {
+		if !l.IsSilent(s.ID) {
+			list = append(list, s)
+		}
+	}
+	if len(list) == 0 {
+		return servers
+	}
+	return list
+}
+
 // updateSilence ends an interval of a server's contact. A server that has started again is
 // not silent for what its former life did not answer.
 func (l *Leader) updateSilence(service string, server directory.Server) {
