Count no requests as sent that this host held back

Cause: a keyed request counts as sent to its server before the attempt. One that checkBeforeSend held back, as the server is cold, paused, evacuated or leaves, has no response, so that requests held back by several hosts at such a change count towards a silence.

Change: the count is taken back for placement errors. Failed dials still count.

Result: TestColdServerGetsRequestsWithAPermitOnly fails without the change (1 request sent, 0 wanted).

--- a/relay/edge/loadreport.go
+++ b/relay/edge/loadreport.go
@@ -92,7 +92,8 @@
 	e.loadReport.ServiceTimes[server] = t
 }
 
-// recordContact counts keyed requests that are sent to a server, and its responses.
+// recordContact counts keyed requests that are sent to a server, and its responses. A negative
+// number takes back requests that were not sent.
 func (e *Edge) recordContact(server string, sent, answered int) {
 	e.loadReportMu.Lock()
 	defer e.loadReportMu.Unlock()
@@ -101,7 +102,7 @@
 		e.loadReport.ServiceTimes = map[string]ServiceTime{}
 	}
 	t := e.loadReport.ServiceTimes[server]
-	t.Sent += sent
+	t.Sent = max(0, t.Sent+sent)
 	t.Answered += answered
 	e.loadReport.ServiceTimes[server] = t
 }
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -50,6 +50,9 @@
 		return c.abandon(), false
 	}
 	if cause := placementError(""); errors.As(err, &cause) {
+		if c.keyed {
+			c.edge.recordContact(s.ID, -1, 0) // this host held it back; the server is not silent
+		}
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		if !cause.temporary() { // otherwise the pool knows when the server may get the request
 			c.triedServerIDs = append(c.triedServerIDs, s.ID)
--- a/relay/edge/permits_test.go
+++ b/relay/edge/permits_test.go
@@ -52,9 +52,11 @@
 		c, early := assignRequest(t, e)
 		setCold(e, rec)
 		require.Equal(t, errServerCold, c.checkBeforeSend(context.Background(), early))
+		c.keyed = keyed
 		_, retry := c.sendToServer(context.Background(), early)
 		require.True(t, retry, "keyed %v", keyed)
 		require.Zero(t, server.requestCount())
+		require.Zero(t, e.TakeLoadReport().ServiceTimes["s1"].Sent, "the server is not silent")
 
 		granted.Store(1)
 		require.Equal(t, 200, sendRequest(e, context.Background(), "/once/x").Status, "keyed %v", keyed)
