Compare the limits of cold servers with requests, not with costs

Cause: since key ranges are weighed by cost, requestRateOf, the room and the target of cold servers took the weighted load for a rate of requests. Where few keys have most of the work, a cold server got far more requests for cheap keys than its limit, which are then refused.

A single range with cheap requests may still exceed the room that is left.

--- a/core/assignment/costs.go
+++ b/core/assignment/costs.go
@@ -50,7 +50,14 @@
 		load = &keyLoads{}
 		l.keyLoadsByService[service] = load
 	}
+	if _, limited := l.warmupLimits[service]; limited && len(costsMs) > 0 && load.requests == nil {
+		load.requests = &requestCounts{shortTerm: load.shortTerm, longTerm: load.longTerm}
+	}
 	for i, k := range keys {
+		if load.requests != nil {
+			load.requests.shortTerm.counts[k]++
+			load.requests.longTerm.counts[k]++
+		}
 		weight := float32(1)
 		if i < len(costsMs) {
 			weight = load.costs.weight(costsMs[i])
--- a/core/assignment/load_balancing.go
+++ b/core/assignment/load_balancing.go
@@ -110,6 +110,7 @@
 	shortTerm, longTerm                       keyLoad
 	nextShortTermBalance, nextLongTermBalance time.Duration // earliest time of the next balancing
 	costs                                     requestCosts
+	requests                                  *requestCounts // nil while they are the same as the loads
 }
 
 // meanServiceTime is the moving average of a server's service time.
@@ -163,11 +164,18 @@
 	}
 	*nextBalance = now + policy.interval
 	load.decay(policy.decayFactor)
+	requests := l.keyLoadsByService[service].requests.of(policy)
+	if requests != nil {
+		requests.decay(policy.decayFactor)
+	}
 	assignable := l.assignableServers(service)
 	if len(l.newestMap().Services[service]) == 0 {
 		return
 	}
 	load.computePrefixSums()
+	if requests != nil {
+		requests.computePrefixSums()
+	}
 	if len(assignable) >= 2 {
 		l.moveExcessLoad(now, service, load, assignable, policy)
 	}
@@ -195,7 +203,7 @@
 func (l *Leader) moveExcessLoad(now time.Duration, service string, load *keyLoad, assignable []directory.Server, policy balancePolicy) {
 	loads, openMoves := l.serverLoads(service, load, assignable)
 	variance := l.keyLoadsByService[service].costs.variance()
-	l.applyColdLimits(service, loads, assignable, policy)
+	l.applyColdLimits(service, load, loads, assignable, policy)
 	for range max(policy.minMoveLimit, int(policy.moveLimitPerServer*float64(len(assignable)))) {
 		if openMoves >= max(minOpenMoveLimit, len(assignable)) {
 			return
@@ -218,7 +226,7 @@
 		l.startMove(now, t, leastLoaded.server, map[string]int{})
 		mostLoaded.actual -= moved
 		leastLoaded.actual += moved
-		leastLoaded.room -= moved
+		leastLoaded.room -= l.requestsOf(service, load, t.from, t.to, policy)
 		openMoves++
 	}
 }
