Expect no time for no work at a server without a report

Speed.Seconds returned 0/0 for no work at a server that has not reported its slowdown, so that holderWait was not a number, and its conversion a negative duration. A request for a key whose holder had a full window and nothing queued was expected to wait 0 s.

The comparison leaves out equality now, which gives the same for all other arguments. Both new tests failed before: NaN in core/cost, and a wait of 0 instead of 0.2 s in core/dispatch.

--- a/core/cost/cost_test.go
+++ b/core/cost/cost_test.go
@@ -74,6 +74,16 @@
 	require.Less(t, e.MeanWork(), 0.45, "600 ms of a slow machine")
 }
 
+// Guards against an estimate that is not a number: without a report of a slowdown, no work took
+// 0/0 seconds.
+func TestNoWorkTakesNoTime(t *testing.T) {
+	e, s := NewEstimator(0, 200*time.Millisecond), Server{}
+	require.Zero(t, e.SpeedAt(0, &s).Seconds(0))
+	e.ReportSlowdown(0, &s, 300)
+	require.Zero(t, e.SpeedAt(0, &s).Seconds(0))
+	require.Zero(t, e.SpeedAt(time.Minute, &s).Seconds(0))
+}
+
 // Guards against memory that grows with the keys, and against keys that are never requested
 // again and keep the cells of others.
 func TestMillionsOfKeysUseAFixedTable(t *testing.T) {
--- a/core/cost/server.go
+++ b/core/cost/server.go
@@ -111,7 +111,7 @@
 // Seconds returns the time that the server takes for work.
 func (v Speed) Seconds(work float64) float64 {
 	work *= v.factor
-	if work <= v.rate*v.holds {
+	if work < v.rate*v.holds { // false for no work at a server without a report, whose rate is 0
 		return work / v.rate
 	}
 	return v.holds + (work-v.rate*v.holds)/v.usual
--- a/core/dispatch/costs_test.go
+++ b/core/dispatch/costs_test.go
@@ -286,3 +286,15 @@
 		require.Equal(t, l.run(CostRoutingOff), l.run(CostRoutingReported))
 	}
 }
+
+// Guards against a wait that is forgotten at a server that has not reported its slowdown: the
+// request in flight there takes up the window.
+func TestWaitAtAServerWithoutAReport(t *testing.T) {
+	p := NewPool("h", "a", func(uint16) (string, time.Duration) { return "s", 0 })
+	p.SetCostRouting(0, CostRoutingAlways)
+	p.SetServers(0, []Server{{ID: "s", Zone: "a", Slots: 1}})
+	request := Request{Rank: 1, Deadline: time.Second, MaxQueueWait: time.Second, Keyed: true}
+	_, assigned := p.TryAssign(0, request)
+	require.True(t, assigned)
+	require.InDelta(t, InitialLatency.Seconds(), p.expectedWait(0, &queuedRequest{Request: request}).Seconds(), 0.01)
+}
