Reject invalid statuses in calls for permits

The client of LendWarmupPermits had no status check. After a response with status 101 and an Upgrade header, the generated code read the connection as the body of an error, which neither the context nor the timeout of the client ends. The call for permits then never returned, and the host asked for no further permits until it was restarted.

The transport is wrapped like that of the polls. The new test failed before: the call went on for 3 s with a context of 1 s.

--- a/relay/follow/endless_test.go
+++ b/relay/follow/endless_test.go
@@ -1,17 +1,20 @@
 package follow
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"parsleyrelay.example/api/followv1"
 	"parsleyrelay.example/relay/readlimit"
+	"parsleyrelay.example/relay/statuscheck"
 	"parsleyrelay.example/relay/telemetry"
 )
 
@@ -77,3 +80,31 @@
 	require.NotEqual(t, http.StatusOK, w.Code)
 	require.LessOrEqual(t, message.read.Load(), int64(2*maxMessageBytes))
 }
+
+// A leader's address answers with status 101 and leaves the connection open. Guards against a
+// call for permits that never ends, after which the host would not ask for permits any more.
+func TestInvalidStatusEndsCallForPermits(t *testing.T) {
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+	}))
+	defer h.Close()
+	_, f := newFollowerOf(t, h, io.Discard)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := f.BorrowPermits(ctx, "leader", nil)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		require.ErrorIs(t, err, &statuscheck.Error{})
+	case <-time.After(3 * time.Second):
+		t.Fatal("the call goes on after the end of its context")
+	}
+}
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -171,7 +171,7 @@
 	f.http = &http.Client{Transport: statuscheck.Transport{RoundTripper: transport}, Timeout: longPollWait + responseTimeout}
 	f.client = &readlimit.Client{HTTP: f.http, MaxBytes: maxMessageBytes}
 	permitTransport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: permitIdleTimeout, MaxResponseHeaderBytes: MaxHeadBytes}
-	f.permitHTTP = &readlimit.Client{HTTP: &http.Client{Transport: permitTransport, Timeout: warmup.Validity}, MaxBytes: maxMessageBytes}
+	f.permitHTTP = &readlimit.Client{HTTP: &http.Client{Transport: statuscheck.Transport{RoundTripper: permitTransport}, Timeout: warmup.Validity}, MaxBytes: maxMessageBytes}
 	f.stateAt.Store(int64(neverRead))
 	f.received.Store(&Received{})
 	return f
