Count short downloads in the time of the link

The body of a download of up to 16 KiB is written with its head, and neither it nor the heads of longer ones were passed to the pacer. Parts of other downloads were then written before the link had delivered them, and small responses waited behind them.

All bytes that are written without a wait are counted now.

--- a/relay/ingress/cutoff.go
+++ b/relay/ingress/cutoff.go
@@ -62,8 +62,12 @@
 func (c *conn) writeResponse(p *pipelinedRequest, closing bool) bool {
 	start := time.Now()
 	b, furtherBody := encodeResponse(p, closing)
-	if c.server.Pacer != nil && !p.response.Bulk {
-		c.server.Pacer.WaitToWrite(len(b) + len(furtherBody))
+	if c.server.Pacer != nil {
+		unpaced := len(b)
+		if !p.response.Bulk {
+			unpaced += len(furtherBody)
+		}
+		c.server.Pacer.WaitToWrite(unpaced) // does not wait
 	}
 	written, err := c.writeAll(b)
 	if err == nil && len(furtherBody) > 0 {
--- a/relay/ingress/pace_test.go
+++ b/relay/ingress/pace_test.go
@@ -31,8 +31,11 @@
 	released = &atomic.Int32{}
 	s := &Server{Limits: func() routes.Limits { return DefaultLimits }, Pacer: p, Handler: func(_ context.Context, r *Request) *Response {
 		response := &Response{Status: http.StatusOK, OnRelease: func() { released.Add(1) }}
-		if r.URL.Path == "/bulk" {
+		switch r.URL.Path {
+		case "/bulk":
 			response.Bulk, response.Body = true, []byte(strings.Repeat("x", 10*pacedBytes))
+		case "/short":
+			response.Bulk, response.Body = true, []byte(strings.Repeat("x", 1000))
 		}
 		return response
 	}}
@@ -82,6 +85,17 @@
 	})
 }
 
+// Guards against downloads that take time of the link without being counted, because their body
+// is written with the head: longer ones would be written too early.
+func TestShortBulkResponsesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &slowPacer{}
+		connect, _ := startPaced(t, p)
+		readAll(t, connect(), "/short")
+		require.Greater(t, p.bytes.Load(), int64(1000))
+	})
+}
+
 // Guards against a caller that takes a part of a download now and then, each within the time
 // for one part, and so holds its bytes for minutes.
 func TestSlowCallerOfABulkResponseIsCutOff(t *testing.T) {
