Don't count requests that were queued before the start of cost routing

Such a request has no estimate. When it was sent after the start, its time was added to the sum of the sending times of its server, and not subtracted at its end, because an attempt without an estimate counts as sent before the start. While the server was not idle, the remaining work of a request there was then overestimated by the age of the process divided by the requests in flight, and requests for its keys were refused when its window was full. This happens when the servers of a service begin to report their slowdown.

newPlacement does not count requests without an estimate.

--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -99,9 +99,11 @@
 	return p.costs.TakeSummary(), workInFlight, true
 }
 
-// newPlacement counts the estimated work of a request that is sent to a server.
+// newPlacement counts the estimated work of a request that is sent to a server. A request that
+// was queued before the start of cost routing has no estimate and is not counted, because
+// recordCost could not tell it from one that was sent before.
 func (p *Pool) newPlacement(now time.Duration, s *serverState, request *queuedRequest) Placement {
-	if p.costs == nil {
+	if p.costs == nil || request.work == 0 {
 		return Placement{}
 	}
 	v := Placement{class: request.Class, work: request.work, mean: p.costs.MeanWork(), at: now, rate: p.costs.RateAt(now, &s.costs.server), queued: s.outstanding(now) >= float64(max(1, s.Slots))}
@@ -120,7 +122,7 @@
 		p.costs = cost.NewEstimator(now, InitialLatency)
 	}
 	c, placed := &s.costs, r.Placement
-	if placed.work > 0 { // otherwise the request was sent before the start of cost routing
+	if placed.work > 0 { // otherwise the request was not counted
 		c.work -= placed.work
 		c.sentAtSum -= placed.at.Seconds()
 	}
--- a/core/dispatch/costs_test.go
+++ b/core/dispatch/costs_test.go
@@ -298,3 +298,27 @@
 	require.True(t, assigned)
 	require.InDelta(t, InitialLatency.Seconds(), p.expectedWait(0, &queuedRequest{Request: request}).Seconds(), 0.01)
 }
+
+// Guards against a request that was queued before the start of cost routing and is sent after
+// it: its time stayed counted, so that the wait at a server that is never idle was overestimated
+// by the age of the process.
+func TestRequestsQueuedBeforeCostRoutingLeaveNoTrace(t *testing.T) {
+	p, now := NewPool("h", "a", func(uint16) (string, time.Duration) { return "s", 0 }), time.Hour
+	p.SetCostRouting(0, CostRoutingReported)
+	p.SetServers(0, []Server{{ID: "s", Zone: "a", Slots: 4}})
+	var sent []Decision
+	submit := func() {
+		p.Submit(now, Request{Rank: 1, Deadline: now + 9*time.Second, MaxQueueWait: 9 * time.Second, Keyed: true}, func(d Decision) { sent = append(sent, d) })
+	}
+	for range 4 {
+		submit()
+	}
+	require.Len(t, sent, 2, "two requests are in the queue")
+	for i := range 20 {
+		now += 50 * time.Millisecond
+		p.ReportResult(now, "s", AttemptResult{Outcome: OK, Rank: 1, Latency: 100 * time.Millisecond, Load: &Load{Running: 1, Slots: 4, Slowdown: 100}, Placement: sent[i].Placement})
+		submit()
+	}
+	require.Positive(t, p.servers["s"].inflight)
+	require.Less(t, p.expectedWait(now, &queuedRequest{Request: Request{Rank: 1, Keyed: true}}), time.Second)
+}
