Admit downloads on a link that is nearly idle

A download that needs more than its time was admitted only if the time until the link is free was exactly 0. On a link that small responses use for 3 ms of each 10 ms, the large downloads of a route were refused as often as another response had just been written, although a wait would not make them faster.

A wait of up to 20 ms counts as an idle link now. Another such download still makes the link busy.

--- a/core/egress/egress.go
+++ b/core/egress/egress.go
@@ -23,6 +23,10 @@
 	// maxBurst is the time by which downloads may be written ahead of the link's speed, so that
 	// the link does not run idle while a writer sleeps.
 	maxBurst = 20 * time.Millisecond
+	// idleWait is the wait up to which the link counts as idle. Small responses of other routes
+	// take a few milliseconds each, and must not keep out downloads that need more time than they
+	// have even on an idle link.
+	idleWait = 20 * time.Millisecond
 	// maxLag bounds the time by which responses other than downloads count ahead of the link.
 	// If they need more than its speed, which a wrong setting makes likely, downloads would
 	// otherwise be stopped for as long as that lasted.
@@ -107,7 +111,7 @@
 	wait := l.wait(now)
 	need := wait + l.time(expected.High)
 	switch {
-	case wait > 0 && need > left:
+	case wait > idleWait && need > left:
 		// The link has drained enough for a new request after need-latency.
 		return nil, &Refusal{Reason: LinkBusy, RetryAfter: l.promise(now, need-latency, expected.Mean)}
 	case l.config.MemoryBytes > 0 && l.admitted+int(min(l.held, 1)) > 0 && l.reserved.High+float64(l.held)+expected.High > float64(l.config.MemoryBytes):
--- a/core/egress/egress_test.go
+++ b/core/egress/egress_test.go
@@ -90,6 +90,22 @@
 	require.Equal(t, State{}, l.State(0))
 }
 
+// Small responses take 3 ms of each 10 ms. Guards against a route whose downloads need more than
+// their time on an idle link, and are refused whenever another response has just been written.
+func TestNearlyIdleLinkAdmitsAnyDownload(t *testing.T) {
+	l := learned(New(Config{BytesPerSecond: mbit10, MemoryBytes: 8 << 20}), "archive", 4<<20)
+	for i := range 10 {
+		now := time.Duration(i) * time.Minute
+		for range 100 {
+			now += 10 * time.Millisecond
+			l.Passed(now, 3400)
+		}
+		a, refusal := l.Admit(now, "archive", time.Second, time.Second)
+		require.Nil(t, refusal)
+		l.Cancel(a)
+	}
+}
+
 // Callers read nothing. Guards against memory that their responses fill, and against a link
 // that counts as busy with bytes that it has nothing to do with.
 func TestUnreadBytesCountAsHeld(t *testing.T) {
