Keep one holder of each key when the log is restored

Cause: a log that comes back from an older copy has lost maps by which ranges may have moved, and assigns their offsets and terms again.

A leader that sees a new era makes no calls until its newest map is acknowledged in it, with a new term. It grants each range again with a fence of its former term over a connection from before its last confirmation: a holder that refuses has accepted a grant of a leader whose maps are lost, and the leader stops. A map is marked as unverified (element "lost" of the earlier leaders) until that is so, and who takes over from it waits, too. Call IDs keep 29 bits for the term. The directory takes entries that are missing in a restored store for expired ones, and keeps a newer life that a leader does not know.

--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -20,6 +20,10 @@
 //   - A range moves to another server only after the previous holder has released
 //     it, is known to have ended, or has outlived the last grant that may have
 //     reached it.
+//   - After the log was restored from an older copy, ranges may have moved by maps that
+//     are lost. A leader that goes on grants a range again only after its holder has
+//     accepted the fence of the leader's former term, so that no later leader has moved the
+//     range. Other leaders grant nothing until the grants of former leaders have ended.
 //   - A holder that is asked to release has accepted a fence above those of all
 //     grants that may still be applied. A response that may be the copy of an earlier
 //     one on its connection does not prove that; a grant over a new connection then
@@ -132,12 +136,14 @@
 type Map struct {
 	Offset     uint64 // offset of the record in the log; also 0 before the first record
 	NextOffset uint64 // log offset that the next conditional append must name
+	Era        uint64 // of the log when the map was written; see FirstTermOf
 	Term       uint64 // number of the leader's term
 	Leader     string // identifier of the run of the leading host's process
 	Sequence   uint64 // number of the write within the term
 	Resigned   bool   // the leader ended its term with all ranges settled and no open call
 	// EarlierLeaders names the processes that led before Leader, from the last resignation
-	// on, and may still run. unknownLeader stands for those that are not named.
+	// on, and may still run. unknownLeader stands for those that are not named, lostLeader
+	// for those whose maps may have been lost; see Map.IsUnverified.
 	EarlierLeaders []string
 	Services       map[string][]Range // by service; ordered by key, without gaps
 }
@@ -153,6 +159,8 @@
 	switch {
 	case m.Leader == "" || m.Resigned:
 		return nil
+	case len(m.EarlierLeaders) >= maxEarlierLeaders && m.IsUnverified():
+		return []string{lostLeader, unknownLeader, m.Leader}
 	case len(m.EarlierLeaders) >= maxEarlierLeaders:
 		return []string{unknownLeader, m.Leader}
 	}
--- a/core/assignment/calls.go
+++ b/core/assignment/calls.go
@@ -22,9 +22,9 @@
 }
 
 // callIDBits is the number of low bits of a Call.ID that count the calls of a term; the
-// term is in the bits above. A host may lead again while calls of its former term are
-// open, and their results must not count for calls of the new one.
-const callIDBits = 40
+// term, of at most 29 bits, is in the bits above. A host may lead again while calls of its
+// former term are open, and their results must not count for calls of the new one.
+const callIDBits = 35
 
 // Call is a request to a server to accept a grant or to release a range. The
 // caller of Leader.Tick sends it and passes its result to Leader.HandleCallResult.
@@ -82,7 +82,7 @@
 // any more, which changes the draft map.
 func (l *Leader) startDueCall(now time.Duration, t *trackedRange) (Call, bool) {
 	// The end of the previous holder's grant is checked even before nextCallAt.
-	if t.callOpen || now < t.nextCallAt && t.stage != stageReleasing {
+	if l.callsHeld(now) || t.callOpen || now < t.nextCallAt && t.stage != stageReleasing {
 		return Call{}, false
 	}
 	// The log must have acknowledged the latest change of the range. An open write that
@@ -91,6 +91,9 @@
 	if !t.isInState(l.acknowledged.FindRange(t.service, t.from)) || l.inFlight != nil && !t.isInState(l.inFlight.FindRange(t.service, t.from)) {
 		return Call{}, false
 	}
+	if t.unverified != nil {
+		return l.startVerification(now, t)
+	}
 	if t.stage != stageReleasing && now < l.refusedUntil[t.owner] {
 		return Call{}, false
 	}
@@ -178,6 +181,9 @@
 		t.fenceCounter++
 	}
 	t.fence = l.acknowledged.Term<<fenceCounterBits | t.fenceCounter
+	if t.unverified != nil {
+		t.fence = t.unverified.term<<fenceCounterBits | t.fenceCounter
+	}
 	l.lastCallID++
 	t.callOpen, t.lastCallAt = true, now
 	if _, refused := l.refusedUntil[server]; refused {
@@ -254,6 +260,8 @@
 		}
 		// The call may have ended later than CallTimeout after its start.
 		t.grantExpiry = max(t.grantExpiry, now+call.GrantDuration+GrantExpiryMargin)
+	case t.unverified != nil && !l.rewriting && call.Term() == l.acknowledged.Term:
+		l.completeVerification(now, t)
 	case t.stage == stageReleasing:
 		t.fenceConfirmed, t.nextCallAt = true, now
 		if t.fenceProven() {
@@ -261,6 +269,9 @@
 		}
 	default:
 		l.completeGrant(now, t)
+		if t.unverified != nil {
+			t.nextCallAt = now // the call was made before the present era was seen
+		}
 	}
 	return Call{}, false
 }
--- a/core/assignment/codec.go
+++ b/core/assignment/codec.go
@@ -8,6 +8,7 @@
 // storedMap is the stored form of a Map. Servers are listed once, because a
 // service has far more ranges than servers.
 type storedMap struct {
+	Era      uint64                   `json:"era,omitempty"`
 	Term     uint64                   `json:"term"`
 	Leader   string                   `json:"leader"`
 	Sequence uint64                   `json:"seq"`
@@ -39,7 +40,7 @@
 
 // Encode returns the stored form of a map.
 func (m *Map) Encode() ([]byte, error) {
-	stored := storedMap{Term: m.Term, Leader: m.Leader, Sequence: m.Sequence, Resigned: m.Resigned, Earlier: append([]string{}, m.EarlierLeaders...), Services: map[string][]storedRange{}}
+	stored := storedMap{Era: m.Era, Term: m.Term, Leader: m.Leader, Sequence: m.Sequence, Resigned: m.Resigned, Earlier: append([]string{}, m.EarlierLeaders...), Services: map[string][]storedRange{}}
 	indexes := map[ServerIncarnation]int{}
 	serverIndex := func(i ServerIncarnation) int {
 		n, ok := indexes[i]
@@ -72,7 +73,7 @@
 	if err := json.Unmarshal(data, &stored); err != nil {
 		return nil, &DecodeError{Offset: offset, Reason: err.Error()}
 	}
-	m := &Map{Offset: offset, NextOffset: nextOffset, Term: stored.Term, Leader: stored.Leader, Sequence: stored.Sequence, Resigned: stored.Resigned, Services: map[string][]Range{}}
+	m := &Map{Offset: offset, NextOffset: nextOffset, Era: stored.Era, Term: stored.Term, Leader: stored.Leader, Sequence: stored.Sequence, Resigned: stored.Resigned, Services: map[string][]Range{}}
 	switch {
 	case len(stored.Earlier) > 0:
 		m.EarlierLeaders = stored.Earlier
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -38,6 +38,8 @@
 	expiryBeforeCall      time.Duration // grantExpiry before the open grant call
 	handover              string        // data from the previous holder for the owner
 	revertIfHolderReturns bool          // the move started because the holder was draining, unlisted or ended
+	moveStartedAt         time.Duration // start of the last move in this term; 0 for none
+	unverified            *verification // set while a lost map may have moved the range; see Leader.EnterEra
 	// owner, previousHolder and grantPending are those of the newest map. Calls are
 	// made only while the acknowledged map and an open write have the same values.
 	owner, previousHolder ServerIncarnation
@@ -59,6 +61,12 @@
 	Stripes int
 	// Observations are those of this host until now; nil for none.
 	Observations *Observations
+	// Era is the present era of the log.
+	Era uint64
+	// HoldGrantsUntil is set if maps of former leaders may have been lost. The leader makes no
+	// calls before that time, or until its term is so old that the grants of all former leaders
+	// have ended; see PlanTakeover.
+	HoldGrantsUntil time.Duration
 }
 
 // Leader is the state machine of the leading host. It grants a range for
@@ -88,6 +96,9 @@
 	termBegun             bool                                   // the first write of the term was acknowledged
 	termBegunAt           time.Duration
 	earlierLeadersStopped bool // no leader of an earlier term grants any more, whatever it knows
+	holdGrantsUntil       time.Duration
+	lostGrantsEnd         time.Duration // when the grants of leaders whose maps were lost have ended
+	rewriting             bool          // no map was acknowledged in the present era of the log; see EnterEra
 	stopped               bool
 	resigning             bool
 	firstServerAt         map[string]time.Duration    // by service; time at which a server was first assignable
@@ -118,12 +129,16 @@
 		rangeCounts: map[string]int{}, assignable: map[string][]directory.Server{},
 	}
 	l.draft = acknowledged.clone()
-	l.draft.Term++
+	l.draft.Era, l.draft.Term = options.Era, max(acknowledged.Term+1, FirstTermOf(options.Era))
+	l.holdGrantsUntil, l.lostGrantsEnd = options.HoldGrantsUntil, options.HoldGrantsUntil
 	l.lastCallID = l.draft.Term << callIDBits
 	l.draft.Sequence = 0
 	l.draft.Leader = options.HostIncarnation
 	l.draft.EarlierLeaders = acknowledged.earlierLeadersOfNextTerm()
 	l.draft.Resigned = false
+	if options.HoldGrantsUntil > 0 {
+		l.draft.EarlierLeaders = withLostLeader(l.draft.EarlierLeaders)
+	}
 	l.leadershipConfirmedAt, l.lastTickAt = now, now
 	return l
 }
@@ -138,8 +153,12 @@
 func (l *Leader) Stopped() bool { return l.stopped }
 
 // ConfirmLeadership records that a log read sent at now showed no map of another
-// leader.
+// leader. It is ignored after EnterEra until a map is acknowledged in the new era: a map of
+// another leader may have been lost.
 func (l *Leader) ConfirmLeadership(now time.Duration) {
+	if l.rewriting {
+		return
+	}
 	l.leadershipConfirmedAt = max(l.leadershipConfirmedAt, now)
 }
 
@@ -165,7 +184,7 @@
 // open and no grant is unanswered. A grant that the copy of another response answered may
 // still be applied, so the next leader raises each fence before a release.
 func (l *Leader) draftResignation() {
-	if l.inFlight != nil || l.draft != nil || len(l.openCalls) > 0 {
+	if l.inFlight != nil || l.draft != nil || len(l.openCalls) > 0 || l.acknowledged.IsUnverified() {
 		return
 	}
 	for _, t := range l.trackedRanges {
@@ -184,7 +203,7 @@
 // It ends with AcknowledgeMapWrite, or with the term if another leader's map is
 // observed.
 func (l *Leader) NextMapWrite() *MapWrite {
-	if l.stopped || l.inFlight != nil || l.draft == nil {
+	if l.stopped || l.inFlight != nil || l.draft == nil || l.rewriting && l.draft.NextOffset == 0 {
 		return nil
 	}
 	l.inFlight, l.draft = l.draft, nil
@@ -197,7 +216,8 @@
 // acknowledgement, so leadership is confirmed at the start of the write.
 func (l *Leader) AcknowledgeMapWrite(now time.Duration, offset, nextOffset uint64) *Map {
 	firstWrite := !l.termBegun
-	formerResigned := l.acknowledged.Resigned
+	// A resignation of a former era proves nothing, as later maps may have been lost.
+	formerResigned := l.acknowledged.Resigned && l.acknowledged.Era == l.inFlight.Era && !l.acknowledged.IsUnverified()
 	l.acknowledged, l.inFlight = l.inFlight, nil
 	l.acknowledged.Offset, l.acknowledged.NextOffset = offset, nextOffset
 	if l.draft != nil {
@@ -206,6 +226,8 @@
 	l.leadershipConfirmedAt = max(l.leadershipConfirmedAt, l.writeStartedAt)
 	if firstWrite {
 		l.beginTerm(now, formerResigned)
+	} else if l.rewriting {
+		l.resumeTerm(now)
 	}
 	if l.acknowledged.Resigned {
 		l.stopped = true
@@ -224,6 +246,8 @@
 	if !formerResigned {
 		formerGrantExpiry += LeadershipConfirmationTimeout + CallTimeout
 	}
+	l.holdGrantsUntil = min(l.holdGrantsUntil, now+formerGrantsDuration)
+	l.lostGrantsEnd = l.holdGrantsUntil
 	if l.acknowledged.Term > firstTerm {
 		l.formerGrantExpiry, l.earlierGrantExpiry = formerGrantExpiry, formerGrantExpiry
 		if l.options.Observations != nil {
@@ -268,6 +292,11 @@
 	if l.checkFenceCounters(); l.stopped {
 		return nil
 	}
+	if l.callsHeld(now) {
+		l.stopped = l.resigning && !l.rewriting // the rewritten map spares the next leader a wait
+		return nil
+	}
+	l.completeVerifications(now)
 	l.recordRestarts(now)
 	if l.resigning {
 		l.draftResignation()
@@ -302,7 +331,10 @@
 		}
 		l.draft = base.clone()
 		l.draft.Sequence++
-		if l.earlierLeadersStopped {
+		switch {
+		case l.earlierLeadersStopped && l.draft.IsUnverified():
+			l.draft.EarlierLeaders = withLostLeader(nil)
+		case l.earlierLeadersStopped:
 			l.draft.EarlierLeaders = nil
 		}
 	}
--- a/core/assignment/observations.go
+++ b/core/assignment/observations.go
@@ -34,7 +34,7 @@
 func (o *Observations) Record(now time.Duration, m, previous *Map) {
 	if m.Term > o.newestTerm {
 		o.newestTerm = m.Term
-		o.terms[m.Term] = termObservation{seenAt: now, afterResignation: previous != nil && previous.Resigned && previous.Term+1 == m.Term}
+		o.terms[m.Term] = termObservation{seenAt: now, afterResignation: previous != nil && previous.Resigned && previous.Term+1 == m.Term && previous.Era == m.Era}
 	}
 	moves, neededTerms := map[uint64]time.Duration{}, map[uint64]bool{m.Term: true}
 	for _, ranges := range m.Services {
@@ -72,7 +72,7 @@
 	if !r.AwaitsRelease() || r.Move == 0 || !seen || !termSeen {
 		return 0, false
 	}
-	expiry := seenAt + CallTimeout + GrantDuration + GrantExpiryMargin
+	expiry := seenAt + releaseExpiry
 	raisingTheFence := now + moveConfirmationTimeout + CallTimeout + FenceGrantDuration + GrantExpiryMargin
 	return max(expiry, beforeTheTerm, raisingTheFence), true
 }
--- a/core/assignment/plan.go
+++ b/core/assignment/plan.go
@@ -16,6 +16,9 @@
 // (ranges of equal width) and assigns them to its servers. Adjacent stripes go to
 // different servers, because busy keys are often adjacent.
 func (l *Leader) placeNewServices(now time.Duration) {
+	if now < l.lostGrantsEnd {
+		return // a lost map may have placed the service
+	}
 	for _, service := range sortedKeys(l.servers) {
 		if len(l.newestMap().Services[service]) > 0 {
 			continue
@@ -82,7 +85,7 @@
 			rangeCounts[ranges[i].Owner.ID]++
 		}
 		for _, t := range l.trackedRanges {
-			if t.service != service || t.callOpen {
+			if t.service != service || t.callOpen || t.unverified != nil {
 				continue
 			}
 			switch {
@@ -147,7 +150,7 @@
 
 // canMove reports whether only the owner may hold the range and no call is open for it.
 func (t *trackedRange) canMove() bool {
-	return t.stage == stageSettled && !t.callOpen && t.fenceConfirmed && t.previousHolder.ID == "" && !t.grantPending
+	return t.stage == stageSettled && t.unverified == nil && !t.callOpen && t.fenceConfirmed && t.previousHolder.ID == "" && !t.grantPending
 }
 
 // startMove makes newOwner the owner of a range, whose present owner is then asked to
@@ -159,7 +162,7 @@
 	l.lastMove++
 	r.PreviousHolder, r.Owner, r.GrantPending, r.Move = r.Owner, IncarnationOf(newOwner), false, l.Term()<<fenceCounterBits|l.lastMove
 	t.owner, t.previousHolder, t.grantPending = r.Owner, r.PreviousHolder, false
-	t.stage, t.revertIfHolderReturns, t.handover, t.nextCallAt = stageReleasing, false, "", now
+	t.stage, t.revertIfHolderReturns, t.handover, t.nextCallAt, t.moveStartedAt = stageReleasing, false, "", now, now
 }
 
 // revertMove makes the previous holder the owner again, if it became assignable
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -49,6 +49,11 @@
 // span of time. It must be called for each read before the read is applied.
 func (d *Directory) RecordContact(c Contact) { d.outages.record(c) }
 
+// RecordRestore records that the store was seen to have been restored from an older copy,
+// which may lack entries of live servers. It must be called before a read of the restored
+// store is applied.
+func (d *Directory) RecordRestore(now time.Duration) { d.outages.restoredAt = now }
+
 // Contact returns the newest contact of any host with the store, and false if none is
 // known.
 func (d *Directory) Contact() (Contact, bool) { return d.outages.contact, d.outages.known }
@@ -117,7 +122,8 @@
 }
 
 // ResetFromLeader replaces all servers by those of the leader host, which has itself
-// waited for servers to register again. offset is that of the leader's directory, 0 if it
+// waited for servers to register again. A known newer life of a server stays: a leader that
+// has read a restored store may not know it. offset is that of the leader's directory, 0 if it
 // is unknown. It returns false and changes nothing if the leader's servers are older than
 // the directory. A life that is known to leave goes on leaving, whatever the leader says.
 func (d *Directory) ResetFromLeader(now time.Duration, servers map[string]Server, offset uint64) bool {
@@ -128,7 +134,7 @@
 	before := d.servers
 	d.servers = make(map[string]Server, len(servers))
 	for id, s := range servers {
-		if known, ok := before[id]; ok && offset == 0 && known.Born > s.Born {
+		if known, ok := before[id]; ok && known.Born > s.Born {
 			s = known
 		}
 		d.servers[id] = d.recordEntry(now, s, SourceHost)
--- a/core/directory/outage.go
+++ b/core/directory/outage.go
@@ -22,6 +22,9 @@
 	// hasBefore is set.
 	before    Contact
 	hasBefore bool
+	// restoredAt is when the store was seen to have been restored from an older copy; 0 for
+	// never. Contact of other hosts does not refute that.
+	restoredAt time.Duration
 }
 
 // record adds a contact.
@@ -46,9 +49,9 @@
 func join(a, b Contact) Contact { return Contact{Begin: min(a.Begin, b.Begin), End: max(a.End, b.End)} }
 
 // entriesMayBeMissing reports whether live servers may be without an entry: during an
-// outage of the store, and for ReregistrationGrace after it.
+// outage of the store, and for ReregistrationGrace after it or after a restore.
 func (o *outageDetector) entriesMayBeMissing(now time.Duration) bool {
-	return o.known && (now-o.contact.End > o.maxGap || o.hasBefore && now-o.contact.Begin < ReregistrationGrace)
+	return o.restoredAt > 0 && now-o.restoredAt < ReregistrationGrace || o.known && (now-o.contact.End > o.maxGap || o.hasBefore && now-o.contact.Begin < ReregistrationGrace)
 }
 
 // lastOutage returns the newest outage that has ended, and false if there was none.
