Combine the era of the store and offsets into positions

Cause: the store may be restored from an older copy. Its offsets then go back, so that hosts ignored what it said, and a leader could not write its map any more.

The assigner tells the state machine of a new era, reads the end of the topic and plans takeovers by it; maps are ordered by term and sequence. Events 821 to 824 and the metric parsleyrelay_store_era.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -35,7 +35,7 @@
 }
 
 // Event codes by subject: 1xx process, 2xx log and state, 3xx witnesses and lease,
-// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators.
+// 4xx homes and grants, 5xx slices, 6xx requests, 7xx operators, 82x restored store.
 //
 // EntryIgnored is about a record that could not be decoded or used, RecordIgnored
 // about a valid record whose precondition did not hold when it was applied. The
@@ -124,6 +124,10 @@
 	ChangeAccepted     Code = 701
 	ChangeRefused      Code = 702
 	ZoneDeclaredLost   Code = 703
+	StoreEraSeen       Code = 821
+	MapRewritten       Code = 822
+	TakeoverWaits      Code = 823
+	GrantsHeld         Code = 824
 )
 
 // Definitions lists all events in the order of their codes.
@@ -210,4 +214,8 @@
 	{ChangeAccepted, "change_accepted", "A change of a resource was accepted."},
 	{ChangeRefused, "change_refused", "A change of a resource was refused."},
 	{ZoneDeclaredLost, "zone_declared_lost", "An operator declared an availability zone lost."},
+	{StoreEraSeen, "store_era_seen", "The store answered with a newer era: it was restored from an older copy, and its newest records are lost."},
+	{MapRewritten, "map_rewritten", "The leader wrote its newest assignment map again after a restore of the store, and goes on."},
+	{TakeoverWaits, "takeover_waits", "This host is elected after a restore of the store and waits for the map of the former leader, or for its first read of the map."},
+	{GrantsHeld, "grants_held", "This host takes over with a map that a restore of the store may have outdated; it grants nothing until the grants of former leaders have ended."},
 }
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -42,11 +42,15 @@
 // ErrConflict is returned for a map whose NextOffset is not the next offset of the log.
 var ErrConflict = errors.New("map was not appended: another map was written first")
 
+// ErrFormerEra is returned for a map whose NextOffset is of a former era of the log: the log
+// was restored from an older copy before or during the append. The map may be in the log.
+var ErrFormerEra = errors.New("map was not appended: the log was restored from an older copy")
+
 // MapStore appends maps to a log in the platform's store.
 type MapStore interface {
 	// AppendMap appends a map if m.NextOffset is the next offset of the log, and
 	// returns the offset of the record and the next offset after it. Otherwise it
-	// returns ErrConflict. After any other error the map may have been written or
+	// returns ErrConflict, or ErrFormerEra. After any other error the map may have been written or
 	// may still be written. A repeated append of a map that was written succeeds.
 	AppendMap(ctx context.Context, m *assignment.Map) (offset, nextOffset uint64, err error)
 }
@@ -64,6 +68,7 @@
 var (
 	errTermEnded        = errors.New("the term has ended")
 	errCallTooOld       = errors.New("the call was started too long ago")
+	errLogRestored      = errors.New("the log was restored from an older copy")
 	errTermNotConfirmed = errors.New("no read of the map confirmed the term in time")
 )
 
@@ -80,11 +85,12 @@
 	Now             func() time.Duration  // time since boot; see package clock
 }
 
-// message is an input of the loop in Run. Only one kind of input is set; it is
-// confirmedAt if all others are zero.
+// message is an input of the loop in Run. Only one kind of input is set.
 type message struct {
 	observedMap    *assignment.Map // a map that was read
-	confirmedAt    time.Duration   // a read sent at this time showed no newer map
+	storedMap      *storedMap      // a map that was read from the store
+	confirmation   *readConfirmation
+	storeEra       uint64
 	completedCall  *completedCall
 	completedWrite *completedWrite
 	loadReport     *edge.LoadReport
@@ -122,6 +128,7 @@
 	callSlotsByAddress sync.Map // server address: chan struct{} with a slot for each open call
 	formerLeaders      formerLeaders
 	confirmation       confirmation
+	callsHeld          atomic.Bool // see era
 
 	// The remaining fields are used only by Run.
 	leader            *assignment.Leader // state machine of this host's term; nil if there is none
@@ -129,6 +136,7 @@
 	newestMap         *assignment.Map    // has only NextOffset set if the store has no map
 	mapWasRead        bool               // a first read has succeeded, so newestMap is set
 	observations      *assignment.Observations
+	era               era
 	nextTermAttempt   time.Duration                         // earliest start of another term
 	emptiedServers    map[assignment.ServerIncarnation]bool // as they were logged last
 }
@@ -203,12 +211,6 @@
 // A map with only NextOffset set means that the store has none.
 func (a *Assigner) ObserveMap(m *assignment.Map) { a.messages <- message{observedMap: m} }
 
-// ConfirmNewestMap records that a read sent at readSentAt showed no newer map. The time
-// is measured by package clock.
-func (a *Assigner) ConfirmNewestMap(readSentAt time.Duration) {
-	a.messages <- message{confirmedAt: readSentAt}
-}
-
 // RecordLoadReport records a host's report about its requests for keyed services. It
 // drops the report if this host does not lead or the message queue is full.
 func (a *Assigner) RecordLoadReport(r edge.LoadReport) {
@@ -260,7 +262,8 @@
 			a.tick(ctx)
 		}
 		leading := a.leader != nil && a.leader.Leading()
-		if leading {
+		a.callsHeld.Store(leading && a.leader.Rewriting())
+		if leading && !a.leader.Rewriting() {
 			a.confirmation.set(a.leader.Term(), a.leader.ConfirmedAt())
 		}
 		a.leading.Store(leading)
@@ -272,6 +275,12 @@
 	switch {
 	case m.observedMap != nil:
 		a.handleObservedMap(now, m.observedMap)
+	case m.storedMap != nil:
+		a.handleStoredMap(now, *m.storedMap)
+	case m.confirmation != nil:
+		a.handleConfirmation(now, *m.confirmation)
+	case m.storeEra != 0:
+		a.handleEra(now, m.storeEra)
 	case m.completedCall != nil:
 		a.handleCompletedCall(ctx, now, *m.completedCall)
 	case m.completedWrite != nil:
@@ -280,8 +289,6 @@
 		a.recordLoadReport(m.loadReport)
 	case m.leadersExited != nil:
 		a.handleExitOfLeaders(now, *m.leadersExited)
-	case a.leader != nil: // the message is a confirmedAt
-		a.leader.ConfirmLeadership(m.confirmedAt)
 	}
 }
 
@@ -289,7 +296,7 @@
 // if another leader wrote it.
 func (a *Assigner) handleObservedMap(now time.Duration, m *assignment.Map) {
 	a.mapWasRead = true
-	if a.newestMap != nil && m.NextOffset <= a.newestMap.NextOffset {
+	if !m.IsNewerThan(a.newestMap) {
 		return
 	}
 	a.publishMap(now, m)
@@ -331,16 +338,26 @@
 	if a.leader == nil || a.leader.Stopped() || w.term != a.leader.Term() {
 		return
 	}
-	if errors.Is(w.err, ErrConflict) {
+	switch {
+	case errors.Is(w.err, ErrFormerEra):
+		return // the leader writes its newest map again in the present era
+	case errors.Is(w.err, ErrConflict) && a.leader.Rewriting():
+		a.retryRewrite()
+		return
+	case errors.Is(w.err, ErrConflict):
 		a.leader.Stop()
 		a.dropStoppedLeader("another leader wrote a map first")
 		return
 	}
-	wasLeading := a.leader.Leading()
+	wasLeading, rewrote := a.leader.Leading(), a.leader.Rewriting()
 	m := a.leader.AcknowledgeMapWrite(now, w.offset, w.nextOffset)
-	if a.newestMap == nil || m.NextOffset > a.newestMap.NextOffset {
+	a.era.recordEnd(w.nextOffset)
+	if m.IsNewerThan(a.newestMap) {
 		a.publishMap(now, m)
 	}
+	if rewrote {
+		a.logRewrite(now, m)
+	}
 	if !wasLeading && a.leader.Leading() {
 		a.options.Journal.LogEvent(event.TermStarted, "term", m.Term, "offset", m.Offset, "former", a.previousMapLeader)
 		if a.previousMapLeader != "" {
@@ -384,13 +401,14 @@
 		if a.resigning.Load() || !a.mapWasRead || !a.elected.Load() || servers == nil || now < a.nextTermAttempt {
 			return
 		}
-		a.nextTermAttempt = now + time.Second // at most one attempt a second
-		m := a.newestMap
-		if m == nil {
-			m = &assignment.Map{}
+		takeover, due := a.planTakeover(now)
+		if !due {
+			return
 		}
-		a.previousMapLeader = m.Leader
-		a.leader = assignment.NewLeader(now, m, assignment.Options{HostIncarnation: a.options.HostIncarnation, Stripes: a.options.Stripes, Observations: a.observations})
+		a.nextTermAttempt = now + time.Second // at most one attempt a second
+		a.previousMapLeader = takeover.Base.Leader
+		a.leader = assignment.NewLeader(now, takeover.Base, assignment.Options{HostIncarnation: a.options.HostIncarnation, Stripes: a.options.Stripes, Observations: a.observations,
+			Era: a.era.newest, HoldGrantsUntil: takeover.HoldGrantsUntil})
 	}
 	a.leader.SetServers(*servers)
 	a.leader.SetHostCount(int(a.hostCount.Load()))
@@ -430,6 +448,8 @@
 		switch {
 		case !a.leading.Load():
 			return errTermEnded
+		case a.callsHeld.Load():
+			return errLogRestored
 		case a.options.Now()-startedAt >= maxAge:
 			return errCallTooOld
 		}
@@ -462,7 +482,7 @@
 func (a *Assigner) writeMap(ctx context.Context, m *assignment.Map) {
 	for {
 		offset, nextOffset, err := a.options.Store.AppendMap(ctx, m)
-		if err == nil || errors.Is(err, ErrConflict) {
+		if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrFormerEra) {
 			a.messages <- message{completedWrite: &completedWrite{term: m.Term, offset: offset, nextOffset: nextOffset, err: err}}
 			return
 		}
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -453,7 +453,7 @@
 		}
 		updates = append(updates, u)
 	}
-	metadata := assignment.Map{Offset: c.Offset, NextOffset: c.End, Term: c.Term, Leader: c.Leader, Sequence: c.Sequence, Resigned: c.Resigned, EarlierLeaders: c.EarlierLeaders}
+	metadata := assignment.Map{Offset: c.Offset, NextOffset: c.End, Era: c.Era, Term: c.Term, Leader: c.Leader, Sequence: c.Sequence, Resigned: c.Resigned, EarlierLeaders: c.EarlierLeaders}
 	m := assignment.ApplyUpdates(base, metadata, updates)
 	if !m.IsComplete() {
 		return fmt.Errorf("map change with next offset %d dropped: its ranges overlap or leave out keys", c.End)
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -438,7 +438,7 @@
 	if !known {
 		updates, baseEnd = newest.Diff(&assignment.Map{}), 0
 	}
-	change := &followv1.MapChange{BaseEnd: baseEnd, Offset: newest.Offset, End: newest.NextOffset, Term: newest.Term, Leader: newest.Leader,
+	change := &followv1.MapChange{BaseEnd: baseEnd, Offset: newest.Offset, End: newest.NextOffset, Era: newest.Era, Term: newest.Term, Leader: newest.Leader,
 		Sequence: newest.Sequence, Resigned: newest.Resigned, EarlierLeaders: newest.EarlierLeaders}
 	indexes := map[assignment.ServerIncarnation]uint32{}
 	serverIndex := func(i assignment.ServerIncarnation) uint32 {
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -32,6 +32,7 @@
 	MetricLinesOmitted          = "parsleyrelay_log_lines_omitted_total"
 	MetricConfigVersion         = "parsleyrelay_configuration_version"
 	MetricStateAge              = "parsleyrelay_state_age_seconds"
+	MetricStoreEra              = "parsleyrelay_store_era"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -67,4 +68,5 @@
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
 	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
+	{MetricStoreEra, Gauge, "1", nil, "Number of restores of the store from an older copy, as this host saw it last; not set while it is 0."},
 }
