Keep newer lives of servers only shortly after a restore

Cause: since a follower kept a newer life of a server whatever its leader listed, also without a restore. A server whose clock goes back would have stayed listed with an address that it has left. A host that had just started kept removed servers for 2.2 s.

Change: a newer life stays for ReregistrationGrace after a restore, which followers learn from the era of their leader's list. An empty directory ignores a restore.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -51,8 +51,12 @@
 
 // RecordRestore records that the store was seen to have been restored from an older copy,
 // which may lack entries of live servers. It must be called before a read of the restored
-// store is applied.
-func (d *Directory) RecordRestore(now time.Duration) { d.outages.restoredAt = now }
+// store is applied. An empty directory has nothing to keep.
+func (d *Directory) RecordRestore(now time.Duration) {
+	if len(d.servers) > 0 {
+		d.outages.restoredAt = now
+	}
+}
 
 // Contact returns the newest contact of any host with the store, and false if none is
 // known.
@@ -122,10 +126,11 @@
 }
 
 // ResetFromLeader replaces all servers by those of the leader host, which has itself
-// waited for servers to register again. A known newer life of a server stays: a leader that
-// has read a restored store may not know it. offset is that of the leader's directory, 0 if it
+// waited for servers to register again. offset is that of the leader's directory, 0 if it
 // is unknown. It returns false and changes nothing if the leader's servers are older than
-// the directory. A life that is known to leave goes on leaving, whatever the leader says.
+// the directory. A life that is known to leave goes on leaving, whatever the leader says. A
+// known newer life stays for ReregistrationGrace after a restore of the store, of which the
+// leader may have read only an older entry.
 func (d *Directory) ResetFromLeader(now time.Duration, servers map[string]Server, offset uint64) bool {
 	if offset != 0 && offset < d.offset {
 		return false
@@ -134,7 +139,7 @@
 	before := d.servers
 	d.servers = make(map[string]Server, len(servers))
 	for id, s := range servers {
-		if known, ok := before[id]; ok && known.Born > s.Born {
+		if known, ok := before[id]; ok && (offset == 0 || d.outages.restoredRecently(now)) && known.Born > s.Born {
 			s = known
 		}
 		d.servers[id] = d.recordEntry(now, s, SourceHost)
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -138,3 +138,21 @@
 	require.True(t, d.ResetFromLeader(0, newer, 0), "a leader of an older version names no offset")
 	require.Equal(t, uint64(8), d.Offset())
 }
+
+// Guards against servers that are taken for gone, or for an earlier life, because a restored
+// store lacks their newest entries.
+func TestRestoredStoreForgetsNoServer(t *testing.T) {
+	d := New(maxGap)
+	d.Put(0, newServer("1", 2))
+	d.Put(0, newServer("2", 1))
+	read(d, time.Second)
+	d.RecordRestore(time.Second)
+	restored := map[string]Server{"1": newServer("1", 1)}
+	changed, _ := d.ApplyListing(time.Second, restored, 1)
+	require.False(t, changed)
+	require.Len(t, d.All(), 2)
+	require.True(t, d.ResetFromLeader(time.Second, restored, 2))
+	require.EqualValues(t, 2, d.All()["1"].Born)
+	d.ResetFromLeader(time.Second+ReregistrationGrace, restored, 3)
+	require.EqualValues(t, 1, d.All()["1"].Born, "as without a restore")
+}
--- a/core/directory/outage.go
+++ b/core/directory/outage.go
@@ -51,7 +51,12 @@
 // entriesMayBeMissing reports whether live servers may be without an entry: during an
 // outage of the store, and for ReregistrationGrace after it or after a restore.
 func (o *outageDetector) entriesMayBeMissing(now time.Duration) bool {
-	return o.restoredAt > 0 && now-o.restoredAt < ReregistrationGrace || o.known && (now-o.contact.End > o.maxGap || o.hasBefore && now-o.contact.Begin < ReregistrationGrace)
+	return o.restoredRecently(now) || o.known && (now-o.contact.End > o.maxGap || o.hasBefore && now-o.contact.Begin < ReregistrationGrace)
+}
+
+// restoredRecently reports whether live servers may not have registered again after a restore.
+func (o *outageDetector) restoredRecently(now time.Duration) bool {
+	return o.restoredAt > 0 && now-o.restoredAt < ReregistrationGrace
 }
 
 // lastOutage returns the newest outage that has ended, and false if there was none.
