--- a/core/event/event.go
+++ b/core/event/event.go
@@ -136,6 +136,10 @@
 	EvacuationEnded    Code = 812
 	EvacuationsIgnored Code = 813
 	EvacuationProgress Code = 814
+	StoreEraSeen       Code = 821
+	MapRewritten       Code = 822
+	TakeoverWaits      Code = 823
+	GrantsHeld         Code = 824
 	CostRoutingStarted Code = 831
 	CostsSummed        Code = 832
 	DownloadRefused    Code = 841
@@ -235,6 +239,10 @@
 	{EvacuationEnded, "evacuation_ended", "This host learned that the evacuation of an availability zone has ended."},
 	{EvacuationsIgnored, "evacuations_ignored", "A list of evacuated zones is older than what this host knows, and was not used."},
 	{EvacuationProgress, "evacuation_progress", "The number of key ranges that the leader has still to move from evacuated servers of a service has changed; 0 when all are served elsewhere."},
+	{StoreEraSeen, "store_era_seen", "The store answered with a newer era: it was restored from an older copy, and its newest records are lost."},
+	{MapRewritten, "map_rewritten", "The leader wrote its newest assignment map again after a restore of the store, and goes on."},
+	{TakeoverWaits, "takeover_waits", "This host is elected after a restore of the store and waits for the map of the former leader, or for its first read of the map."},
+	{GrantsHeld, "grants_held", "This host takes over with a map that a restore of the store may have outdated; it grants nothing until the grants of former leaders have ended."},
 	{CostRoutingStarted, "cost_routing_started", "The requests of a service are placed by their estimated cost from now on."},
 	{CostsSummed, "costs_summed", "Estimated and actual work of the requests of a service since the last such line."},
 	{DownloadRefused, "download_refused", "A download was refused because the link or the memory of the host has no room for it; the line has what decided. The request did not run."},
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -42,11 +42,15 @@
 // ErrConflict is returned for a map whose NextOffset is not the next offset of the log.
 var ErrConflict = errors.New("map was not appended: another map was written first")
 
+// ErrFormerEra is returned for a map whose NextOffset is of a former era of the log: the log
+// was restored from an older copy before or during the append. The map may be in the log.
+var ErrFormerEra = errors.New("map was not appended: the log was restored from an older copy")
+
 // MapStore appends maps to a log in the platform's store.
 type MapStore interface {
 	// AppendMap appends a map if m.NextOffset is the next offset of the log, and
 	// returns the offset of the record and the next offset after it. Otherwise it
-	// returns ErrConflict. After any other error the map may have been written or
+	// returns ErrConflict, or ErrFormerEra. After any other error the map may have been written or
 	// may still be written. A repeated append of a map that was written succeeds.
 	AppendMap(ctx context.Context, m *assignment.Map) (offset, nextOffset uint64, err error)
 }
@@ -64,6 +68,7 @@
 var (
 	errTermEnded        = errors.New("the term has ended")
 	errCallTooOld       = errors.New("the call was started too long ago")
+	errLogRestored      = errors.New("the log was restored from an older copy")
 	errTermNotConfirmed = errors.New("no read of the map confirmed the term in time")
 )
 
@@ -80,11 +85,12 @@
 	Now             func() time.Duration  // time since boot; see package clock
 }
 
-// message is an input of the loop in Run. Only one kind of input is set; it is
-// confirmedAt if all others are zero.
+// message is an input of the loop in Run. Only one kind of input is set.
 type message struct {
 	observedMap    *assignment.Map // a map that was read
-	confirmedAt    time.Duration   // a read sent at this time showed no newer map
+	storedMap      *storedMap      // a map that was read from the store
+	confirmation   *readConfirmation
+	storeEra       uint64
 	completedCall  *completedCall
 	completedWrite *completedWrite
 	loadReport     *edge.LoadReport
@@ -124,6 +130,7 @@
 	callSlotsByAddress sync.Map // server address: chan struct{} with a slot for each open call
 	formerLeaders      formerLeaders
 	confirmation       confirmation
+	callsHeld          atomic.Bool // see era
 
 	// The remaining fields are used only by Run.
 	leader            *assignment.Leader // state machine of this host's term; nil if there is none
@@ -131,6 +138,7 @@
 	newestMap         *assignment.Map    // has only NextOffset set if the store has no map
 	mapWasRead        bool               // a first read has succeeded, so newestMap is set
 	observations      *assignment.Observations
+	era               era
 	nextTermAttempt   time.Duration                         // earliest start of another term
 	emptiedServers    map[assignment.ServerIncarnation]bool // as they were logged last
 	evacuations       map[string]evacuationProgress         // by service
@@ -158,16 +166,6 @@
 // SetHostCount sets the number of entry hosts, this one included.
 func (a *Assigner) SetHostCount(n int) { a.hostCount.Store(int64(n)) }
 
-// AdmittedShares returns the share of the requests that hosts may queue for each
-// overloaded server, by server ID. It is empty if this host does not lead. The map must
-// not be changed.
-func (a *Assigner) AdmittedShares() map[string]float64 {
-	if shares := a.admittedShares.Load(); shares != nil && a.leading.Load() {
-		return *shares
-	}
-	return nil
-}
-
 // SetPauses sets the pauses that servers asked of the hosts, by server ID. The map must not
 // be changed afterwards.
 func (a *Assigner) SetPauses(pauses map[string]directory.Pause) { a.pauses.Store(&pauses) }
@@ -176,32 +174,6 @@
 // services without one have no limit. The map must not be changed afterwards.
 func (a *Assigner) SetWarmupLimits(limits map[string]float64) { a.warmupLimits.Store(&limits) }
 
-// publishAdmittedShares makes the leader's shares available and logs which servers are
-// limited since the last call, and which are no longer.
-func (a *Assigner) publishAdmittedShares() {
-	var current, former map[string]float64
-	if a.leader != nil {
-		current = a.leader.AdmittedShares()
-	}
-	if p := a.admittedShares.Load(); p != nil {
-		former = *p
-	}
-	if len(current)+len(former) == 0 {
-		return
-	}
-	for id, share := range current {
-		if _, ok := former[id]; !ok {
-			a.options.Journal.LogEvent(event.LoadLimited, "server", id, "share", share, "silent", a.leader.IsSilent(id))
-		}
-	}
-	for id := range former {
-		if _, ok := current[id]; !ok {
-			a.options.Journal.LogEvent(event.LoadUnlimited, "server", id)
-		}
-	}
-	a.admittedShares.Store(&current)
-}
-
 // SetServers sets the servers of keyed services, by service and server ID. No term
 // starts before the first call.
 func (a *Assigner) SetServers(s map[string]map[string]directory.Server) { a.servers.Store(&s) }
@@ -210,12 +182,6 @@
 // A map with only NextOffset set means that the store has none.
 func (a *Assigner) ObserveMap(m *assignment.Map) { a.messages <- message{observedMap: m} }
 
-// ConfirmNewestMap records that a read sent at readSentAt showed no newer map. The time
-// is measured by package clock.
-func (a *Assigner) ConfirmNewestMap(readSentAt time.Duration) {
-	a.messages <- message{confirmedAt: readSentAt}
-}
-
 // RecordLoadReport records a host's report about its requests for keyed services. It
 // drops the report if this host does not lead or the message queue is full.
 func (a *Assigner) RecordLoadReport(r edge.LoadReport) {
@@ -268,8 +234,11 @@
 			a.tick(ctx)
 		}
 		leading := a.leader != nil && a.leader.Leading()
+		a.callsHeld.Store(leading && a.leader.Rewriting())
 		if leading {
 			a.confirmation.begin(a.options.Now(), a.leader.Term())
+		}
+		if leading && !a.leader.Rewriting() {
 			a.confirmation.set(a.leader.Term(), a.leader.ConfirmedAt())
 		}
 		a.leading.Store(leading)
@@ -281,6 +250,12 @@
 	switch {
 	case m.observedMap != nil:
 		a.handleObservedMap(now, m.observedMap)
+	case m.storedMap != nil:
+		a.handleStoredMap(now, *m.storedMap)
+	case m.confirmation != nil:
+		a.handleConfirmation(now, *m.confirmation)
+	case m.storeEra != 0:
+		a.handleEra(now, m.storeEra)
 	case m.completedCall != nil:
 		a.handleCompletedCall(ctx, now, *m.completedCall)
 	case m.completedWrite != nil:
@@ -289,8 +264,6 @@
 		a.recordLoadReport(m.loadReport)
 	case m.leadersExited != nil:
 		a.handleExitOfLeaders(now, *m.leadersExited)
-	case a.leader != nil: // the message is a confirmedAt
-		a.leader.ConfirmLeadership(m.confirmedAt)
 	}
 }
 
@@ -298,7 +271,7 @@
 // if another leader wrote it.
 func (a *Assigner) handleObservedMap(now time.Duration, m *assignment.Map) {
 	a.mapWasRead = true
-	if a.newestMap != nil && m.NextOffset <= a.newestMap.NextOffset {
+	if !m.IsNewerThan(a.newestMap) {
 		return
 	}
 	a.publishMap(now, m)
@@ -340,16 +313,26 @@
 	if a.leader == nil || a.leader.Stopped() || w.term != a.leader.Term() {
 		return
 	}
-	if errors.Is(w.err, ErrConflict) {
+	switch {
+	case errors.Is(w.err, ErrFormerEra):
+		return // the leader writes its newest map again in the present era
+	case errors.Is(w.err, ErrConflict) && a.leader.Rewriting():
+		a.retryRewrite()
+		return
+	case errors.Is(w.err, ErrConflict):
 		a.leader.Stop()
 		a.dropStoppedLeader("another leader wrote a map first")
 		return
 	}
-	wasLeading := a.leader.Leading()
+	wasLeading, rewrote := a.leader.Leading(), a.leader.Rewriting()
 	m := a.leader.AcknowledgeMapWrite(now, w.offset, w.nextOffset)
-	if a.newestMap == nil || m.NextOffset > a.newestMap.NextOffset {
+	a.era.recordEnd(w.nextOffset)
+	if m.IsNewerThan(a.newestMap) {
 		a.publishMap(now, m)
 	}
+	if rewrote {
+		a.logRewrite(now, m)
+	}
 	if !wasLeading && a.leader.Leading() {
 		a.options.Journal.LogEvent(event.TermStarted, "term", m.Term, "offset", m.Offset, "former", a.previousMapLeader)
 		if a.previousMapLeader != "" {
@@ -393,13 +376,14 @@
 		if a.resigning.Load() || !a.mapWasRead || !a.elected.Load() || servers == nil || now < a.nextTermAttempt {
 			return
 		}
-		a.nextTermAttempt = now + time.Second // at most one attempt a second
-		m := a.newestMap
-		if m == nil {
-			m = &assignment.Map{}
+		takeover, due := a.planTakeover(now)
+		if !due {
+			return
 		}
-		a.previousMapLeader = m.Leader
-		a.leader = assignment.NewLeader(now, m, assignment.Options{HostIncarnation: a.options.HostIncarnation, Stripes: a.options.Stripes, Observations: a.observations})
+		a.nextTermAttempt = now + time.Second // at most one attempt a second
+		a.previousMapLeader = takeover.Base.Leader
+		a.leader = assignment.NewLeader(now, takeover.Base, assignment.Options{HostIncarnation: a.options.HostIncarnation, Stripes: a.options.Stripes, Observations: a.observations,
+			Era: a.era.newest, HoldGrantsUntil: takeover.HoldGrantsUntil})
 	}
 	a.leader.SetServers(*servers)
 	a.leader.SetHostCount(int(a.hostCount.Load()))
@@ -443,6 +427,8 @@
 		switch {
 		case !a.leading.Load():
 			return errTermEnded
+		case a.callsHeld.Load():
+			return errLogRestored
 		case a.options.Now()-startedAt >= maxAge:
 			return errCallTooOld
 		}
@@ -475,7 +461,7 @@
 func (a *Assigner) writeMap(ctx context.Context, m *assignment.Map) {
 	for {
 		offset, nextOffset, err := a.options.Store.AppendMap(ctx, m)
-		if err == nil || errors.Is(err, ErrConflict) {
+		if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrFormerEra) {
 			a.messages <- message{completedWrite: &completedWrite{term: m.Term, offset: offset, nextOffset: nextOffset, err: err}}
 			return
 		}
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -41,6 +41,7 @@
 	MetricLinkWait              = "parsleyrelay_link_wait_seconds"
 	MetricPermits               = "parsleyrelay_warmup_permits_total"
 	MetricColdServers           = "parsleyrelay_cold_servers_seen_total"
+	MetricStoreEra              = "parsleyrelay_store_era"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -85,4 +86,5 @@
 	{MetricLinkWait, Gauge, "s", nil, "Time until the link has delivered what has arrived for callers and is expected; not set without --link-mbps."},
 	{MetricPermits, Counter, "1", []string{"result"}, "Permits for requests to cold servers that hosts asked this leader for: lent or refused."},
 	{MetricColdServers, Counter, "1", []string{"evidence"}, "Servers that began to count as cold at this host, by the evidence."},
+	{MetricStoreEra, Gauge, "1", nil, "Number of restores of the store from an older copy, as this host saw it last; not set while it is 0."},
 }
