Don't take a high era of the store for a restore at the first start

Cause: a host that finds a store without a map took each era above 0 for a restore that had lost maps. With a store whose era is 1 or 7 from its first response on, the first leader made no calls for 19 s, and counted grants of leaders that never were. Change: if no map was read before the era was seen, and the host knows none, it takes over after 1.5 s, in which a former leader may write its map, and holds no grants. Conclusion: a store that was restored to a copy from before the first map, and whose leader is lost with all hosts that knew it, looks the same.

--- a/core/assignment/era_test.go
+++ b/core/assignment/era_test.go
@@ -66,7 +66,7 @@
 	if h.leader != nil || h.cutOff || h.newest == nil {
 		return
 	}
-	takeover, due := PlanTakeover(r.now, h.era, h.eraSeenAt, h.newest, h.storeEnd)
+	takeover, due := PlanTakeover(r.now, h.era, h.eraSeenAt, h.newest, h.storeEnd, false)
 	if due {
 		h.leader = NewLeader(r.now, takeover.Base, Options{HostIncarnation: h.name, Stripes: 8, Observations: h.observations, Era: h.era, HoldGrantsUntil: takeover.HoldGrantsUntil})
 	}
@@ -272,11 +272,11 @@
 		"unverified":             {unverified, 2<<eraBits | 5, true},
 		"hidden by a late write": {verified, 2<<eraBits | 6, true},
 	} {
-		takeover, due := PlanTakeover(seen+FormerLeaderWait-1, 2, seen, c.newest, c.storeEnd)
+		takeover, due := PlanTakeover(seen+FormerLeaderWait-1, 2, seen, c.newest, c.storeEnd, false)
 		require.Equal(t, !c.hold, due, name)
-		_, due = PlanTakeover(seen+time.Minute, 2, seen, c.newest, 0)
+		_, due = PlanTakeover(seen+time.Minute, 2, seen, c.newest, 0, false)
 		require.Equal(t, !c.hold || c.newest == verified, due, "%s, before the log was read", name)
-		takeover, due = PlanTakeover(seen+FormerLeaderWait, 2, seen, c.newest, c.storeEnd)
+		takeover, due = PlanTakeover(seen+FormerLeaderWait, 2, seen, c.newest, c.storeEnd, false)
 		require.True(t, due, name)
 		require.Equal(t, c.hold, takeover.HoldGrantsUntil > 0, name)
 		require.Equal(t, c.storeEnd, takeover.Base.NextOffset, name)
@@ -292,6 +292,26 @@
 	}
 }
 
+// Guards against a first start that is taken for a restore because the era of the log is high
+// from the beginning, and against a host that takes a map of a former era for a first start.
+func TestFirstStartInAHighEra(t *testing.T) {
+	const seen, end = time.Hour, 7 << eraBits
+	empty, former := &Map{NextOffset: end}, &Map{Term: 3, Leader: "h0", NextOffset: end}
+	_, due := PlanTakeover(seen+FormerLeaderWait-1, 7, seen, empty, end, true)
+	require.False(t, due, "a former leader may write its map")
+	_, due = PlanTakeover(seen+FormerLeaderWait, 7, seen, empty, 0, true)
+	require.False(t, due, "the log was not read")
+	takeover, due := PlanTakeover(seen+FormerLeaderWait, 7, seen, empty, end, true)
+	require.True(t, due)
+	require.Zero(t, takeover.HoldGrantsUntil)
+	takeover, _ = PlanTakeover(seen+FormerLeaderWait, 7, seen, former, end, true)
+	require.Positive(t, takeover.HoldGrantsUntil)
+	l := NewLeader(seen, empty, Options{Era: 7})
+	l.NextMapWrite()
+	l.AcknowledgeMapWrite(seen, end, end+1)
+	require.Zero(t, l.formerGrantExpiry, "there was no former leader")
+}
+
 // Guards against two holders of a key when the log is restored from older copies under
 // random faults: hosts see the era at different moments or sleep through it, leaders are
 // lost or cut off in it, eras follow each other, and appends for former eras are carried
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -222,6 +222,7 @@
 	firstWrite := !l.termBegun
 	// A resignation of a former era proves nothing, as later maps may have been lost.
 	formerResigned := l.acknowledged.Resigned && l.acknowledged.Era == l.inFlight.Era && !l.acknowledged.IsUnverified()
+	firstStart := l.acknowledged.Term == 0 && l.options.HoldGrantsUntil == 0
 	l.acknowledged, l.inFlight = l.inFlight, nil
 	l.acknowledged.Offset, l.acknowledged.NextOffset = offset, nextOffset
 	if l.draft != nil {
@@ -229,7 +230,7 @@
 	}
 	l.leadershipConfirmedAt = max(l.leadershipConfirmedAt, l.writeStartedAt)
 	if firstWrite {
-		l.beginTerm(now, formerResigned)
+		l.beginTerm(now, formerResigned, firstStart)
 	} else if l.rewriting {
 		l.resumeTerm(now)
 	}
@@ -244,7 +245,7 @@
 // one may take CallTimeout, and holders may hold their ranges until its grant expires.
 // Holders may be asked to release at once: no grant of a former leader reaches an
 // incarnation that has not seen the fence of this term.
-func (l *Leader) beginTerm(now time.Duration, formerResigned bool) {
+func (l *Leader) beginTerm(now time.Duration, formerResigned, firstStart bool) {
 	l.termBegun, l.termBegunAt, l.trackedRanges = true, now, nil
 	formerGrantExpiry := now + GrantDuration + GrantExpiryMargin
 	if !formerResigned {
@@ -252,7 +253,7 @@
 	}
 	l.holdGrantsUntil = min(l.holdGrantsUntil, now+formerGrantsDuration)
 	l.lostGrantsEnd = l.holdGrantsUntil
-	if l.acknowledged.Term > firstTerm {
+	if !firstStart {
 		l.formerGrantExpiry, l.earlierGrantExpiry = formerGrantExpiry, formerGrantExpiry
 		if l.options.Observations != nil {
 			if expiry, known := l.options.Observations.grantExpiryBefore(l.acknowledged.Term - 1); known {
--- a/relay/assigner/era.go
+++ b/relay/assigner/era.go
@@ -11,6 +11,7 @@
 type era struct {
 	newest   uint64
 	seenAt   time.Duration // when this host first saw it; 0 for era 0
+	first    bool          // no map was read before it was seen
 	storeEnd uint64        // end of the log of maps, as read or written in it; 0 if unknown
 	waits    bool          // the wait for the former leader's map was logged
 }
@@ -53,7 +54,7 @@
 	if newest <= a.era.newest {
 		return
 	}
-	a.era = era{newest: newest, seenAt: now}
+	a.era = era{newest: newest, seenAt: now, first: a.era.newest == 0 && !a.mapWasRead}
 	if a.leader != nil {
 		a.leader.EnterEra(now, newest)
 		a.dropStoppedLeader("the store was restored before the term had granted anything")
@@ -110,7 +111,7 @@
 
 // planTakeover returns how this elected host takes over, if it may do so now.
 func (a *Assigner) planTakeover(now time.Duration) (assignment.Takeover, bool) {
-	takeover, due := assignment.PlanTakeover(now, a.era.newest, a.era.seenAt, a.newestMap, a.era.storeEnd)
+	takeover, due := assignment.PlanTakeover(now, a.era.newest, a.era.seenAt, a.newestMap, a.era.storeEnd, a.era.first)
 	newest := a.newestMap
 	if newest == nil {
 		newest = &assignment.Map{}
