Take an empty log of maps for a first start only if the platform says so

Cause: a store without a map whose era is above 0 looks the same at a first start and after a restore to a copy from before the first map.

Only then is an empty log in an era above 0 not held.

--- a/core/assignment/era.go
+++ b/core/assignment/era.go
@@ -60,10 +60,10 @@
 // PlanTakeover decides how an elected host takes over, and reports whether it may do so
 // already. newest is the newest map that it knows by its own order, or nil. storeEnd is the
 // end of the log of maps as read in the present era, which it first saw at eraSeenAt; 0 if
-// it has not read it. firstEra reports that the host had not read the log before it saw the
-// era: a log without a map is then taken for that of a first start, as such a log may have had
-// its era from the beginning.
-func PlanTakeover(now time.Duration, era uint64, eraSeenAt time.Duration, newest *Map, storeEnd uint64, firstEra bool) (t Takeover, due bool) {
+// it has not read it. firstStart reports that the deployment starts for the first time and
+// that the host had not read the log before it saw the era: a log without a map has then
+// lost none, whatever the era.
+func PlanTakeover(now time.Duration, era uint64, eraSeenAt time.Duration, newest *Map, storeEnd uint64, firstStart bool) (t Takeover, due bool) {
 	if newest == nil {
 		newest = &Map{}
 	}
@@ -75,7 +75,7 @@
 		return Takeover{}, false
 	}
 	base := *newest
-	if firstEra && newest.Term == 0 {
+	if firstStart && newest.Term == 0 {
 		base.NextOffset = storeEnd
 		return Takeover{Base: &base}, true
 	}
--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -82,7 +82,10 @@
 	RequestRead     func() // asks for a read of the map soon; nil if reads cannot be asked for
 	Journal         *telemetry.Journal
 	OnMap           func(*assignment.Map) // called for each newer map that was read or written
-	Now             func() time.Duration  // time since boot; see package clock
+	// FirstStart reports that the whole deployment starts for the first time. A store without
+	// a map has lost it otherwise, if its era is above 0.
+	FirstStart bool
+	Now        func() time.Duration // time since boot; see package clock
 }
 
 // message is an input of the loop in Run. Only one kind of input is set.
--- a/relay/assigner/era.go
+++ b/relay/assigner/era.go
@@ -11,7 +11,7 @@
 type era struct {
 	newest   uint64
 	seenAt   time.Duration // when this host first saw it; 0 for era 0
-	first    bool          // no map was read before it was seen
+	first    bool          // the deployment starts for the first time, and no map was read before it was seen
 	storeEnd uint64        // end of the log of maps, as read or written in it; 0 if unknown
 	waits    bool          // the wait for the former leader's map was logged
 }
@@ -54,7 +54,7 @@
 	if newest <= a.era.newest {
 		return
 	}
-	a.era = era{newest: newest, seenAt: now, first: a.era.newest == 0 && !a.mapWasRead}
+	a.era = era{newest: newest, seenAt: now, first: a.options.FirstStart && a.era.newest == 0 && !a.mapWasRead}
 	if a.leader != nil {
 		a.leader.EnterEra(now, newest)
 		a.dropStoppedLeader("the store was restored before the term had granted anything")
