Start cost routing with requests that may run only once

Services without keys that get only requests which may be repeated, as in the earlier deployments, stay as they were unless their servers report slowdowns.

TestCostRoutingStartsWithRequestsThatRunOnce.

--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -17,8 +17,11 @@
 type CostRouting int
 
 const (
-	CostRoutingOff      CostRouting = iota
-	CostRoutingReported             // as soon as a server of the service has reported its slowdown
+	CostRoutingOff CostRouting = iota
+	// CostRoutingAuto begins when a server of the service has reported its slowdown, or with
+	// the first request that may run only once: it cannot be sent again when a full server
+	// cuts it off or is late, so that the choice of its server matters most.
+	CostRoutingAuto
 	CostRoutingAlways
 )
 
@@ -67,6 +70,13 @@
 	}
 }
 
+// startForSingleRun starts cost routing for a request that may run only once.
+func (p *Pool) startForSingleRun(now time.Duration, r Request) {
+	if r.RunsOnce && p.costRouting == CostRoutingAuto && p.costs == nil {
+		p.costs = cost.NewEstimator(now, InitialLatency)
+	}
+}
+
 // CostRoutingActive reports whether requests are placed by their estimated cost.
 func (p *Pool) CostRoutingActive() bool { return p.costs != nil }
 
@@ -107,7 +117,7 @@
 // s.inflight. The load report of s is not yet replaced.
 func (p *Pool) recordCost(now time.Duration, s *serverState, r AttemptResult) {
 	if p.costs == nil {
-		if p.costRouting != CostRoutingReported || r.Load == nil || r.Load.Slowdown == 0 {
+		if p.costRouting != CostRoutingAuto || r.Load == nil || r.Load.Slowdown == 0 {
 			return
 		}
 		p.costs = cost.NewEstimator(now, InitialLatency)
--- a/core/dispatch/costs_test.go
+++ b/core/dispatch/costs_test.go
@@ -251,7 +251,7 @@
 	} {
 		t.Run(c.pattern, func(t *testing.T) {
 			t.Parallel()
-			off, on := c.load.run(CostRoutingOff), c.load.run(CostRoutingReported)
+			off, on := c.load.run(CostRoutingOff), c.load.run(CostRoutingAuto)
 			t.Logf("off: %s", off)
 			t.Logf("on:  %s", on)
 			require.Greater(t, on.inTime, off.inTime+c.gain)
@@ -274,11 +274,33 @@
 	require.Less(t, float64(with.p50), 0.97*float64(without.p50))
 }
 
+// Guards against services whose servers don't report a slowdown that get no cost routing
+// for requests which cannot be sent again.
+func TestCostRoutingStartsWithRequestsThatRunOnce(t *testing.T) {
+	for _, c := range []struct {
+		mode            CostRouting
+		keyed, runsOnce bool
+		started         bool
+	}{
+		{CostRoutingAuto, false, true, true}, {CostRoutingAuto, false, false, false}, {CostRoutingAuto, true, true, false}, {CostRoutingOff, false, true, false},
+	} {
+		var holder HolderLookup
+		if c.keyed {
+			holder = func(uint16) (string, time.Duration) { return "s", 0 }
+		}
+		p := NewPool("h", "a", holder)
+		p.SetCostRouting(0, c.mode)
+		p.SetServers(0, []Server{{ID: "s", Zone: "a", Slots: 3}})
+		p.Submit(0, Request{Deadline: time.Second, MaxQueueWait: time.Second, RunsOnce: c.runsOnce, Keyed: c.keyed}, func(Decision) {})
+		require.Equal(t, c.started, p.CostRoutingActive(), "%+v", c)
+	}
+}
+
 // Guards against a change of services whose servers don't report a slowdown.
 func TestCostRoutingWaitsForAReportedSlowdown(t *testing.T) {
 	l := settlements()
 	l.hidden, l.from, l.to = true, 0, 8*time.Second
-	require.Equal(t, l.run(CostRoutingOff), l.run(CostRoutingReported))
+	require.Equal(t, l.run(CostRoutingOff), l.run(CostRoutingAuto))
 }
 
 // Guards against estimates that decide about keyed requests, which they don't serve better:
@@ -287,6 +309,6 @@
 	l := lookups().with(uneven).with(func(l *unevenLoad) { l.work, l.from, l.to = 180*time.Millisecond, 0, 8*time.Second })
 	off := l.run(CostRoutingOff)
 	require.Positive(t, off.refused)
-	require.Equal(t, off, l.run(CostRoutingReported))
+	require.Equal(t, off, l.run(CostRoutingAuto))
 	require.Equal(t, off, l.run(CostRoutingAlways))
 }
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -156,6 +156,7 @@
 	Deadline     time.Duration // point in time from which a response is useless
 	MaxQueueWait time.Duration // refused after this time in the queue
 	Keyed        bool          // only the server that holds Key can serve it
+	RunsOnce     bool          // must not run a second time
 	Key          uint16
 	ExcludeIDs   []string // servers that have been tried
 	Class        cost.Class
@@ -268,6 +269,7 @@
 func (p *Pool) Submit(now time.Duration, r Request, onDecision func(Decision)) (cancel func()) {
 	p.lastSequence++
 	r.sequence, r.submitted = p.lastSequence, now
+	p.startForSingleRun(now, r)
 	request := &queuedRequest{Request: r, onDecision: onDecision, work: p.EstimateWork(now, r.Class)}
 	if reason, wait := p.predictRefusal(now, request); reason != "" {
 		onDecision(Decision{Reason: reason, RetryAfter: wait})
--- a/relay/edge/costs_test.go
+++ b/relay/edge/costs_test.go
@@ -32,9 +32,9 @@
 		return formatResponse(r, http.StatusOK, load)
 	})
 	e := newEdge(t, server)
-	e.options.CostRouting = dispatch.CostRoutingReported
+	e.options.CostRouting = dispatch.CostRoutingAuto
 	p := e.poolFor("s").dispatchPool
-	p.SetCostRouting(0, dispatch.CostRoutingReported)
+	p.SetCostRouting(0, dispatch.CostRoutingAuto)
 	workInFlight := func() float64 {
 		e.poolFor("s").mu.Lock()
 		defer e.poolFor("s").mu.Unlock()
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -194,7 +194,7 @@
 	c.mapVersion = c.edge.mapVersion()
 	now := c.edge.now()
 	decision, cancel := c.pool.submit(dispatch.Request{
-		Rank: c.route.Rank, Deadline: now + left - minAttemptTime, MaxQueueWait: maxQueueWait, Keyed: c.keyed, Key: c.key, ExcludeIDs: c.triedServerIDs, Class: c.costs,
+		Rank: c.route.Rank, Deadline: now + left - minAttemptTime, MaxQueueWait: maxQueueWait, RunsOnce: !c.route.Idempotent, Keyed: c.keyed, Key: c.key, ExcludeIDs: c.triedServerIDs, Class: c.costs,
 	})
 	select {
 	case v := <-decision:
