Limit the ranges that move at a time, so that the map fits into a record

Cause: a map with 2,048 ranges of as many servers takes 184 KB, and 355 KB if all of them move (computed with the names of the users' platform); a record of the store takes 256 KiB. A leader could start that many moves at once with thousands of servers, after which neither it nor a successor could write a map.

Change: at most 768 ranges move at a time, over all services and reasons.

--- a/core/assignment/evacuation.go
+++ b/core/assignment/evacuation.go
@@ -77,7 +77,7 @@
 	for _, r := range l.newestMap().Services[service] {
 		loads[r.Owner.ID] += weight(r.From, r.To)
 	}
-	for _, t := range ranges[:min(len(ranges), evacuationMovesPerTick)] {
+	for _, t := range ranges[:min(len(ranges), evacuationMovesPerTick, max(0, l.movesLeft))] {
 		added, rate := weight(t.from, t.to), l.requestRateOf(service, t.from, t.to)
 		var best directory.Server
 		leastLoad := 0.0
--- a/core/assignment/leader.go
+++ b/core/assignment/leader.go
@@ -89,6 +89,7 @@
 	formerGrantExpiry     time.Duration            // time until which a server may hold a range by a grant of a former leader
 	earlierGrantExpiry    time.Duration            // the same for the leaders before the last one
 	lastMove              uint64                   // number of the last move of the term
+	movesLeft             int                      // moves that may start now, see countMoves
 	openCalls             map[uint64]*trackedRange // by call ID
 	lastCallID            uint64
 	trackedRanges         []*trackedRange
--- a/core/assignment/load_balancing.go
+++ b/core/assignment/load_balancing.go
@@ -204,8 +204,9 @@
 func (l *Leader) moveExcessLoad(now time.Duration, service string, load *keyLoad, assignable []directory.Server, policy balancePolicy) {
 	loads, openMoves := l.serverLoads(service, load, assignable)
 	l.applyColdLimits(service, loads, assignable, policy)
+	l.countMoves()
 	for range max(policy.minMoveLimit, int(policy.moveLimitPerServer*float64(len(assignable)))) {
-		if openMoves >= max(minOpenMoveLimit, len(assignable)) {
+		if openMoves >= max(minOpenMoveLimit, len(assignable)) || l.movesLeft <= 0 {
 			return
 		}
 		mostLoaded := slices.MaxFunc(loads, func(a, b *serverLoad) int { return cmp.Compare(a.actual/a.target, b.actual/b.target) })
--- a/core/assignment/plan.go
+++ b/core/assignment/plan.go
@@ -69,6 +69,7 @@
 // servers that have less than their share. It reverts moves whose previous holder
 // is assignable again.
 func (l *Leader) planMoves(now time.Duration) {
+	l.countMoves()
 	for _, service := range sortedKeys(l.acknowledged.Services) {
 		assignable := l.assignableServers(service)
 		if len(assignable) == 0 {
@@ -98,6 +99,9 @@
 			case l.isEvacuated(service, t.owner):
 				evacuated = append(evacuated, t)
 			case !l.mayOwn(service, t.owner):
+				if l.movesLeft <= 0 {
+					continue
+				}
 				rate := l.requestRateOf(service, t.from, t.to)
 				newOwner := serverWithFewestRanges(rooms.withRoom(l.withoutSilent(assignable), rate), rangeCounts)
 				rooms.take(newOwner.ID, rate)
@@ -126,7 +130,7 @@
 		if rangeCounts[recipient.ID] >= share(recipient) {
 			delete(l.fillingServers, IncarnationOf(recipient).endpoint())
 		}
-		for rangeCounts[recipient.ID] < share(recipient) && l.mayReceive(now, recipient) {
+		for l.movesLeft > 0 && rangeCounts[recipient.ID] < share(recipient) && l.mayReceive(now, recipient) {
 			t := l.surplusRange(service, assignable, rangeCounts, share)
 			if t == nil {
 				break
@@ -161,6 +165,21 @@
 	return nil
 }
 
+// maxMovingRanges limits the ranges that move at a time. The map of 2,048 ranges of as many
+// servers takes 184 KB, and 83 bytes more for each range that moves; a record of the store
+// takes 256 KiB, and a leader whose map is larger could write nothing any more.
+const maxMovingRanges = 768
+
+// countMoves sets the number of moves that may start now.
+func (l *Leader) countMoves() {
+	l.movesLeft = maxMovingRanges
+	for _, t := range l.trackedRanges {
+		if t.stage != stageSettled {
+			l.movesLeft--
+		}
+	}
+}
+
 // canMove reports whether only the owner may hold the range and no call is open for it.
 func (t *trackedRange) canMove() bool {
 	return t.stage == stageSettled && t.unverified == nil && !t.callOpen && t.fenceConfirmed && t.previousHolder.ID == "" && !t.grantPending
@@ -173,6 +192,7 @@
 	rangeCounts[r.Owner.ID]--
 	rangeCounts[newOwner.ID]++
 	l.lastMove++
+	l.movesLeft--
 	r.PreviousHolder, r.Owner, r.GrantPending, r.Move = r.Owner, IncarnationOf(newOwner), false, l.Term()<<fenceCounterBits|l.lastMove
 	t.owner, t.previousHolder, t.grantPending = r.Owner, r.PreviousHolder, false
 	t.stage, t.revertIfHolderReturns, t.handover, t.nextCallAt, t.moveStartedAt = stageReleasing, false, "", now, now
