--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -42,6 +42,7 @@
 	MetricPermits               = "parsleyrelay_warmup_permits_total"
 	MetricColdServers           = "parsleyrelay_cold_servers_seen_total"
 	MetricStoreEra              = "parsleyrelay_store_era"
+	MetricEntriesIgnored        = "parsleyrelay_entries_ignored_total"
 )
 
 // Definitions lists all metrics. docs/metrics.md has the same table; a test compares
@@ -87,4 +88,5 @@
 	{MetricPermits, Counter, "1", []string{"result"}, "Permits for requests to cold servers that hosts asked this leader for: lent or refused."},
 	{MetricColdServers, Counter, "1", []string{"evidence"}, "Servers that began to count as cold at this host, by the evidence."},
 	{MetricStoreEra, Gauge, "1", nil, "Number of restores of the store from an older copy, as this host saw it last; not set while it is 0."},
+	{MetricEntriesIgnored, Counter, "1", []string{"topic"}, "Entries of the store that this host read and left out, because they could not be used."},
 }
