Refuse requests with a blank behind the name of a header

What callers could do: send a request that a server reads otherwise than the host.

Cause: http.ReadRequest and http.ReadResponse take "Transfer-Encoding : chunked" for a header whose name ends with a blank. Such a header is none of one connection to the host, which passed it on as it was; a server that ignores the blank then reads other bytes as the body than the host sent.

Control characters in heads were refused before, by net/textproto; these cases are kept.

--- a/relay/ingress/ingress.go
+++ b/relay/ingress/ingress.go
@@ -342,7 +342,7 @@
 	limits := c.server.Limits()
 	c.heads.Remaining = int64(limits.HeaderBytes)
 	c.limitRead(time.Now().Add(limits.HeaderTimeout))
-	request, err := http.ReadRequest(c.reader)
+	request, err := readHead(c.reader)
 	if err != nil {
 		c.handleReadError(cmp.Or(c.heads.Err, err))
 		return false
