--- a/relay/assigner/assigner.go
+++ b/relay/assigner/assigner.go
@@ -39,7 +39,7 @@
 	maxReleaseAge = 2 * maxReleaseSlotWait
 )
 
-// ErrConflict is returned for a map whose NextOffset is not the next offset of the log.
+// ErrConflict is returned for a map if the log has another one from its NextOffset on.
 var ErrConflict = errors.New("map was not appended: another map was written first")
 
 // ErrFormerEra is returned for a map whose NextOffset is of a former era of the log: the log
@@ -48,9 +48,9 @@
 
 // MapStore appends maps to a log in the platform's store.
 type MapStore interface {
-	// AppendMap appends a map if m.NextOffset is the next offset of the log, and
-	// returns the offset of the record and the next offset after it. Otherwise it
-	// returns ErrConflict, or ErrFormerEra. After any other error the map may have been written or
+	// AppendMap appends a map if the log has no other one from m.NextOffset on, and
+	// returns the offset of the record, which is higher if other records are in between, and
+	// the next offset after it. Otherwise it returns ErrConflict, or ErrFormerEra. After any other error the map may have been written or
 	// may still be written. A repeated append of a map that was written succeeds.
 	AppendMap(ctx context.Context, m *assignment.Map) (offset, nextOffset uint64, err error)
 }
