Report a reset to the reader of a response if a write learned of it

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a complete response.

Cause: the system reports a reset once, to the read or the write that asks first. upstream writes a long request beside the read of its response. If the write was told, the read got an ordinary end of the connection, which ends a body without a length, and the error of the write was dropped. net/http reads and writes side by side, too, and lost the reset in the same way: a message between hosts that was cut could still decode.

Change: package connreset. The connections of all clients keep the reset that any read or write is told of. A read that meets the end of the connection first ends a write in progress, by its deadline, and looks whether it was told of a reset. A server that ends its direction in order stays an answer: a write that fails later, after such an end, gets EPIPE in place of ECONNRESET.

--- a/cmd/internal/ctl/session/session.go
+++ b/cmd/internal/ctl/session/session.go
@@ -22,6 +22,7 @@
 	"parsleyrelay.example/cmd/internal/ctl/exit"
 	"parsleyrelay.example/core/finding"
 	"parsleyrelay.example/core/resource"
+	"parsleyrelay.example/relay/connreset"
 	"parsleyrelay.example/relay/statuscheck"
 )
 
@@ -82,7 +83,7 @@
 	if len(findings) > 0 {
 		return nil, exit.FindingsError(findings)
 	}
-	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport := connreset.Wrap(http.DefaultTransport.(*http.Transport).Clone())
 	transport.TLSClientConfig = tlsConfig
 	s.Client = client.New(client.Config{
 		Hosts: hosts, Token: cmd.String(flagToken), AttemptTimeout: cmd.Duration(flagTimeout),
--- a/cmd/internal/dev/load.go
+++ b/cmd/internal/dev/load.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"parsleyrelay.example/api/callerapi"
+	"parsleyrelay.example/relay/connreset"
 )
 
 const (
@@ -50,7 +51,7 @@
 func newLoadGenerator(hosts []*entryHost) *loadGenerator {
 	l := &loadGenerator{
 		client: &http.Client{
-			Transport: &http.Transport{MaxIdleConnsPerHost: 256},
+			Transport: connreset.Wrap(&http.Transport{MaxIdleConnsPerHost: 256}),
 			Timeout:   2 * requestDeadline,
 		},
 		hosts: hosts, resultsByRank: map[string]*rankResult{}, unavailableSince: map[string]time.Time{},
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"parsleyrelay.example/api/callerapi"
+	"parsleyrelay.example/relay/connreset"
 )
 
 // Defaults of Config.
@@ -65,7 +66,7 @@
 		cfg.BodyBytes = defaultBodyBytes
 	}
 	if cfg.Client == nil {
-		transport := &http.Transport{MaxIdleConnsPerHost: cfg.MaxInFlight, DisableCompression: true}
+		transport := connreset.Wrap(&http.Transport{MaxIdleConnsPerHost: cfg.MaxInFlight, DisableCompression: true})
 		defer transport.CloseIdleConnections()
 		cfg.Client = &http.Client{Transport: transport}
 	}
--- a/relay/backend/conn.go
+++ b/relay/backend/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"parsleyrelay.example/relay/connreset"
 )
 
 // countingConn counts bytes to determine whether any part of a failed request was
@@ -162,11 +164,10 @@
 	}
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-func dialTCP(dialer *net.Dialer) dialFunc {
+func dialTCP(dialer *net.Dialer) connreset.DialFunc {
+	dial := connreset.Dialer(dialer.DialContext)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -175,9 +176,12 @@
 }
 
 // dialTLS wraps the TLS connection, so that bytes of the handshake are not counted.
-func dialTLS(dialer *net.Dialer, config *tls.Config) dialFunc {
+func dialTLS(dialer *net.Dialer, config *tls.Config) connreset.DialFunc {
+	dial := connreset.TLSDialer(connreset.Dialer(dialer.DialContext), config)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := (&tls.Dialer{NetDialer: dialer, Config: config}).DialContext(ctx, network, address)
+		ctx, cancel := context.WithTimeout(ctx, dialer.Timeout) // covers the handshake
+		defer cancel()
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/relay/platform/client.go
+++ b/relay/platform/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"parsleyrelay.example/api/platformapi"
+	"parsleyrelay.example/relay/connreset"
 	"parsleyrelay.example/relay/statuscheck"
 )
 
@@ -67,7 +68,7 @@
 		o.MaxRecords = DefaultMaxRecords
 	}
 	if o.Transport == nil {
-		o.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+		o.Transport = connreset.Wrap(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})
 	}
 	o.BaseURL = strings.TrimSuffix(o.BaseURL, "/")
 	return &Client{options: o, httpClient: &http.Client{Transport: statuscheck.Transport{RoundTripper: o.Transport}, CheckRedirect: refuseRedirect}}
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"parsleyrelay.example/relay/connreset"
 	"parsleyrelay.example/relay/memory"
 	"parsleyrelay.example/relay/readlimit"
 	"parsleyrelay.example/relay/statuscheck"
@@ -154,7 +155,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*connreset.Conn
 	reader      *bufio.Reader
 	heads       *readlimit.Reader // below reader; limits the heads of the responses to one request
 	bodies      *memory.Account   // see Client.Bodies
@@ -258,8 +259,9 @@
 		}
 		return nil, err
 	}
-	heads := &readlimit.Reader{Source: nc, Remaining: readlimit.None}
-	return &conn{Conn: nc, heads: heads, bodies: c.Bodies, reader: bufio.NewReaderSize(heads, readBufferSize), openedAt: time.Now(), idleTimeout: defaultIdleTimeout}, nil
+	checked := connreset.New(nc)
+	heads := &readlimit.Reader{Source: checked, Remaining: readlimit.None}
+	return &conn{Conn: checked, heads: heads, bodies: c.Bodies, reader: bufio.NewReaderSize(heads, readBufferSize), openedAt: time.Now(), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // acquireOldConn returns an idle connection that was opened before x.OpenedBefore. It
@@ -386,7 +388,7 @@
 	if cn.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := cn.Conn.(syscall.Conn)
+	sc, ok := cn.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -418,15 +420,16 @@
 }
 
 // exchangeLong is exchange for a request that the server may answer before it has read it
-// all. The server may then read no further, or close the connection.
+// all. The server may then read no further, or close the connection. If the write learns of
+// a reset, the body of a response that ends with the connection is not complete; see package
+// connreset.
 func (cn *conn) exchangeLong(x Exchange) (response *Response, sent, reusable bool, err error) {
 	var n int64
 	var writeErr error
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		parts := append(net.Buffers{x.RawRequest}, x.FurtherBody...)
-		n, writeErr = parts.WriteTo(cn.Conn)
+		n, writeErr = cn.WriteBuffers(append(net.Buffers{x.RawRequest}, x.FurtherBody...))
 	}()
 	response, reusable, err = cn.readMatching(x)
 	select {
