Reject responses whose head holds an invalid field name

Callers saw: a backend server in trouble sent a response in whose head the name of a field held a blank. The caller got it as an answer, with that line passed on, or with a body that was read by other lines: "Transfer-Encoding : chunked" gave the framing of the chunks as the body.

Cause: http.ReadResponse leaves a blank in or behind a name where it is, and does not take the field for the one it stands for. A line with a blank in front of the name became a part of the value before it. Nothing checked names afterwards, and AppendHeader removed a blank behind a name before it passed the line on.

Change: package responsecheck, which takes over statuscheck. One scanner checks the bytes of each head, interim and skipped ones included, before the parser sees them: status line, status and names (httpguts). Readers of net/http get it by SetDialers and Transport, upstream reads through it. The connection fails at the first invalid byte, so no head is read to its end, and no transport takes the connection for idle: the check of the status after the parser left a moment in which a response without a body made its connection serve another call. A line that continues a value is rejected only if it reads as a field. A response that arrived before its request was sent is an error.

Why it works: what no parser has read whole cannot be passed on, and the order of check and reuse is fixed by the connection itself.

--- a/cmd/internal/ctl/session/session.go
+++ b/cmd/internal/ctl/session/session.go
@@ -22,8 +22,7 @@
 	"parsleyrelay.example/cmd/internal/ctl/exit"
 	"parsleyrelay.example/core/finding"
 	"parsleyrelay.example/core/resource"
-	"parsleyrelay.example/relay/connreset"
-	"parsleyrelay.example/relay/statuscheck"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 // Names of the shared flags.
@@ -83,11 +82,11 @@
 	if len(findings) > 0 {
 		return nil, exit.FindingsError(findings)
 	}
-	transport := connreset.Wrap(http.DefaultTransport.(*http.Transport).Clone())
+	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.TLSClientConfig = tlsConfig
 	s.Client = client.New(client.Config{
 		Hosts: hosts, Token: cmd.String(flagToken), AttemptTimeout: cmd.Duration(flagTimeout),
-		SettleTimeout: cmd.Duration(flagSettleTimeout), HTTPClient: &http.Client{Transport: statuscheck.Transport{RoundTripper: transport}},
+		SettleTimeout: cmd.Duration(flagSettleTimeout), HTTPClient: &http.Client{Transport: responsecheck.Transport{RoundTripper: responsecheck.SetDialers(transport)}},
 	})
 	return s, nil
 }
--- a/cmd/internal/dev/load.go
+++ b/cmd/internal/dev/load.go
@@ -14,7 +14,7 @@
 	"github.com/google/uuid"
 
 	"parsleyrelay.example/api/callerapi"
-	"parsleyrelay.example/relay/connreset"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 const (
@@ -51,7 +51,7 @@
 func newLoadGenerator(hosts []*entryHost) *loadGenerator {
 	l := &loadGenerator{
 		client: &http.Client{
-			Transport: connreset.Wrap(&http.Transport{MaxIdleConnsPerHost: 256}),
+			Transport: responsecheck.Transport{RoundTripper: responsecheck.SetDialers(&http.Transport{MaxIdleConnsPerHost: 256})},
 			Timeout:   2 * requestDeadline,
 		},
 		hosts: hosts, resultsByRank: map[string]*rankResult{}, unavailableSince: map[string]time.Time{},
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 
 	"parsleyrelay.example/api/callerapi"
-	"parsleyrelay.example/relay/connreset"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 // Defaults of Config.
@@ -66,9 +66,9 @@
 		cfg.BodyBytes = defaultBodyBytes
 	}
 	if cfg.Client == nil {
-		transport := connreset.Wrap(&http.Transport{MaxIdleConnsPerHost: cfg.MaxInFlight, DisableCompression: true})
+		transport := responsecheck.SetDialers(&http.Transport{MaxIdleConnsPerHost: cfg.MaxInFlight, DisableCompression: true})
 		defer transport.CloseIdleConnections()
-		cfg.Client = &http.Client{Transport: transport}
+		cfg.Client = &http.Client{Transport: responsecheck.Transport{RoundTripper: transport}}
 	}
 	g := &generator{Config: cfg, start: time.Now(), inFlight: make(chan struct{}, cfg.MaxInFlight), recorder: newResultRecorder(cfg)}
 	var streams sync.WaitGroup
--- a/relay/backend/backend_test.go
+++ b/relay/backend/backend_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/goleak"
 
 	"parsleyrelay.example/api/serverapi"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -171,7 +172,7 @@
 	client, server := net.Pipe()
 	defer client.Close()
 	defer server.Close()
-	c := &countingConn{Conn: client}
+	c := &countingConn{Conn: responsecheck.NewConn(client)}
 	c.startRequest()
 	require.True(t, c.sealIfUnwritten())
 	_, err := c.Write([]byte("x"))
--- a/relay/backend/client.go
+++ b/relay/backend/client.go
@@ -18,7 +18,7 @@
 	"time"
 
 	"parsleyrelay.example/api/serverapi"
-	"parsleyrelay.example/relay/statuscheck"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 // Bounds of the client.
@@ -47,7 +47,7 @@
 type Client struct {
 	baseURL          *url.URL
 	requestTransport *http.Transport
-	controlTransport statuscheck.Transport
+	controlTransport responsecheck.Transport
 	controlTraffic   ControlTraffic
 }
 
@@ -76,7 +76,7 @@
 	return &Client{
 		baseURL:          base,
 		requestTransport: newTransport(o, max(1, o.MaxConnections)),
-		controlTransport: statuscheck.Transport{RoundTripper: newTransport(o, MaxControlConnections)},
+		controlTransport: responsecheck.Transport{RoundTripper: newTransport(o, MaxControlConnections)},
 	}, nil
 }
 
--- a/relay/backend/conn.go
+++ b/relay/backend/conn.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"parsleyrelay.example/relay/connreset"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 // countingConn counts bytes to determine whether any part of a failed request was
@@ -15,14 +16,13 @@
 // transport's buffer is flushed, and headers that exceed the buffer are written
 // before it runs.
 type countingConn struct {
-	net.Conn
+	*responsecheck.Conn
 
 	mu               sync.Mutex
 	bytesWritten     uint64 // passed to Write, whether or not it succeeded
 	bytesRead        uint64
 	writtenAtStart   uint64 // bytesWritten when the current request got the connection
 	readAtFirstWrite uint64 // bytesRead when the first byte of the current request was written
-	requests         uint64 // that got the connection
 	writesSealed     bool
 }
 
@@ -50,28 +50,12 @@
 	return n, err
 }
 
-// startRequest marks the start of a request on the connection and returns its number.
-func (c *countingConn) startRequest() uint64 {
+// startRequest marks the start of a request on the connection.
+func (c *countingConn) startRequest() {
+	c.ExpectResponse()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writtenAtStart = c.bytesWritten
-	c.requests++
-	return c.requests
-}
-
-// closeAfter closes the connection after its n-th request. The transport may have given it
-// to another one meanwhile: if that is not written yet, it fails as not sent; else the
-// connection stays open.
-func (c *countingConn) closeAfter(n uint64) {
-	c.mu.Lock()
-	mayClose := c.requests == n || c.bytesWritten == c.writtenAtStart
-	if mayClose {
-		c.writesSealed = true
-	}
-	c.mu.Unlock()
-	if mayClose {
-		_ = c.Close()
-	}
 }
 
 // sealIfUnwritten reports whether no byte of the current request was written. If
@@ -98,7 +82,6 @@
 type roundTrip struct {
 	mu            sync.Mutex
 	conn          *countingConn // nil until the transport has got one
-	number        uint64        // of the request on conn
 	reused        bool
 	failed        bool // a connection that is obtained after this is not used
 	staleResponse bool
@@ -118,11 +101,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	number := conn.startRequest()
+	conn.startRequest()
 	if t.failed {
 		conn.sealIfUnwritten()
 	}
-	t.conn, t.reused, t.number = conn, info.Reused, number
+	t.conn, t.reused = conn, info.Reused
 }
 
 func (t *roundTrip) gotFirstResponseByte() {
@@ -155,13 +138,15 @@
 	return t.staleResponse
 }
 
-// closeConn closes the connection of the request, also if the transport keeps it for others.
-func (t *roundTrip) closeConn() {
+// errorOf returns the fault of the response's head in place of the transport's error, which
+// may be that of a line that the fault cut short.
+func (t *roundTrip) errorOf(err error) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.conn != nil {
-		t.conn.closeAfter(t.number)
+	if t.conn != nil && t.conn.Fault() != nil {
+		return t.conn.Fault()
 	}
+	return err
 }
 
 func dialTCP(dialer *net.Dialer) connreset.DialFunc {
@@ -171,13 +156,13 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return &countingConn{Conn: responsecheck.NewConn(conn)}, nil
 	}
 }
 
 // dialTLS wraps the TLS connection, so that bytes of the handshake are not counted.
 func dialTLS(dialer *net.Dialer, config *tls.Config) connreset.DialFunc {
-	dial := connreset.TLSDialer(connreset.Dialer(dialer.DialContext), config)
+	dial := connreset.TLSDialer(connreset.Dialer(dialer.DialContext), config, 0)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialer.Timeout) // covers the handshake
 		defer cancel()
@@ -185,6 +170,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return &countingConn{Conn: responsecheck.NewConn(conn)}, nil
 	}
 }
--- a/relay/backend/execute.go
+++ b/relay/backend/execute.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"parsleyrelay.example/api/serverapi"
-	"parsleyrelay.example/relay/statuscheck"
 )
 
 // maxConnectionAttempts bounds how many connections Do tries, since the server may
@@ -61,6 +60,7 @@
 		if err == nil {
 			return c.acceptResponse(ctx, trip, request, response)
 		}
+		err = trip.errorOf(err)
 		unwritten, reused := trip.fail()
 		if !unwritten {
 			return nil, &UnknownOutcomeError{Err: withContextCause(ctx, err)}
@@ -157,10 +157,6 @@
 	if trip.closeIfStale() {
 		return "response of an earlier request on the connection"
 	}
-	if err := statuscheck.Check(response.StatusCode); err != nil {
-		trip.closeConn()
-		return err.Error()
-	}
 	sent, echoed := request.Header.Get(serverapi.HeaderRequestID), response.Header.Get(serverapi.HeaderRequestID)
 	if sent != "" && echoed != "" && sent != echoed {
 		return "response carries the id of another request"
--- a/relay/connreset/conn.go
+++ b/relay/connreset/conn.go
@@ -10,7 +10,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -121,10 +120,10 @@
 	}
 }
 
-// TLSDialer returns a DialFunc that opens TLS connections over those of dial. Without
-// config.ServerName, the server is verified by the host of the address. A nil config stands
-// for the defaults.
-func TLSDialer(dial DialFunc, config *tls.Config) DialFunc {
+// TLSDialer returns a DialFunc that opens TLS connections for HTTP/1 over those of dial.
+// Without config.ServerName, the server is verified by the host of the address. A nil config
+// stands for the defaults, and no timeout of the handshake for that of its context.
+func TLSDialer(dial DialFunc, config *tls.Config, handshakeTimeout time.Duration) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		inner, err := dial(ctx, network, address)
 		if err != nil {
@@ -137,6 +136,12 @@
 		if config.ServerName == "" {
 			config.ServerName, _, _ = net.SplitHostPort(address)
 		}
+		config.NextProtos = nil // a server could otherwise choose HTTP/2
+		if handshakeTimeout > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, handshakeTimeout)
+			defer cancel()
+		}
 		c := tls.Client(inner, config)
 		if err := c.HandshakeContext(ctx); err != nil {
 			_ = inner.Close()
@@ -145,10 +150,3 @@
 		return c, nil
 	}
 }
-
-// Wrap makes a transport open its connections, also those below TLS, as Conns, unless it
-// has a DialTLSContext of its own. It returns the transport.
-func Wrap(t *http.Transport) *http.Transport {
-	t.DialContext = Dialer(t.DialContext)
-	return t
-}
--- a/relay/connreset/conn_test.go
+++ b/relay/connreset/conn_test.go
@@ -67,7 +67,7 @@
 			address := startServer(t, resetAfter(delay))
 			taken := 0
 			for range tries {
-				client := &http.Client{Transport: Wrap(&http.Transport{DisableKeepAlives: true})}
+				client := &http.Client{Transport: &http.Transport{DialContext: Dialer(nil), DisableKeepAlives: true}}
 				if _, err := upload(client, address); err == nil {
 					taken++
 				}
--- a/relay/daemon/peertransport_test.go
+++ b/relay/daemon/peertransport_test.go
@@ -12,6 +12,7 @@
 
 	"parsleyrelay.example/api/peerv1"
 	"parsleyrelay.example/relay/peer"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 // serveRaw returns the URL of a server that answers each call with a text, without reading
@@ -50,3 +51,16 @@
 	}
 	require.Zero(t, taken, "of 20")
 }
+
+// Guards against a response of another host whose message is read by the headers that were
+// recognized, and for none: an empty message decodes.
+func TestMessageBehindAnInvalidHeadIsAnError(t *testing.T) {
+	for _, line := range []string{"X-Tr ace: 1", "X-Trace : 1", "Content-Encoding : gzip"} {
+		url := serveRaw(t, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n"+line+"\r\nContent-Length: 0\r\n\r\n", func(*net.TCPConn) {})
+		client := peer.NewTransport(peerTransport(nil), peer.Options{})
+		_, err := client.Poll(t.Context(), url, &peerv1.PollRequest{})
+		var failure *responsecheck.HeadError
+		require.ErrorAs(t, err, &failure, line)
+		client.Close()
+	}
+}
--- a/relay/daemon/settings.go
+++ b/relay/daemon/settings.go
@@ -8,8 +8,8 @@
 	"github.com/go-kit/log"
 
 	"parsleyrelay.example/core/event"
-	"parsleyrelay.example/relay/connreset"
 	"parsleyrelay.example/relay/platform"
+	"parsleyrelay.example/relay/responsecheck"
 	"parsleyrelay.example/relay/settings"
 )
 
@@ -66,5 +66,5 @@
 // peerTransport returns the transport of control calls. It keeps up to 4 idle connections
 // per peer, since at most one poll per witness is in flight and other calls are rarer.
 func peerTransport(config *tls.Config) *http.Transport {
-	return connreset.Wrap(&http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: 4})
+	return responsecheck.SetDialers(&http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: 4})
 }
--- a/relay/follow/endless_test.go
+++ b/relay/follow/endless_test.go
@@ -14,7 +14,7 @@
 
 	"parsleyrelay.example/api/followv1"
 	"parsleyrelay.example/relay/readlimit"
-	"parsleyrelay.example/relay/statuscheck"
+	"parsleyrelay.example/relay/responsecheck"
 	"parsleyrelay.example/relay/telemetry"
 )
 
@@ -103,8 +103,28 @@
 	}()
 	select {
 	case err := <-ended:
-		require.ErrorIs(t, err, &statuscheck.Error{})
+		require.ErrorIs(t, err, &responsecheck.StatusError{})
 	case <-time.After(3 * time.Second):
 		t.Fatal("the call goes on after the end of its context")
 	}
 }
+
+// Guards against a response of another host that is read by the headers that were recognized:
+// an empty message decodes, and names no leader.
+func TestInvalidHeadsEndCalls(t *testing.T) {
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nX-Trace : 1\r\nContent-Length: 0\r\n\r\n")
+	}))
+	defer h.Close()
+	_, f := newFollowerOf(t, h, io.Discard)
+	var failure *responsecheck.HeadError
+	_, err := f.clientFor("leader").Follow(t.Context(), f.newRequest())
+	require.ErrorAs(t, err, &failure)
+	_, _, err = f.BorrowPermits(t.Context(), "leader", nil)
+	require.ErrorAs(t, err, &failure)
+}
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -17,10 +17,9 @@
 	"parsleyrelay.example/core/followtree"
 	"parsleyrelay.example/core/routes"
 	"parsleyrelay.example/core/warmup"
-	"parsleyrelay.example/relay/connreset"
 	"parsleyrelay.example/relay/edge"
 	"parsleyrelay.example/relay/readlimit"
-	"parsleyrelay.example/relay/statuscheck"
+	"parsleyrelay.example/relay/responsecheck"
 	"parsleyrelay.example/relay/telemetry"
 )
 
@@ -168,11 +167,11 @@
 func NewFollower(o Options, hostState HostState, journal *telemetry.Journal) *Follower {
 	f := &Follower{options: o, hostState: hostState, journal: journal, parents: followtree.NewParents(o.Incarnation)}
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return o.Dial(ctx, address) }
-	transport := connreset.Wrap(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxHeadBytes})
-	f.http = &http.Client{Transport: statuscheck.Transport{RoundTripper: transport}, Timeout: longPollWait + responseTimeout}
+	transport := responsecheck.SetDialers(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxHeadBytes})
+	f.http = &http.Client{Transport: responsecheck.Transport{RoundTripper: transport}, Timeout: longPollWait + responseTimeout}
 	f.client = &readlimit.Client{HTTP: f.http, MaxBytes: maxMessageBytes}
-	permitTransport := connreset.Wrap(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: permitIdleTimeout, MaxResponseHeaderBytes: MaxHeadBytes})
-	f.permitHTTP = &readlimit.Client{HTTP: &http.Client{Transport: statuscheck.Transport{RoundTripper: permitTransport}, Timeout: warmup.Validity}, MaxBytes: maxMessageBytes}
+	permitTransport := responsecheck.SetDialers(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: permitIdleTimeout, MaxResponseHeaderBytes: MaxHeadBytes})
+	f.permitHTTP = &readlimit.Client{HTTP: &http.Client{Transport: responsecheck.Transport{RoundTripper: permitTransport}, Timeout: warmup.Validity}, MaxBytes: maxMessageBytes}
 	f.stateAt.Store(int64(neverRead))
 	f.received.Store(&Received{})
 	return f
--- a/relay/frontend/response.go
+++ b/relay/frontend/response.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"parsleyrelay.example/api/callerapi"
-	"parsleyrelay.example/relay/statuscheck"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 // Response is a response to be sent to the caller.
@@ -31,7 +31,7 @@
 // A final status comes from a server, another host or the stored responses that a former home
 // has sent. If HTTP does not define it, WriteHeader would panic.
 func writeResponse(w http.ResponseWriter, resp *Response, requestID string) {
-	if !statuscheck.IsFinal(resp.Status) {
+	if !responsecheck.IsFinal(resp.Status) {
 		if resp.Body != nil {
 			_ = resp.Body.Close()
 		}
--- a/relay/ingress/headernames_test.go
+++ b/relay/ingress/headernames_test.go
@@ -29,9 +29,3 @@
 		})
 	}
 }
-
-// Guards against a response whose headers a caller reads otherwise than this host.
-func TestHeaderNamesArePassedOnWithoutBlanks(t *testing.T) {
-	h := http.Header{"Transfer-Encoding ": {"chunked"}, "Content-Length ": {"7"}, "X ": {"a"}}
-	require.Equal(t, "X: a\r\n", string(AppendHeader(nil, h, nil)))
-}
--- a/relay/ingress/write.go
+++ b/relay/ingress/write.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 )
 
 // hopByHop lists the headers that apply to a single connection.
@@ -18,11 +17,10 @@
 func IsHopByHop(name string) bool { return hopByHop[name] }
 
 // AppendHeader appends the end-to-end headers for which include returns true; nil
-// includes all. A blank between a name and its colon, which http.ReadResponse leaves in the
-// name, is removed, as RFC 9112, section 5.1, has it for responses.
+// includes all. Names must be valid: readHead refuses requests, and package responsecheck
+// responses, of which a parser may read other headers.
 func AppendHeader(b []byte, h http.Header, include func(name string) bool) []byte {
 	for name, values := range h {
-		name = strings.TrimRight(name, " ")
 		if hopByHop[name] || include != nil && !include(name) {
 			continue
 		}
--- a/relay/peer/transport.go
+++ b/relay/peer/transport.go
@@ -7,7 +7,7 @@
 
 	"parsleyrelay.example/api/peerv1"
 	"parsleyrelay.example/relay/readlimit"
-	"parsleyrelay.example/relay/statuscheck"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 // Default limits of calls.
@@ -95,7 +95,7 @@
 func NewTransport(inner http.RoundTripper, o Options) *Transport {
 	o = o.withDefaults()
 	return &Transport{options: o, client: &readlimit.Client{
-		HTTP:     &http.Client{Transport: statuscheck.Transport{RoundTripper: inner}, CheckRedirect: refuseRedirect},
+		HTTP:     &http.Client{Transport: responsecheck.Transport{RoundTripper: inner}, CheckRedirect: refuseRedirect},
 		MaxBytes: o.MaxMessageBytes,
 	}}
 }
--- a/relay/platform/client.go
+++ b/relay/platform/client.go
@@ -18,8 +18,7 @@
 	"time"
 
 	"parsleyrelay.example/api/platformapi"
-	"parsleyrelay.example/relay/connreset"
-	"parsleyrelay.example/relay/statuscheck"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 // Limits of the client.
@@ -68,10 +67,10 @@
 		o.MaxRecords = DefaultMaxRecords
 	}
 	if o.Transport == nil {
-		o.Transport = connreset.Wrap(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})
+		o.Transport = responsecheck.SetDialers(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})
 	}
 	o.BaseURL = strings.TrimSuffix(o.BaseURL, "/")
-	return &Client{options: o, httpClient: &http.Client{Transport: statuscheck.Transport{RoundTripper: o.Transport}, CheckRedirect: refuseRedirect}}
+	return &Client{options: o, httpClient: &http.Client{Transport: responsecheck.Transport{RoundTripper: o.Transport}, CheckRedirect: refuseRedirect}}
 }
 
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/relay/platform/platform_test.go
+++ b/relay/platform/platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 
 	"parsleyrelay.example/api/platformapi"
 	"parsleyrelay.example/core/record"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -165,3 +167,23 @@
 		}
 	}
 }
+
+// Guards against a response that is read by the headers that were recognized, as an empty
+// list of hosts.
+func TestInvalidHeadsAreErrors(t *testing.T) {
+	c := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Trace : 1\r\nContent-Length: 12\r\n\r\n{\"offset\":7}")
+	})
+	var failure *responsecheck.HeadError
+	_, err := c.Hosts(t.Context())
+	require.ErrorAs(t, err, &failure)
+	_, err = c.Append(t.Context(), []byte("x"))
+	require.ErrorAs(t, err, &failure)
+	var unknown *AppendOutcomeUnknownError
+	require.ErrorAs(t, err, &unknown)
+}
--- a/relay/statuscheck/statuscheck_test.go
+++ b/relay/responsecheck/transport_test.go
@@ -1,4 +1,4 @@
-package statuscheck
+package responsecheck
 
 import (
 	"bufio"
@@ -31,13 +31,13 @@
 				}()
 				return near, nil
 			}
-			client := &http.Client{Transport: Transport{&http.Transport{DialContext: dial}}}
+			client := &http.Client{Transport: Transport{SetDialers(&http.Transport{DialContext: dial})}}
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://server/", nil)
 			require.NoError(t, err)
 			_, err = client.Do(request)
-			require.ErrorIs(t, err, &Error{}, head)
+			require.ErrorIs(t, err, &StatusError{}, head)
 			<-closed
 		})
 	}
--- a/relay/upstream/response.go
+++ b/relay/upstream/response.go
@@ -10,7 +10,6 @@
 
 	"parsleyrelay.example/relay/memory"
 	"parsleyrelay.example/relay/readlimit"
-	"parsleyrelay.example/relay/statuscheck"
 )
 
 // Response is a complete response. First reports that it is the first one on its
@@ -116,17 +115,21 @@
 func (cn *conn) readHead(method string, bytesLeft *int64) (*http.Response, error) {
 	cn.heads.Remaining = *bytesLeft
 	defer func() { *bytesLeft, cn.heads.Remaining = cn.heads.Remaining, readlimit.None }()
+	buffered, _ := cn.reader.Peek(cn.reader.Buffered()) // has no error within the buffer
+	cn.checked.ExpectResponse()
+	if err := cn.checked.Check(buffered); err != nil {
+		return nil, err
+	}
 	for {
 		r, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		switch {
 		case err != nil && errors.Is(cn.heads.Err, readlimit.ErrExceeded):
 			return nil, ErrHeadTooLarge
+		case err != nil && cn.checked.Fault() != nil:
+			return nil, cn.checked.Fault()
 		case err != nil:
 			return nil, err
 		}
-		if err := statuscheck.Check(r.StatusCode); err != nil {
-			return nil, err
-		}
 		if r.StatusCode >= http.StatusOK {
 			return r, nil
 		}
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -19,7 +19,7 @@
 	"parsleyrelay.example/relay/connreset"
 	"parsleyrelay.example/relay/memory"
 	"parsleyrelay.example/relay/readlimit"
-	"parsleyrelay.example/relay/statuscheck"
+	"parsleyrelay.example/relay/responsecheck"
 )
 
 // Limits of connections.
@@ -80,8 +80,9 @@
 	ErrNoMemory           = errors.New("no memory for the response body beside those of other requests")
 	ErrHeadTooLarge       = errors.New("response heads exceed the size limit")
 	// ErrInvalidStatus matches the errors of responses with a status that package
-	// statuscheck rejects.
-	ErrInvalidStatus = error(&statuscheck.Error{})
+	// responsecheck rejects. Those with another fault of the head have a
+	// *responsecheck.HeadError.
+	ErrInvalidStatus = error(&responsecheck.StatusError{})
 )
 
 // ErrDialTooLong is the cause if a connection was not open at Exchange.DialUntil.
@@ -157,8 +158,9 @@
 type conn struct {
 	*connreset.Conn
 	reader      *bufio.Reader
-	heads       *readlimit.Reader // below reader; limits the heads of the responses to one request
-	bodies      *memory.Account   // see Client.Bodies
+	heads       *readlimit.Reader   // below reader; limits the heads of the responses to one request
+	checked     *responsecheck.Conn // below heads; checks the heads
+	bodies      *memory.Account     // see Client.Bodies
 	openedAt    time.Time
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -259,9 +261,10 @@
 		}
 		return nil, err
 	}
-	checked := connreset.New(nc)
+	resets := connreset.New(nc)
+	checked := responsecheck.NewConn(resets)
 	heads := &readlimit.Reader{Source: checked, Remaining: readlimit.None}
-	return &conn{Conn: checked, heads: heads, bodies: c.Bodies, reader: bufio.NewReaderSize(heads, readBufferSize), openedAt: time.Now(), idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: resets, heads: heads, checked: checked, bodies: c.Bodies, reader: bufio.NewReaderSize(heads, readBufferSize), openedAt: time.Now(), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // acquireOldConn returns an idle connection that was opened before x.OpenedBefore. It
