Reject responses of HTTP/1.0 with a transfer coding

Callers saw: the framing of the chunks as a part of the body, if a server sent a response of HTTP/1.0 in chunks and ended the connection in order.

Cause: HTTP/1.0 has no transfer codings. net/http drops the field and reads the body up to the end of the connection, so nothing behind the parser can tell.

Change: package responsecheck sees the version and the name before the parser, and rejects such a head, as RFC 9112, section 6.1, has its framing treated as faulty. Responses of HTTP/1.0 with a length, or ended in order, stay.

TestChunksInHTTP10AreAnError fails with the check of the version turned off.

--- a/relay/responsecheck/head.go
+++ b/relay/responsecheck/head.go
@@ -1,6 +1,6 @@
 // Package responsecheck rejects responses whose head a client cannot use: with a status that
-// HTTP does not define or with a field whose name
-// is invalid. net/http passes many of them on, and reads their bodies by the
+// HTTP does not define, with a field whose name is invalid, or with a framing that parsers
+// read in different ways. net/http passes many of them on, and reads their bodies by the
 // fields that it recognizes. The check sees the bytes of a head before the parser does, so
 // the connection of a rejected response never serves another request.
 package responsecheck
@@ -9,6 +9,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -17,6 +18,9 @@
 const (
 	InvalidStatusLine = "invalid status line"
 	InvalidFieldName  = "invalid field name"
+	// CodingInHTTP10 is a Transfer-Encoding in a response of HTTP/1.0, which does not define
+	// it (RFC 9112, 6.1). net/http would return the framing of the chunks as a part of the body.
+	CodingInHTTP10 = "transfer coding in HTTP/1.0"
 )
 
 // HeadError reports a response head that a client must not use.
@@ -52,7 +56,8 @@
 	state    scanState
 	kept     []byte // of the status line or the name
 	isFinal  bool   // the present head is not an interim one
-	noFields bool   // no field has followed the status line yet
+	isHTTP10 bool
+	noFields bool // no field has followed the status line yet
 }
 
 // expect makes the next byte the first one of a response.
@@ -104,7 +109,7 @@
 	line := bytes.TrimSuffix(s.kept, []byte("\r"))
 	protocol, rest, _ := bytes.Cut(line, []byte(" "))
 	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	_, _, ok := http.ParseHTTPVersion(string(protocol))
+	major, minor, ok := http.ParseHTTPVersion(string(protocol))
 	status := 0
 	for _, digit := range code {
 		ok = ok && digit >= '0' && digit <= '9'
@@ -113,7 +118,7 @@
 	if !ok || len(code) != 3 {
 		return &HeadError{Reason: InvalidStatusLine, Text: string(line)}
 	}
-	s.isFinal, s.noFields = status >= http.StatusOK, true
+	s.isFinal, s.isHTTP10, s.noFields = status >= http.StatusOK, major < 1 || major == 1 && minor == 0, true
 	s.state = restOfLine
 	if b == '\n' {
 		s.state = lineStart
@@ -156,6 +161,9 @@
 	if len(s.kept) == 0 {
 		return s.invalidName(b)
 	}
+	if s.isHTTP10 && strings.EqualFold(string(s.kept), "Transfer-Encoding") {
+		return &HeadError{Reason: CodingInHTTP10, Text: string(s.kept)}
+	}
 	s.state = restOfLine
 	return nil
 }
--- a/relay/responsecheck/head_test.go
+++ b/relay/responsecheck/head_test.go
@@ -26,6 +26,7 @@
 	"transfer coding not read":     "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
 	"length not read":              "HTTP/1.1 200 OK\r\nContent -Length: 1\r\n",
 	"content coding not read":      "HTTP/1.1 200 OK\r\nContent-Encoding : gzip\r\n",
+	"transfer coding in HTTP/1.0":  "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n",
 	"interim response":             "HTTP/1.1 103 Early Hints\r\nX-Trace : 1\r\n\r\nHTTP/1.1 200 OK\r\n",
 	"error response":               "HTTP/1.1 503 X\r\nX-Trace : 1\r\n",
 	"line without a colon":         "HTTP/1.1 200 OK\r\nX-Trace\r\n",
--- a/relay/upstream/head_test.go
+++ b/relay/upstream/head_test.go
@@ -55,6 +55,14 @@
 
 const responseSkipped = "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold"
 
+// Guards against the framing of chunks in a body of HTTP/1.0, which has no chunks.
+func TestChunksInHTTP10AreAnError(t *testing.T) {
+	address := startScriptedServer(t, "HTTP/1.0 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nA\r\n0\r\n\r\n")
+	var failure *responsecheck.HeadError
+	r, err := doExchange(NewClient(), address, "a")
+	require.ErrorAs(t, err, &failure, "taken: %+v", r)
+}
+
 // A server answers a long request early. Guards against a head that is checked only for short
 // ones.
 func TestEarlyResponseWithInvalidHeaderNameIsAnError(t *testing.T) {
