Count broken responses, and name the fault of one beside a failed write

Operators saw: server_paused with the error of the write for a response that was broken off while the request was written, and no counter for responses that are no answer.

Cause: exchangeLong preferred the error of the write to any error of the response.

--- a/relay/responsecheck/head_test.go
+++ b/relay/responsecheck/head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -116,9 +115,7 @@
 						t.Errorf("taken: %v", r)
 						return
 					}
-					var head *HeadError
-					var status *StatusError
-					if !errors.As(err, &head) && !errors.As(err, &status) {
+					if !IsFault(err) {
 						t.Errorf("another error: %v", err)
 					}
 				})
--- a/relay/responsecheck/status.go
+++ b/relay/responsecheck/status.go
@@ -1,6 +1,7 @@
 package responsecheck
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 )
@@ -37,6 +38,13 @@
 	return nil
 }
 
+// IsFault reports whether an error is that of a response that this package rejects.
+func IsFault(err error) bool {
+	var head *HeadError
+	var status *StatusError
+	return errors.As(err, &head) || errors.As(err, &status)
+}
+
 // IsFinal reports whether a status is one of a final response, which
 // http.ResponseWriter.WriteHeader accepts and does not take for an interim one.
 func IsFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -27,6 +27,7 @@
 	MetricStoreCalls            = "parsleyrelay_store_calls_total"
 	MetricServerConnections     = "parsleyrelay_server_connections_total"
 	MetricResponsesCutOff       = "parsleyrelay_responses_cut_off_total"
+	MetricBrokenResponses       = "parsleyrelay_broken_responses_total"
 	MetricCallerResponsesCutOff = "parsleyrelay_caller_responses_cut_off_total"
 	MetricRequestPanics         = "parsleyrelay_request_panics_total"
 	MetricLinesOmitted          = "parsleyrelay_log_lines_omitted_total"
@@ -73,6 +74,7 @@
 	{MetricStoreCalls, ObservableCounter, "1", []string{"purpose", "role"}, "Calls to the platform's store, refused ones too."},
 	{MetricServerConnections, ObservableCounter, "1", nil, "Connections opened to backend servers."},
 	{MetricResponsesCutOff, ObservableCounter, "1", []string{"limit"}, "Responses of servers and the store that were cut off: head and body by their size, memory by the sum of the bodies being read."},
+	{MetricBrokenResponses, ObservableCounter, "1", []string{"part"}, "Responses of servers and the store that are no answer: head for an invalid one, body for one that ended early."},
 	{MetricCallerResponsesCutOff, Counter, "1", []string{"reason"}, "Responses that callers may not have received in whole, by the reason."},
 	{MetricRequestPanics, Counter, "1", nil, "Requests that ended by a panic of the code that handles them."},
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
--- a/relay/upstream/head_test.go
+++ b/relay/upstream/head_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -74,3 +75,34 @@
 	var failure *responsecheck.HeadError
 	require.ErrorAs(t, err, &failure, "taken: %+v", r)
 }
+
+// Guards against broken responses that no counter shows, and against those that the end of
+// the exchange broke off and that are counted as the server's.
+func TestBrokenResponsesAreCounted(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: a\r\n"
+	for text, want := range map[string][2]uint64{
+		head + "X : 1\r\nContent-Length: 0\r\n\r\n":                      {1, 0},
+		"HTTP/1.1 000 X\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n":         {1, 0},
+		head + "Connection: close\r\nContent-Length: 9\r\n\r\npart":      {0, 1},
+		head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n":   {0, 1},
+		head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r": {0, 1},
+		head + "Content-Length: 9\r\n\r\npart":                           {0, 0},
+		"":                                                               {0, 0},
+	} {
+		ends := want[1] > 0
+		address := startScriptedServer(t, text)
+		if ends {
+			address = startScriptedServer(t, text, "")
+		}
+		c := NewClient()
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		x := newExchange(address, "a")
+		if ends { // the second request makes the server end the connection
+			x.RawRequest = append(x.RawRequest, x.RawRequest...)
+		}
+		_, err := c.Do(ctx, x)
+		cancel()
+		require.Error(t, err, text)
+		require.Equal(t, want, [2]uint64{c.InvalidHeads.Load(), c.IncompleteBodies.Load()}, text)
+	}
+}
--- a/relay/upstream/response.go
+++ b/relay/upstream/response.go
@@ -78,10 +78,13 @@
 	limited := &io.LimitedReader{R: r.Body, N: MaxResponseBytes + 1}
 	if !keep {
 		n, err := io.Copy(io.Discard, limited)
-		if err == nil && n > MaxResponseBytes {
-			err = ErrResponseTooLarge
+		switch {
+		case err != nil:
+			return nil, &IncompleteBodyError{Err: err}
+		case n > MaxResponseBytes:
+			return nil, ErrResponseTooLarge
 		}
-		return nil, err
+		return nil, nil
 	}
 	hold := memory.Hold{Account: cn.bodies}
 	defer hold.Release()
@@ -106,7 +109,7 @@
 		case err == io.EOF:
 			return body, nil
 		case err != nil:
-			return nil, err
+			return nil, &IncompleteBodyError{Err: err}
 		}
 	}
 }
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -85,6 +85,16 @@
 	ErrInvalidStatus = error(&responsecheck.StatusError{})
 )
 
+// IncompleteBodyError reports a response whose body did not reach its end: its length, its
+// last chunk or, without either, an end of the connection that was no reset.
+type IncompleteBodyError struct{ Err error }
+
+// Error implements error.
+func (e *IncompleteBodyError) Error() string { return "incomplete response body: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *IncompleteBodyError) Unwrap() error { return e.Err }
+
 // ErrDialTooLong is the cause if a connection was not open at Exchange.DialUntil.
 var ErrDialTooLong = errors.New("no connection was open in time for the request")
 
@@ -153,6 +163,10 @@
 	DialAttempts atomic.Uint64            // connections opened, including failed attempts
 	HeadsCutOff  atomic.Uint64            // exchanges that failed with ErrHeadTooLarge
 	BodiesCutOff atomic.Uint64            // exchanges that failed with ErrResponseTooLarge
+	// InvalidHeads and IncompleteBodies count the exchanges that failed by a response that
+	// package responsecheck rejects, and with an IncompleteBodyError.
+	InvalidHeads     atomic.Uint64
+	IncompleteBodies atomic.Uint64
 }
 
 type conn struct {
@@ -214,7 +228,7 @@
 		cn.reset()
 	}
 	if err != nil {
-		c.countCutOff(err)
+		c.countFailure(ctx, err)
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -223,12 +237,19 @@
 	return response, nil
 }
 
-func (c *Client) countCutOff(err error) {
+// countFailure counts an exchange that failed by its response. The end of ctx also ends
+// bodies.
+func (c *Client) countFailure(ctx context.Context, err error) {
+	var body *IncompleteBodyError
 	switch {
 	case errors.Is(err, ErrHeadTooLarge):
 		c.HeadsCutOff.Add(1)
 	case errors.Is(err, ErrResponseTooLarge):
 		c.BodiesCutOff.Add(1)
+	case responsecheck.IsFault(err):
+		c.InvalidHeads.Add(1)
+	case errors.As(err, &body) && ctx.Err() == nil:
+		c.IncompleteBodies.Add(1)
 	}
 }
 
@@ -441,7 +462,9 @@
 		cn.reset()
 		<-written
 	}
-	if err != nil && writeErr != nil && !errors.Is(writeErr, net.ErrClosed) {
+	// The error of a response that had begun says more than that of the write.
+	var body *IncompleteBodyError
+	if err != nil && writeErr != nil && !errors.Is(writeErr, net.ErrClosed) && !errors.As(err, &body) && !responsecheck.IsFault(err) {
 		err = writeErr
 	}
 	return response, n > 0, reusable && writeErr == nil, err
