--- a/relay/platform/platform_test.go
+++ b/relay/platform/platform_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -187,3 +189,26 @@
 	var unknown *AppendOutcomeUnknownError
 	require.ErrorAs(t, err, &unknown)
 }
+
+// The platform resets the connection while a record is sent to it. Guards against the part of
+// the response that arrived, which decodes, and counts as the offset of the record.
+func TestAppendCutByAResetIsUnknown(t *testing.T) {
+	taken := 0
+	for range 20 {
+		c := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n{\"offset\":7}")
+			time.Sleep(5 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		})
+		var unknown *AppendOutcomeUnknownError
+		if _, err := c.Append(t.Context(), make([]byte, 4<<20)); !errors.As(err, &unknown) {
+			taken++
+		}
+	}
+	require.Zero(t, taken, "of 20")
+}
