--- a/relay/responsecheck/head.go
+++ b/relay/responsecheck/head.go
@@ -31,7 +31,7 @@
 
 // Error implements error.
 func (e *HeadError) Error() string {
-	return fmt.Sprintf("response head with an %s: %.32q", e.Reason, e.Text)
+	return fmt.Sprintf("response head rejected: %s %.32q", e.Reason, e.Text)
 }
 
 // maxKeptBytes is the length up to which a status line or the name of a field is kept. The
