Reject a field with many blanks in front of its name

It was found on reading the change.

Cause: the scanner kept the first 32 bytes of a line that continues a value, blanks included, and found no name among them.

Change: only the bytes from the begin of what may be a name on are kept. The function that made dialers of a single kind was not used and is gone.

Evidence: the case "many blanks before a name" of TestInvalidHeadsAreRejected and TestHeadsInPieces failed before; a continued value that begins with a colon stays valid.

--- a/relay/responsecheck/conn.go
+++ b/relay/responsecheck/conn.go
@@ -81,10 +81,7 @@
 	return c.headRead >= number
 }
 
-// Dialer returns a dial function whose connections are Conns over those of dial, on which
-// resets are reported as package connreset says.
-func Dialer(dial connreset.DialFunc) connreset.DialFunc { return check(connreset.Dialer(dial)) }
-
+// check returns a dial function whose connections are Conns over those of dial.
 func check(dial connreset.DialFunc) connreset.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
@@ -96,7 +93,7 @@
 }
 
 // SetDialers makes a transport that was not used yet open its connections as Conns, which
-// Transport needs. They carry HTTP/1 only, since HTTP/2 has its own framing. It returns the
+// Transport needs, over those of package connreset. They carry HTTP/1 only, since HTTP/2 has its own framing. It returns the
 // transport.
 func SetDialers(t *http.Transport) *http.Transport {
 	plain := connreset.Dialer(t.DialContext)
--- a/relay/responsecheck/head.go
+++ b/relay/responsecheck/head.go
@@ -174,10 +174,14 @@
 	switch {
 	case b == '\n':
 		s.state = lineStart
-	case b == ':' && len(bytes.TrimSpace(s.kept)) > 0:
-		return s.invalidName(b)
-	case b == ' ' || b == '\t' || httpguts.IsTokenRune(rune(b)):
+	case b == ' ' || b == '\t':
+		if len(s.kept) > 0 { // behind the begin of what may be a name
+			s.keep(b)
+		}
+	case httpguts.IsTokenRune(rune(b)):
 		s.keep(b)
+	case b == ':' && len(s.kept) > 0:
+		return s.invalidName(b)
 	default:
 		s.state = restOfLine
 	}
--- a/relay/responsecheck/head_test.go
+++ b/relay/responsecheck/head_test.go
@@ -20,6 +20,7 @@
 	"blank behind a name":          "HTTP/1.1 200 OK\r\nX-Trace : 1\r\n",
 	"blank before a name":          "HTTP/1.1 200 OK\r\nX: a\r\n X-Trace: 1\r\n",
 	"blanks before and in a name":  "HTTP/1.1 200 OK\r\nX: a\r\n\t X-Tr ace : 1\r\n",
+	"many blanks before a name":    "HTTP/1.1 200 OK\r\nX: a\r\n" + strings.Repeat(" ", 100) + "X-Trace: 1\r\n",
 	"blank before the first name":  "HTTP/1.1 200 OK\r\n X-Trace: 1\r\n",
 	"long name with a blank":       "HTTP/1.1 200 OK\r\n" + strings.Repeat("x", 100) + " : 1\r\n",
 	"transfer coding not read":     "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
@@ -51,13 +52,14 @@
 
 // validHeads are heads of the same kinds that stay responses.
 var validHeads = map[string]string{
-	"interim responses": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n",
-	"no reason phrase":  "HTTP/1.1 200\r\n",
-	"line feeds only":   "HTTP/1.1 200 OK\nX-Trace: 1\n",
-	"continued value":   "HTTP/1.1 200 OK\r\nX: a\r\n\tb; c=\"d:e\"\r\n \r\n",
-	"blanks in a value": "HTTP/1.1 200 OK\r\nX:   a b : c \r\n",
-	"all token bytes":   "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\n",
-	"HTTP/1.0":          "HTTP/1.0 200 OK\r\nX-Trace: 1\r\n",
+	"interim responses":          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n",
+	"no reason phrase":           "HTTP/1.1 200\r\n",
+	"line feeds only":            "HTTP/1.1 200 OK\nX-Trace: 1\n",
+	"continued value":            "HTTP/1.1 200 OK\r\nX: a\r\n\tb; c=\"d:e\"\r\n \r\n",
+	"colon in a continued value": "HTTP/1.1 200 OK\r\nX: a\r\n : b\r\n",
+	"blanks in a value":          "HTTP/1.1 200 OK\r\nX:   a b : c \r\n",
+	"all token bytes":            "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\n",
+	"HTTP/1.0":                   "HTTP/1.0 200 OK\r\nX-Trace: 1\r\n",
 }
 
 // startServer returns the address of a server that answers each request with the text that
@@ -121,7 +123,7 @@
 				})
 			}
 			calls.Wait()
-			require.Zero(t, reused.Load(), "a connection served another request after an invalid head")
+			require.Zero(t, reused.Swap(0), "a connection served another request after an invalid head")
 		})
 	}
 }
