--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -58,6 +58,9 @@
 	Client  *upstream.Client
 	// Now is the clock of directory.Server.PausedUntil; nil for the time since New.
 	Now func() time.Duration
+	// StateAge returns the age of the state by which requests are routed, for the log; nil if
+	// it is not known.
+	StateAge func() time.Duration
 	// OnSignal is called with news that a response has of its server, before the response
 	// is passed on; nil if nobody listens.
 	OnSignal func(Signal)
@@ -117,6 +120,14 @@
 // time.Duration in this package and in its dispatch pools count from there.
 func (e *Edge) now() time.Duration { return e.options.Now() - e.startedAt }
 
+// stateAge returns Options.StateAge, or 0 if it is not known.
+func (e *Edge) stateAge() time.Duration {
+	if e.options.StateAge == nil {
+		return 0
+	}
+	return e.options.StateAge()
+}
+
 // Limits returns the configured limits, with defaults for those that are not set.
 func (e *Edge) Limits() routes.Limits {
 	t := e.routeTable.Load()
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -102,7 +102,7 @@
 	id := r.Header.Get(e.options.Headers.RequestID)
 	route := table.Match(r.Host, requestPath(r.RequestURI))
 	if route == nil {
-		e.options.Journal.LogEvent(event.RequestRefused, "request_id", id, "reason", "no_route", "config", table.Config.Version, "caller_host", r.Host, "path", r.RequestURI)
+		e.options.Journal.LogEvent(event.RequestRefused, "request_id", id, "reason", "no_route", "config", table.Config.Version, "state_age_ms", e.stateAge().Milliseconds(), "caller_host", r.Host, "path", r.RequestURI)
 		return nil, emptyResponse(http.StatusNotFound, 0)
 	}
 	if id == "" {
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -97,6 +97,7 @@
 type Origin struct {
 	Source string        // incarnation of the host that sent it, or OriginStore
 	Age    time.Duration // time since the store sent it
+	Bytes  int           // size in which a configuration was sent
 }
 
 // OriginStore is the Origin.Source of a state that the host itself read from the store.
@@ -132,6 +133,13 @@
 	peersUpdatedAt  time.Time
 	peerQueries     int // number of queries so far; selects the next peer
 	referral        referral
+	lastPoll        pollStats
+}
+
+// pollStats describes a poll for the log.
+type pollStats struct {
+	duration time.Duration
+	received uint64 // bytes of the response that arrived
 }
 
 // referral is a leader that another host follows. It replaces mapLeader, the leader that
@@ -193,6 +201,15 @@
 	return len(relays) > 0 && !slices.Contains(relays, f.options.Incarnation)
 }
 
+// ControlBytes returns the bytes of the bodies of all calls to other hosts so far, and of
+// their responses.
+func (f *Follower) ControlBytes() (sent, received uint64) {
+	for _, c := range []*readlimit.Client{f.client, f.permitHTTP} {
+		sent, received = sent+c.Sent.Load(), received+c.Received.Load()
+	}
+	return sent, received
+}
+
 // Received implements Upstream.
 func (f *Follower) Received() Received { return *f.received.Load() }
 
@@ -312,7 +329,7 @@
 	case inContact && !f.loggedInContact:
 		f.journal.LogEvent(event.LeaderHeard, "leader", f.CurrentLeader(), "parent", parent)
 	case !inContact && f.loggedInContact:
-		f.journal.LogEvent(event.LeaderSilent, "leader", f.leaderToFollow(), "parent", parent, "silence_ms", f.StateAge().Milliseconds(), "error", err)
+		f.journal.LogEvent(event.LeaderSilent, "leader", f.leaderToFollow(), "parent", parent, "silence_ms", f.StateAge().Milliseconds(), "poll_ms", f.lastPoll.duration.Milliseconds(), "received_bytes", f.lastPoll.received, "error", err)
 	case inContact && err == nil && parent != f.lastParent:
 		f.journal.LogEvent(event.ParentChanged, "parent", parent, "former", f.lastParent, "leader", f.CurrentLeader(), "state_age_ms", f.StateAge().Milliseconds())
 	}
@@ -330,8 +347,9 @@
 	request.FromRelay = slices.Contains(f.parents.Relays(), parent)
 	request.Arrivals = encodeLoadReport(f.hostState.TakeLoadReport())
 	request.Signals = encodeSignals(f.hostState.ServerSignals())
-	sentAt := f.options.Now()
+	sentAt, receivedBefore := f.options.Now(), f.client.Received.Load()
 	r, err := f.clientFor(parent).Follow(ctx, request)
+	f.lastPoll = pollStats{duration: f.options.Now() - sentAt, received: f.client.Received.Load() - receivedBefore}
 	if err != nil {
 		return err
 	}
@@ -377,36 +395,6 @@
 	f.hostState.SetAdmittedShares(received.Admitted)
 }
 
-func decodeAdmittedShares(list []*followv1.AdmittedShare) map[string]float64 {
-	shares := make(map[string]float64, len(list))
-	for _, a := range list {
-		shares[a.Server] = float64(a.PerMille) / 1000
-	}
-	return shares
-}
-
-// encodeLoadReport puts the service times of all servers into one message without a
-// service, followed by one message for the keys of each service.
-func encodeLoadReport(r edge.LoadReport) []*followv1.Arrivals {
-	serviceTimes := &followv1.Arrivals{}
-	for server, t := range r.ServiceTimes {
-		serviceTimes.Times = append(serviceTimes.Times, &followv1.ServiceTime{Server: server, Sent: uint32(t.Sent), Answered: uint32(t.Answered), Count: uint32(t.Count), SumMs: uint32(t.Sum.Milliseconds()), Reports: uint32(t.Reports), Waiting: uint32(t.Waiting),
-			SlowdownPercent: uint32(t.SlowdownPercent)})
-	}
-	var messages []*followv1.Arrivals
-	if len(serviceTimes.Times) > 0 {
-		messages = append(messages, serviceTimes)
-	}
-	for service, keys := range r.RequestedKeys {
-		a := &followv1.Arrivals{Service: service, Keys: make([]uint32, len(keys))}
-		for i, k := range keys {
-			a.Keys[i] = uint32(k)
-		}
-		messages = append(messages, a)
-	}
-	return messages
-}
-
 // applyResponse applies the state that the store had at a time, by Options.Now.
 func (f *Follower) applyResponse(r *followv1.FollowResponse, stateAt time.Duration) error {
 	origin := Origin{Source: r.Host, Age: f.options.Now() - stateAt}
@@ -419,7 +407,9 @@
 		if err := json.Unmarshal(r.Config, &c); err != nil {
 			return fmt.Errorf("decode configuration from the leader: %w", err)
 		}
-		f.hostState.ApplyConfig(c, origin)
+		configOrigin := origin
+		configOrigin.Bytes = len(r.Config)
+		f.hostState.ApplyConfig(c, configOrigin)
 	}
 	if r.AllServers || r.Host != f.serversSource {
 		f.servers = map[string]directory.Server{}
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -294,23 +294,6 @@
 	s.addReport(r)
 }
 
-func decodeLoadReport(messages []*followv1.Arrivals) edge.LoadReport {
-	report := edge.LoadReport{RequestedKeys: map[string][]uint16{}, ServiceTimes: map[string]edge.ServiceTime{}}
-	for _, a := range messages {
-		for _, k := range a.Keys {
-			if k >= assignment.KeyCount {
-				continue // damaged
-			}
-			report.RequestedKeys[a.Service] = append(report.RequestedKeys[a.Service], uint16(k))
-		}
-		for _, t := range a.Times {
-			report.ServiceTimes[t.Server] = edge.ServiceTime{Sent: int(t.Sent), Answered: int(t.Answered), Count: int(t.Count), Sum: time.Duration(t.SumMs) * time.Millisecond,
-				Reports: int(t.Reports), Waiting: int(t.Waiting), SlowdownPercent: int(t.SlowdownPercent)}
-		}
-	}
-	return report
-}
-
 // respond records the follower's call, which arrived at a time, and returns the response at
 // this moment. It also returns a channel that is closed at the next change, or nil if this host does not serve
 // its state, and whether the follower may lack the evacuations.
--- a/relay/readlimit/readlimit.go
+++ b/relay/readlimit/readlimit.go
@@ -20,6 +20,7 @@
 type Reader struct {
 	Source    io.Reader
 	Remaining int64 // in bytes; None for no limit
+	Total     int64 // bytes read so far
 	// Err is the error of the last read. net/http parses a line that a read error cut
 	// short and reports it as malformed, so Err takes precedence over the parser's error.
 	Err error
@@ -38,6 +39,7 @@
 	if r.Remaining > 0 {
 		r.Remaining -= int64(n)
 	}
+	r.Total += int64(n)
 	r.Err = err
 	return n, err
 }
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -69,7 +69,7 @@
 	{MetricRingOverflows, Counter, "1", []string{"ring"}, "Items that a full ring between two goroutines dropped or delayed."},
 	{MetricTimelineOverwritten, ObservableCounter, "1", nil, "Events that were overwritten in the timeline."},
 	{MetricCPU, ObservableCounter, "s", nil, "CPU time of the process, user and system."},
-	{MetricControlBytes, Counter, "By", []string{"peer_kind", "direction"}, "Bytes of control messages with daemons, servers and the platform."},
+	{MetricControlBytes, Counter, "By", []string{"peer_kind", "direction"}, "Bytes of control messages with daemons, servers and the platform; of the platform only those received on the users' platform."},
 	{MetricConfigEffectTime, Histogram, "s", nil, "Time from the acceptance of a change to its effect on this host."},
 	{MetricStoreCalls, ObservableCounter, "1", []string{"purpose", "role"}, "Calls to the platform's store, refused ones too."},
 	{MetricServerConnections, ObservableCounter, "1", nil, "Connections opened to backend servers."},
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -57,15 +57,20 @@
 )
 
 // Error is a failed exchange. Sent reports that bytes of the request may have
-// reached the server, so that the request may have run.
+// reached the server, so that the request may have run. Received is the number of bytes of
+// responses that arrived.
 type Error struct {
-	Address string
-	Sent    bool
-	Err     error
+	Address  string
+	Sent     bool
+	Received int64
+	Err      error
 }
 
 // Error implements error.
 func (e *Error) Error() string {
+	if e.Received > 0 {
+		return fmt.Sprintf("exchange with %s (sent: %t, received: %d bytes): %v", e.Address, e.Sent, e.Received, e.Err)
+	}
 	return fmt.Sprintf("exchange with %s (sent: %t): %v", e.Address, e.Sent, e.Err)
 }
 
@@ -161,6 +166,7 @@
 	idle         map[string][]*conn
 	released     map[string]chan struct{} // by address; see acquireOldConn
 	DialAttempts atomic.Uint64            // connections opened, including failed attempts
+	Received     atomic.Uint64            // bytes of responses, broken ones too
 	HeadsCutOff  atomic.Uint64            // exchanges that failed with ErrHeadTooLarge
 	BodiesCutOff atomic.Uint64            // exchanges that failed with ErrResponseTooLarge
 	// InvalidHeads and IncompleteBodies count the exchanges that failed by a response that
@@ -218,7 +224,10 @@
 		return nil, &Error{Address: x.Address, Err: ErrClosedBeforeSend}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
+	receivedBefore := cn.heads.Total
 	response, sent, reusable, err := cn.exchange(x)
+	received := cn.heads.Total - receivedBefore
+	c.Received.Add(uint64(received))
 	if !stop() || err != nil {
 		reusable = false
 	}
@@ -232,7 +241,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Error{Address: x.Address, Sent: sent, Err: err}
+		return nil, &Error{Address: x.Address, Sent: sent, Received: received, Err: err}
 	}
 	return response, nil
 }
