Pass changes of the configuration on as differences

Cause: at each change the leader sent each host the whole configuration as JSON, 308,925 bytes with 1,424 routes; 59 of these fill 0.73 s of its link of 200 Mbit/s, and a host's own link of 10 Mbit/s for 0.25 s beside its callers. The same response brings the servers, so these were late, too.

Followers of the last release get JSON as before.

--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -203,6 +203,14 @@
 	return 0
 }
 
+// Config returns the current configuration, which must not be modified; the zero Config for none.
+func (e *Edge) Config() routes.Config {
+	if t := e.routeTable.Load(); t != nil {
+		return t.Config
+	}
+	return routes.Config{}
+}
+
 // mapVersion returns the version of the current assignment map, which is the log
 // offset after its record; 0 for none.
 func (e *Edge) mapVersion() uint64 {
--- a/relay/follow/evacuations_test.go
+++ b/relay/follow/evacuations_test.go
@@ -55,7 +55,8 @@
 // uses the configuration before the evacuations of the same response.
 func TestEvacuationsAreAppliedFirst(t *testing.T) {
 	state := &orderRecorder{}
-	require.NoError(t, NewFollower(testOptions("follower"), state, nil).applyResponse(&followv1.FollowResponse{Host: "leader", Config: []byte(`{}`),
-		Evacuations: &followv1.Evacuations{Zones: []string{"a"}, Offset: 1}}, 0))
+	_, err := NewFollower(testOptions("follower"), state, nil).applyResponse(&followv1.FollowResponse{Host: "leader", Config: []byte(`{}`),
+		Evacuations: &followv1.Evacuations{Zones: []string{"a"}, Offset: 1}}, 0)
+	require.NoError(t, err)
 	require.Equal(t, []string{"a"}, state.knownAtConfig)
 }
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -26,24 +26,24 @@
 
 // followerState keeps the state of a follower's host in memory. It implements HostState.
 type followerState struct {
-	mu            sync.Mutex
-	leader        string
-	addresses     map[string]string
-	configVersion uint64
-	servers       map[string]directory.Server
-	signals       []directory.Signal
-	newestMap     *assignment.Map
-	hostCount     int
-	admitted      map[string]float64
-	report        edge.LoadReport
-	evacuated     []string
+	mu        sync.Mutex
+	leader    string
+	addresses map[string]string
+	config    routes.Config
+	servers   map[string]directory.Server
+	signals   []directory.Signal
+	newestMap *assignment.Map
+	hostCount int
+	admitted  map[string]float64
+	report    edge.LoadReport
+	evacuated []string
 }
 
 func (state *followerState) locked(f func()) { state.mu.Lock(); defer state.mu.Unlock(); f() }
 
-func (state *followerState) ConfigVersion() (v uint64) {
-	state.locked(func() { v = state.configVersion })
-	return v
+func (state *followerState) Config() (c routes.Config) {
+	state.locked(func() { c = state.config })
+	return c
 }
 func (state *followerState) NewestMap() (m *assignment.Map) {
 	state.locked(func() { m = state.newestMap })
@@ -59,7 +59,7 @@
 	return state.addresses[incarnation]
 }
 func (state *followerState) ApplyConfig(c routes.Config, _ Origin) {
-	state.locked(func() { state.configVersion = c.Version })
+	state.locked(func() { state.config = c })
 }
 func (state *followerState) ObserveMap(m *assignment.Map) {
 	state.locked(func() { state.newestMap = m })
@@ -213,13 +213,13 @@
 			}
 		}
 	}()
-	require.NoError(t, leader.source.SetConfig(routes.Config{Version: 3}))
+	leader.source.SetConfig(routes.Config{Version: 3})
 	leader.source.SetServers(map[string]directory.Server{"1": testServer("1"), "2": testServer("2")}, 1)
 	leader.source.SetMap(&assignment.Map{Offset: 1, NextOffset: 2, Term: 1, Services: testRanges("1")})
 	eventually := func(what string, f func() bool) {
 		require.Eventually(t, func() (ok bool) { state.locked(func() { ok = f() }); return ok }, 2*time.Second, 5*time.Millisecond, what)
 	}
-	eventually("configuration", func() bool { return state.configVersion == 3 })
+	eventually("configuration", func() bool { return state.config.Version == 3 })
 	eventually("servers", func() bool { return len(state.servers) == 2 && state.servers["1"] == testServer("1") })
 	eventually("map", func() bool { return state.newestMap != nil && state.newestMap.NextOffset == 2 })
 	require.Eventually(t, func() bool { return f.StateAge() < MaxStateAge }, 2*time.Second, 5*time.Millisecond)
@@ -431,12 +431,12 @@
 		require.Eventually(t, ok, 2*MaxStateAge+2*time.Second, 5*time.Millisecond, what)
 	}
 	eventually("the follower gets its state from the relay", func() bool { return relay.source.HostCount() == 2 })
-	require.NoError(t, relay.source.SetConfig(routes.Config{Version: 4}))
+	relay.source.SetConfig(routes.Config{Version: 4})
 	relay.source.SetServers(map[string]directory.Server{"1": testServer("1")}, 1)
 	relay.source.SetMap(&assignment.Map{Offset: 1, NextOffset: 2, Term: 1, Leader: "leader", Services: testRanges("1")})
 	eventually("the state of the relay", func() (ok bool) {
 		state.locked(func() {
-			ok = state.configVersion == 4 && len(state.servers) == 1 && state.newestMap != nil && state.hostCount == 300 && state.admitted["1"] == 0.5
+			ok = state.config.Version == 4 && len(state.servers) == 1 && state.newestMap != nil && state.hostCount == 300 && state.admitted["1"] == 0.5
 		})
 		return ok
 	})
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -52,8 +51,8 @@
 // HostState is the state of a host that a follower reports to the leader and updates
 // from its responses.
 type HostState interface {
-	// ConfigVersion returns the version of the configuration in force.
-	ConfigVersion() uint64
+	// Config returns the configuration in force, which must not be modified.
+	Config() routes.Config
 	// NewestMap returns the newest assignment map, or nil.
 	NewestMap() *assignment.Map
 	// MapLeader returns the incarnation of the leader that the newest map names, or ""
@@ -134,6 +133,8 @@
 	peerQueries     int // number of queries so far; selects the next peer
 	referral        referral
 	lastPoll        pollStats
+	// wantsWholeConfig is set after an update that could not be applied.
+	wantsWholeConfig bool
 }
 
 // pollStats describes a poll for the log.
@@ -301,7 +302,10 @@
 // proof that an earlier process of this host has ended; see
 // assigner.Assigner.RecordKnownMap.
 func (f *Follower) newRequest() *followv1.FollowRequest {
-	request := &followv1.FollowRequest{Host: f.options.Incarnation, ConfigVersion: f.hostState.ConfigVersion(), ServersSource: f.serversSource, ServersRevision: f.serversRevision}
+	request := &followv1.FollowRequest{Host: f.options.Incarnation, ConfigVersion: f.hostState.Config().Version, AcceptsConfigUpdate: true, ServersSource: f.serversSource, ServersRevision: f.serversRevision}
+	if f.wantsWholeConfig {
+		request.ConfigVersion = 0
+	}
 	request.Caller = encodeHostInfo(f.hostState.Description())
 	count, candidates := f.hostState.Followers()
 	request.Followers = uint32(count)
@@ -364,7 +368,8 @@
 	if age < neverReadAge {
 		f.hostState.RecordStoreContact(directory.Contact{Begin: stateAt, End: stateAt})
 	}
-	if err := f.applyResponse(r, stateAt); err != nil {
+	complete, err := f.applyResponse(r, stateAt)
+	if err != nil || !complete {
 		return err
 	}
 	if age >= f.options.MaxStateAge {
@@ -395,22 +400,15 @@
 	f.hostState.SetAdmittedShares(received.Admitted)
 }
 
-// applyResponse applies the state that the store had at a time, by Options.Now.
-func (f *Follower) applyResponse(r *followv1.FollowResponse, stateAt time.Duration) error {
+// applyResponse applies the state that the store had at a time, by Options.Now. It returns false if
+// it could not apply all of it, so that the state of this host is older.
+func (f *Follower) applyResponse(r *followv1.FollowResponse, stateAt time.Duration) (complete bool, err error) {
 	origin := Origin{Source: r.Host, Age: f.options.Now() - stateAt}
 	// A configuration makes the host ready, so the evacuations come first.
 	if e := r.Evacuations; e != nil {
 		f.hostState.ReplaceEvacuations(e.Zones, e.Offset, origin)
 	}
-	if len(r.Config) > 0 {
-		var c routes.Config
-		if err := json.Unmarshal(r.Config, &c); err != nil {
-			return fmt.Errorf("decode configuration from the leader: %w", err)
-		}
-		configOrigin := origin
-		configOrigin.Bytes = len(r.Config)
-		f.hostState.ApplyConfig(c, configOrigin)
-	}
+	configApplied, configErr := f.applyConfig(r, origin)
 	if r.AllServers || r.Host != f.serversSource {
 		f.servers = map[string]directory.Server{}
 	}
@@ -430,9 +428,11 @@
 		f.serversUnused = !f.hostState.ReplaceServers(f.servers, r.ServersOffset, origin)
 	}
 	if r.Map != nil {
-		return f.applyMapChange(r.Map)
+		if err := f.applyMapChange(r.Map); err != nil {
+			return false, err
+		}
 	}
-	return nil
+	return configApplied, configErr
 }
 
 // applyMapChange passes on the map that results from a change. BaseEnd is the NextOffset
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -10,8 +10,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -89,8 +87,7 @@
 
 	mu              sync.Mutex
 	changed         chan struct{} // closed at the next change
-	configJSON      []byte
-	configVersion   uint64
+	configs         configHistory
 	servers         map[string]directory.Server
 	serversOffset   uint64 // the servers reflect the store's log of registrations before it
 	serversRevision uint64
@@ -164,18 +161,13 @@
 }
 
 // SetConfig sets the configuration to send to followers, if it is newer than the last.
-func (s *Source) SetConfig(c routes.Config) error {
-	data, err := json.Marshal(c)
-	if err != nil {
-		return fmt.Errorf("encode configuration version %d: %w", c.Version, err)
-	}
+func (s *Source) SetConfig(c routes.Config) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.Version > s.configVersion {
-		s.configJSON, s.configVersion = data, c.Version
+	if c.Version > s.configs.newestVersion() {
+		s.configs.add(c)
 		s.wakeFollowersLocked()
 	}
-	return nil
 }
 
 // SetServers sets all known servers, by ID, which reflect the store's log of registrations
@@ -268,16 +260,16 @@
 	timer := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxLongPollWait))
 	defer timer.Stop()
 	for {
-		response, changed, evacuationsChanged := s.respond(r, arrived)
-		if changed == nil || response.Config != nil || response.Servers != nil || response.AllServers || response.Map != nil || evacuationsChanged {
-			return response, nil
+		response, changed, evacuationsChanged, err := s.respond(r, arrived)
+		if err != nil || changed == nil || response.Config != nil || response.ConfigUpdate != nil || response.Servers != nil || response.AllServers || response.Map != nil || evacuationsChanged {
+			return response, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			// The age and the limits are those of the end of the wait.
-			response, _, _ = s.respond(r, arrived)
-			return response, nil
+			response, _, _, err = s.respond(r, arrived)
+			return response, err
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -296,8 +288,9 @@
 
 // respond records the follower's call, which arrived at a time, and returns the response at
 // this moment. It also returns a channel that is closed at the next change, or nil if this host does not serve
-// its state, and whether the follower may lack the evacuations.
-func (s *Source) respond(r *followv1.FollowRequest, arrived time.Duration) (*followv1.FollowResponse, <-chan struct{}, bool) {
+// its state, and whether the follower may lack the evacuations. The error is that of a
+// configuration that cannot be encoded.
+func (s *Source) respond(r *followv1.FollowRequest, arrived time.Duration) (*followv1.FollowResponse, <-chan struct{}, bool, error) {
 	leading, received := s.assigner.Leading(), s.upstream.Received()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -322,7 +315,7 @@
 		response.Leader = s.upstream.CurrentLeader()
 		if !response.Relaying || !r.FromRelay {
 			// A caller that looks for the leader would not use the state.
-			return response, nil, false
+			return response, nil, false, nil
 		}
 	}
 	response.Hosts, response.Relays = uint32(received.HostCount), received.Relays
@@ -332,8 +325,8 @@
 	if r.WantPeers {
 		response.Peers = received.Peers
 	}
-	if r.ConfigVersion < s.configVersion {
-		response.Config = s.configJSON
+	if err := s.addConfigLocked(r, response); err != nil {
+		return nil, nil, false, err
 	}
 	s.addServerChangesLocked(r, response)
 	if m := s.maps.Newest(); m != nil && m.NextOffset > r.MapEnd {
@@ -341,7 +334,19 @@
 	}
 	var evacuationsChanged bool
 	response.Evacuations, evacuationsChanged = s.evacuations.next(r.Host)
-	return response, s.changed, evacuationsChanged
+	return response, s.changed, evacuationsChanged, nil
+}
+
+// addConfigLocked adds the newest configuration to the response if the follower lacks it.
+func (s *Source) addConfigLocked(r *followv1.FollowRequest, response *followv1.FollowResponse) (err error) {
+	switch {
+	case r.ConfigVersion >= s.configs.newestVersion():
+	case r.AcceptsConfigUpdate:
+		response.ConfigUpdate, err = s.configs.update(r.ConfigVersion)
+	default:
+		response.Config, err = s.configs.whole()
+	}
+	return err
 }
 
 // roundUpMs returns a duration in milliseconds; a state must not look younger than it is.
