Limit transfers of the state by their progress

Cause: a poll of the leader had 0.85 s and a call of the store 1.2 s for all of its bytes. Both ended with up to 311,296 of 315,128 bytes received, and the next one began with the first byte. A failed read counted as a loss of the store, upon which the host also stopped reading the servers and waited for 0.3 to 1.8 s.

One that stands still or does not end still ends the call.

--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -28,8 +28,13 @@
 	// It also limits the interval of load reports, which are sent with each call: the
 	// leader must learn of busy keys within a fraction of a second.
 	longPollWait = 350 * time.Millisecond
-	// responseTimeout is the time that a call may take beyond longPollWait.
+	// responseTimeout is the time that a call may take beyond longPollWait until its response
+	// begins, and then the time without further bytes.
 	responseTimeout = 500 * time.Millisecond
+	// maxResponseTime is the time for the body of a response. It is longer than MaxStateAge: the
+	// state is then too old to count as contact, but a host that began a large response anew
+	// would never have it in whole.
+	maxResponseTime = 5 * time.Second
 	// MaxStateAge limits Options.MaxStateAge, because the next leader is elected among
 	// hosts that have lost the former one. The state of a follower of a relay is usually
 	// younger than 1.2 s.
@@ -177,8 +182,8 @@
 	f := &Follower{options: o, hostState: hostState, journal: journal, parents: followtree.NewParents(o.Incarnation)}
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return o.Dial(ctx, address) }
 	transport := responsecheck.SetDialers(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxHeadBytes})
-	f.http = &http.Client{Transport: responsecheck.Transport{RoundTripper: transport}, Timeout: longPollWait + responseTimeout}
-	f.client = &readlimit.Client{HTTP: f.http, MaxBytes: maxMessageBytes}
+	f.http = &http.Client{Transport: responsecheck.Transport{RoundTripper: transport}}
+	f.client = &readlimit.Client{HTTP: f.http, MaxBytes: maxMessageBytes, MaxWait: longPollWait + responseTimeout, MaxTransfer: maxResponseTime}
 	permitTransport := responsecheck.SetDialers(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: permitIdleTimeout, MaxResponseHeaderBytes: MaxHeadBytes})
 	f.permitHTTP = &readlimit.Client{HTTP: &http.Client{Transport: responsecheck.Transport{RoundTripper: permitTransport}, Timeout: warmup.Validity}, MaxBytes: maxMessageBytes}
 	f.stateAt.Store(int64(neverRead))
--- a/relay/upstream/response.go
+++ b/relay/upstream/response.go
@@ -55,7 +55,7 @@
 	// The body is not closed: Close would read the rest of it, which may not end. After an
 	// error the connection is closed.
 	matches := x.Matches == nil || x.Matches(r.Header)
-	body, err := cn.readBody(r, matches)
+	body, err := cn.readBody(r, matches, x.OnBody)
 	switch {
 	case err != nil:
 		return nil, false, err
@@ -70,7 +70,7 @@
 // readBody reads the body of a response. It returns nil if the body is not to be kept.
 // cn.bodies bounds the bodies that are being read, since their servers decide how large
 // they get and when they end.
-func (cn *conn) readBody(r *http.Response, keep bool) ([]byte, error) {
+func (cn *conn) readBody(r *http.Response, keep bool, onBody func(status int)) ([]byte, error) {
 	hasBody := r.Body != http.NoBody // the response to HEAD has a length without one
 	if hasBody && r.ContentLength > MaxResponseBytes {
 		return nil, ErrResponseTooLarge
@@ -101,8 +101,15 @@
 			body = append(make([]byte, 0, int64(cap(body))+size), body...)
 			size = min(int64(cap(body)), MaxResponseBytes+1-int64(cap(body)))
 		}
-		n, err := limited.Read(body[len(body):cap(body)])
+		free := body[len(body):cap(body)]
+		if onBody != nil {
+			free = free[:min(len(free), readBufferSize)] // a read of a chunk returns when it is full
+		}
+		n, err := limited.Read(free)
 		body = body[:len(body)+n]
+		if n > 0 && onBody != nil {
+			onBody(r.StatusCode)
+		}
 		switch {
 		case len(body) > MaxResponseBytes:
 			return nil, ErrResponseTooLarge
--- a/relay/upstream/upstream.go
+++ b/relay/upstream/upstream.go
@@ -136,6 +136,9 @@
 	// BeforeSend is called when the connection is open, before anything is written. If it
 	// returns an error, nothing is sent and the error is returned. nil for no check.
 	BeforeSend func() error
+	// OnBody is called when bytes of the body of the matching response have arrived. nil for
+	// none.
+	OnBody func(status int)
 }
 
 // DialFunc opens a connection to a host:port.
@@ -239,7 +242,7 @@
 	if err != nil {
 		c.countFailure(ctx, err)
 		if ctx.Err() != nil {
-			err = ctx.Err()
+			err = context.Cause(ctx)
 		}
 		return nil, &Error{Address: x.Address, Sent: sent, Received: received, Err: err}
 	}
