Read only what is new of the operator's records after the loss of the leader

Callers saw: old configurations for longer, as all hosts read the whole of a large one from the store when they lost their leader, also if it had not changed.

Cause: a host that follows another did not know up to which record of the store its configuration reaches, so that each turn to the store began with a listing, in base64.

--- a/relay/follow/configupdate.go
+++ b/relay/follow/configupdate.go
@@ -119,11 +119,20 @@
 // Unwrap returns the cause.
 func (e *ConfigUpdateError) Unwrap() error { return e.Err }
 
-// applyConfig applies the configuration of a response, or its update. It returns false without an
+// applyConfig applies what a response says of the configuration.
+func (f *Follower) applyConfig(r *followv1.FollowResponse, origin Origin) (applied bool, err error) {
+	applied, err = f.applyConfigUpdate(r, origin)
+	if applied && r.ConfigOffset > 0 {
+		f.hostState.RecordConfigOffset(r.ConfigOffset)
+	}
+	return applied, err
+}
+
+// applyConfigUpdate applies the configuration of a response, or its update. It returns false without an
 // error if the update has another base than the configuration in force, which this host has read
 // from the store meanwhile; the next poll gets another update. After an error the next poll asks
 // for the whole configuration.
-func (f *Follower) applyConfig(r *followv1.FollowResponse, origin Origin) (applied bool, err error) {
+func (f *Follower) applyConfigUpdate(r *followv1.FollowResponse, origin Origin) (applied bool, err error) {
 	if len(r.Config) > 0 {
 		var c routes.Config
 		if err := json.Unmarshal(r.Config, &c); err != nil {
--- a/relay/follow/follow_test.go
+++ b/relay/follow/follow_test.go
@@ -26,17 +26,18 @@
 
 // followerState keeps the state of a follower's host in memory. It implements HostState.
 type followerState struct {
-	mu        sync.Mutex
-	leader    string
-	addresses map[string]string
-	config    routes.Config
-	servers   map[string]directory.Server
-	signals   []directory.Signal
-	newestMap *assignment.Map
-	hostCount int
-	admitted  map[string]float64
-	report    edge.LoadReport
-	evacuated []string
+	mu           sync.Mutex
+	leader       string
+	addresses    map[string]string
+	config       routes.Config
+	configOffset uint64
+	servers      map[string]directory.Server
+	signals      []directory.Signal
+	newestMap    *assignment.Map
+	hostCount    int
+	admitted     map[string]float64
+	report       edge.LoadReport
+	evacuated    []string
 }
 
 func (state *followerState) locked(f func()) { state.mu.Lock(); defer state.mu.Unlock(); f() }
@@ -61,6 +62,9 @@
 func (state *followerState) ApplyConfig(c routes.Config, _ Origin) {
 	state.locked(func() { state.config = c })
 }
+func (state *followerState) RecordConfigOffset(offset uint64) {
+	state.locked(func() { state.configOffset = offset })
+}
 func (state *followerState) ObserveMap(m *assignment.Map) {
 	state.locked(func() { state.newestMap = m })
 }
@@ -130,7 +134,7 @@
 // recordReads records that the store responded to all reads just now.
 func recordReads(s *Source) {
 	now := s.options.Now()
-	s.RecordConfigRead(now)
+	s.RecordConfigRead(now, 1)
 	s.RecordServersRead(now, 1)
 }
 
--- a/relay/follow/follower.go
+++ b/relay/follow/follower.go
@@ -68,6 +68,9 @@
 	AddressOf(incarnation string) string
 	// ApplyConfig applies a configuration if it is newer than the one in force.
 	ApplyConfig(routes.Config, Origin)
+	// RecordConfigOffset records that the configuration reflects the store's log of the operator's
+	// records before an offset.
+	RecordConfigOffset(offset uint64)
 	// ReplaceEvacuations replaces the evacuated availability zones, unless they reflect no
 	// more of the store's log of the operator's records, before an offset, than the known ones.
 	ReplaceEvacuations(zones []string, offset uint64, o Origin)
--- a/relay/follow/source.go
+++ b/relay/follow/source.go
@@ -88,6 +88,7 @@
 	mu              sync.Mutex
 	changed         chan struct{} // closed at the next change
 	configs         configHistory
+	configOffset    uint64 // the newest configuration reflects the store's log of the operator's records before it
 	servers         map[string]directory.Server
 	serversOffset   uint64 // the servers reflect the store's log of registrations before it
 	serversRevision uint64
@@ -214,11 +215,29 @@
 }
 
 // RecordConfigRead records that this host has the configuration that the store had at a
-// time, by Options.Now. It must be called after SetConfig.
-func (s *Source) RecordConfigRead(at time.Duration) {
+// time, by Options.Now, and at an offset of its log of the operator's records. It must be called
+// after SetConfig.
+func (s *Source) RecordConfigRead(at time.Duration, offset uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configReadAt = max(s.configReadAt, at)
+	s.configOffset = max(s.configOffset, offset)
+}
+
+// RecordConfigOffset records that this host has received a configuration that reflects the store's
+// log of the operator's records before an offset. It must be called after SetConfig.
+func (s *Source) RecordConfigOffset(offset uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configOffset = max(s.configOffset, offset)
+}
+
+// ConfigOffset returns the offset before which the newest configuration reflects the store's log of
+// the operator's records, 0 if it is unknown.
+func (s *Source) ConfigOffset() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configOffset
 }
 
 // RecordServersRead records that this host has the servers that the store had at a time,
@@ -339,6 +358,7 @@
 
 // addConfigLocked adds the newest configuration to the response if the follower lacks it.
 func (s *Source) addConfigLocked(r *followv1.FollowRequest, response *followv1.FollowResponse) (err error) {
+	response.ConfigOffset = s.configOffset
 	switch {
 	case r.ConfigVersion >= s.configs.newestVersion():
 	case r.AcceptsConfigUpdate:
