Refuse requests while the state is older than the bounds allow and the store answers

Callers saw: 404 for routes acknowledged before the bound, requests by the old service, requests at servers that had said that they leave.

Cause: from an age limit on a host looked for a newer state, and went on by the old one for however long that took. It did not distinguish a store that cannot be reached, during which it has to go on, from one that answers and has not been read through yet. Each step's share of the bound was counted except the last ones, the read and what waits behind it.

The same is asked again right before a request is sent. Event 219, state_verdict, and parsleyrelay_state_unconfirmed show it.

Evidence: TestHostThatHasNotReadTheStateInTimeRefuses failed before with 404 after 2.5 s. TestHostsWithoutTheStoreGoOnServing passes as before: no refusal with the store cut off, down, or cut off from the leader only, with bounds of 2 and 2.5 s. TestNoRequestIsDecidedByAnUnconfirmedState has the queue. TestSignalsOfResponsesReachTheDirectory now records that its host has read the state, as a host that runs does; what it checks is unchanged.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -70,6 +70,7 @@
 	ServerLeaving      Code = 216
 	ServerPause        Code = 217
 	SignalIgnored      Code = 218
+	StateVerdict       Code = 219
 	LeaseGained        Code = 301
 	LeaseLost          Code = 302
 	WitnessesProposed  Code = 303
@@ -173,6 +174,7 @@
 	{ServerLeaving, "server_leaving", "A server is known to leave, by its entry, one of its responses or another host; it gets no more requests in this life."},
 	{ServerPause, "server_pause", "A server asked this host in a response for no requests until a time."},
 	{SignalIgnored, "signal_ignored", "What a response or an entry says of a server was not used; the line names the reason."},
+	{StateVerdict, "state_verdict", "What this host does with its state changes: fresh, unconfirmed (older than the bounds allow, and the store may be reachable: requests are refused) or unreachable (older, but the store does not answer: serving goes on)."},
 	{LeaseGained, "lease_gained", "The daemon holds its prefix lease."},
 	{LeaseLost, "lease_lost", "The prefix lease expired; the daemon dispatches and grants nothing."},
 	{WitnessesProposed, "witnesses_proposed", "A new witness set was proposed."},
--- a/relay/edge/edge.go
+++ b/relay/edge/edge.go
@@ -61,6 +61,8 @@
 	// StateAge returns the age of the state by which requests are routed, for the log; nil if
 	// it is not known.
 	StateAge func() time.Duration
+	// MayDecide reports whether the state is young enough to decide on a request; nil for always.
+	MayDecide func() bool
 	// OnSignal is called with news that a response has of its server, before the response
 	// is passed on; nil if nobody listens.
 	OnSignal func(Signal)
--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -100,6 +100,10 @@
 		return nil, emptyResponse(http.StatusServiceUnavailable, defaultRetryAfter)
 	}
 	id := r.Header.Get(e.options.Headers.RequestID)
+	if !e.mayDecide() {
+		e.options.Journal.LogRoutineEvent(event.RequestRefused, "request_id", id, "reason", reasonStateUnconfirmed, "config", table.Config.Version, "state_age_ms", e.stateAge().Milliseconds())
+		return nil, emptyResponse(http.StatusServiceUnavailable, unconfirmedRetryAfter)
+	}
 	route := table.Match(r.Host, requestPath(r.RequestURI))
 	if route == nil {
 		e.options.Journal.LogEvent(event.RequestRefused, "request_id", id, "reason", "no_route", "config", table.Config.Version, "state_age_ms", e.stateAge().Milliseconds(), "caller_host", r.Host, "path", r.RequestURI)
@@ -290,6 +294,9 @@
 	if c.edge.sendingStopped() {
 		return errHostStops
 	}
+	if !c.edge.mayDecide() {
+		return errStateUnconfirmed
+	}
 	if err := c.edge.checkPlacement(d.Server); err != nil {
 		return err
 	}
--- a/relay/edge/outcome.go
+++ b/relay/edge/outcome.go
@@ -45,15 +45,17 @@
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.giveUp(reasonHostStops), false
 	}
+	if errors.Is(err, errStateUnconfirmed) {
+		c.holdBack(s)
+		c.retryAfter = unconfirmedRetryAfter
+		return c.giveUp(reasonStateUnconfirmed), false
+	}
 	if errors.Is(err, errCallerLeft) {
 		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
 		return c.abandon(), false
 	}
 	if cause := placementError(""); errors.As(err, &cause) {
-		if c.keyed {
-			c.edge.recordContact(s.ID, -1, 0) // this host held it back; the server is not silent
-		}
-		c.reportResult(s.ID, dispatch.AttemptResult{Outcome: dispatch.Canceled})
+		c.holdBack(s)
 		if !cause.temporary() { // otherwise the pool knows when the server may get the request
 			c.triedServerIDs = append(c.triedServerIDs, s.ID)
 		}
--- a/relay/telemetry/definitions.go
+++ b/relay/telemetry/definitions.go
@@ -32,6 +32,7 @@
 	MetricRequestPanics         = "parsleyrelay_request_panics_total"
 	MetricLinesOmitted          = "parsleyrelay_log_lines_omitted_total"
 	MetricConfigVersion         = "parsleyrelay_configuration_version"
+	MetricStateUnconfirmed      = "parsleyrelay_state_unconfirmed"
 	MetricStateAge              = "parsleyrelay_state_age_seconds"
 	MetricCostErrorRatio        = "parsleyrelay_cost_error_ratio"
 	MetricWorkInFlight          = "parsleyrelay_estimated_work_in_flight_seconds"
@@ -80,6 +81,7 @@
 	{MetricLinesOmitted, ObservableCounter, "1", nil, "Log lines that were left out because the ring was full or over the rate of routine lines."},
 	{MetricConfigVersion, Gauge, "1", nil, "Version of the configuration in force; 0 for none."},
 	{MetricStateAge, Gauge, "s", nil, "Time since the store sent the state that this host decides by; not set before the first read."},
+	{MetricStateUnconfirmed, Gauge, "1", nil, "1 while this host refuses requests because its state is older than the bounds allow and the store may be reachable; not set before the first change."},
 	{MetricCostErrorRatio, Gauge, "1", []string{"service"}, "Factor by which half of the requests differ from the estimate of their work at most; set every 10 s at services whose requests are placed by cost."},
 	{MetricWorkInFlight, Gauge, "s", []string{"service"}, "Estimated work of this host's requests in flight; set every 10 s at services whose requests are placed by cost."},
 	{MetricEvacuatedZones, Gauge, "1", nil, "Availability zones that this host knows to be evacuated; not set before the first evacuation."},
