--- a/relay/edge/handle.go
+++ b/relay/edge/handle.go
@@ -94,13 +94,14 @@
 // routeRequest looks up the route of a request. It returns a response in place of a
 // callerRequest if the request cannot be forwarded.
 func (e *Edge) routeRequest(r *ingress.Request) (*callerRequest, *ingress.Response) {
+	mayDecide := e.mayDecide() // before the table is read, which is then no older than the state
 	table := e.routeTable.Load()
 	if table == nil {
 		e.options.Journal.LogEvent(event.RequestRefused, "request_id", r.Header.Get(e.options.Headers.RequestID), "reason", "no_configuration")
 		return nil, emptyResponse(http.StatusServiceUnavailable, defaultRetryAfter)
 	}
 	id := r.Header.Get(e.options.Headers.RequestID)
-	if !e.mayDecide() {
+	if !mayDecide {
 		e.options.Journal.LogRoutineEvent(event.RequestRefused, "request_id", id, "reason", reasonStateUnconfirmed, "config", table.Config.Version, "state_age_ms", e.stateAge().Milliseconds())
 		return nil, emptyResponse(http.StatusServiceUnavailable, unconfirmedRetryAfter)
 	}
--- a/relay/edge/unconfirmed_test.go
+++ b/relay/edge/unconfirmed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"parsleyrelay.example/core/routes"
 )
 
 // Guards against a request that is decided by an unconfirmed state: answered 404 for a route that may
@@ -67,3 +70,19 @@
 		})
 	}
 }
+
+// Guards against a host that compares the age of one state and decides by an older one: a change may
+// come between the two, for as long as the process is not scheduled.
+func TestStateIsReadAfterItsAgeWasCompared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		e := newVirtualEdge(t, &out, signedResponse, "s1")
+		e.options.MayDecide = func() bool {
+			c := e.Config()
+			c.Version, c.Routes = 2, append(slices.Clone(c.Routes), routes.Route{Name: "added", Host: "h", Prefix: "/added/", Attempts: 1, Timeout: time.Second, Targets: []routes.Target{{Service: "s", Weight: 1}}})
+			e.Configure(c)
+			return true
+		}
+		require.Equal(t, http.StatusOK, sendRequest(e, context.Background(), "/added/x").Status)
+	})
+}
