Forget failed calls of the store when a newer state is known

Cause: core/freshness kept a failure until the store answered a call of this host. A host that follows another does not call the store, so an outage minutes ago would have let it go on by an old state later, without asking. Found by reading, before a landing; no caller saw it.

Change: failures count only if they came after the moment at which the store had the known state.

Evidence: TestFormerFailuresSayNothing fails before and passes.

--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -7,7 +7,10 @@
 // one monotonic clock.
 package freshness
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Verdict says what a host may do with its state.
 type Verdict int
@@ -58,10 +61,12 @@
 	// first of these should have been answered.
 	failing      bool
 	failingSince time.Duration
+	lastFailure  time.Duration
 	// returning reports that the source answers again after it was unreachable.
 	returning bool
 	returnEnd time.Duration
-	unusable  map[string]bool // by purpose: the last call ended within its response
+	// unusable holds, by purpose, when the last call ended within its response.
+	unusable map[string]time.Duration
 }
 
 // Call is a call of the source.
@@ -82,7 +87,7 @@
 
 // NewTracker returns a Tracker of a source that was never called.
 func NewTracker(o Options) *Tracker {
-	return &Tracker{options: o, pending: map[*Call]struct{}{}, unusable: map[string]bool{}}
+	return &Tracker{options: o, pending: map[*Call]struct{}{}, unusable: map[string]time.Duration{}}
 }
 
 // Begin records a call for a purpose, which the source may answer after a wait, as in a long poll.
@@ -95,7 +100,7 @@
 // Progress records that bytes of an answer to a call have arrived.
 func (t *Tracker) Progress(now time.Duration, c *Call) {
 	c.progress = true
-	if !t.unusable[c.purpose] {
+	if _, unusable := t.unusable[c.purpose]; !unusable {
 		t.recordAnswer(now)
 	}
 }
@@ -109,11 +114,19 @@
 		t.recordAnswer(now)
 		return
 	case c.progress:
-		t.unusable[c.purpose] = true
+		t.unusable[c.purpose] = now
 	}
 	if !t.failing {
 		t.failing, t.failingSince = true, t.owedSince(min(c.due, now))
 	}
+	t.lastFailure = now
+}
+
+// forgetBefore forgets failures before a time at which the source had the state that is known: they
+// say nothing of whether it can be reached now.
+func (t *Tracker) forgetBefore(stateAt time.Duration) {
+	t.failing = t.failing && t.lastFailure >= stateAt
+	maps.DeleteFunc(t.unusable, func(_ string, at time.Duration) bool { return at < stateAt })
 }
 
 // owedSince returns since when a call is unanswered that should have been answered at a time.
@@ -146,6 +159,7 @@
 
 // Verdict returns what may be done with a state that the source had at a time.
 func (t *Tracker) Verdict(now, stateAt time.Duration) Verdict {
+	t.forgetBefore(stateAt)
 	if now-stateAt <= t.options.Limit {
 		return Fresh
 	}
--- a/core/freshness/freshness_test.go
+++ b/core/freshness/freshness_test.go
@@ -87,6 +87,21 @@
 	require.Equal(t, Unconfirmed, tracker.Verdict(13000*ms, 10500*ms))
 }
 
+// Guards against a host that goes on by an old state because of calls that failed long ago, before it
+// got a newer state from another host.
+func TestFormerFailuresSayNothing(t *testing.T) {
+	tracker := NewTracker(testOptions)
+	tracker.End(500*ms, tracker.Begin(0, "map", 0), Failed)
+	broken := tracker.Begin(0, "config", 0)
+	tracker.Progress(100*ms, broken)
+	tracker.End(600*ms, broken, Failed)
+	require.Equal(t, Fresh, tracker.Verdict(10000*ms, 9500*ms))
+	require.Equal(t, Unconfirmed, tracker.Verdict(12000*ms, 9500*ms))
+	tracker.End(12100*ms, tracker.Begin(12000*ms, "map", 0), Failed)
+	require.Equal(t, Unconfirmed, tracker.Verdict(12700*ms, 9500*ms))
+	require.Equal(t, Unreachable, tracker.Verdict(12800*ms, 9500*ms))
+}
+
 // Guards against an order of calls and answers in which a state older than the limit is used although
 // bytes of a usable answer arrived within the silence, and the source was not silent before.
 func TestVerdictOfRandomCalls(t *testing.T) {
